--- a/src/cli/cli_bench.cpp
+++ b/src/cli/cli_bench.cpp
@@ -8,6 +8,7 @@
 #include "bench/load_base.h"
 #include "bench/report_func.h"
 #include "bundle_func.h"
+#include "cli/cli_bench.h"
 #include "cli/cli_blocking.h"
 #include "cli/cli_type.h"
 #include "json_func.h"
@@ -102,7 +103,9 @@
 ExitCode runBench(const Words &Rest) {
   if (Rest.size() == 1 && Rest[0] == "load")
     return benchLoad();
-  throw Error(ResultCode::UsageError, "bench needs one of: load");
+  if (Rest.size() == 1 && Rest[0] == "policy")
+    return benchPolicy();
+  throw Error(ResultCode::UsageError, "bench needs one of: load, policy");
 }
 
 } // namespace fulmar
--- a/src/policy_type.h
+++ b/src/policy_type.h
@@ -43,6 +43,7 @@
   bool Ejection = true;       ///< Leave out failing and very slow upstreams.
   bool Affinity = true;       ///< Same prefix, same engine, while load allows.
   bool BoundedRetries = true; ///< Retries spend a budget.
+  bool BoundedQueues = true;  ///< Queues are bounded as the bundle says.
   int SampleCount = 3;        ///< Upstreams compared for one choice.
   int MaxAttempts = 3;        ///< Attempts of one stage, hedges included.
   double LatencyTolerance = 2.0; ///< Latency over the lowest: limit shrinks.
@@ -53,7 +54,7 @@
 };
 
 /// \return What the thin path began with: first come first served, round
-/// robin, fixed limits, no admission, retries without a budget.
+/// robin, fixed limits, no admission, retries and queues without a bound.
 inline RouterPolicy baselinePolicy() {
   RouterPolicy Policy;
   Policy.Order = QueueOrder::Arrival;
@@ -65,6 +66,7 @@
   Policy.Ejection = false;
   Policy.Affinity = false;
   Policy.BoundedRetries = false;
+  Policy.BoundedQueues = false;
   return Policy;
 }
 
--- a/src/router_pool.cpp
+++ b/src/router_pool.cpp
@@ -1,4 +1,6 @@
 /// \file router_pool.cpp Bundles and host lists coming into force.
+#include <limits>
+
 #include "fair_queue_func.h"
 #include "router_internal.h"
 #include "upstream_func.h"
@@ -13,6 +15,10 @@
   P.Queue.ByArrival = State.Policy.Order == QueueOrder::Arrival;
   P.Queue.Shares = Shares;
   P.Queue.MaxCalls = static_cast<std::size_t>(Spec.QueueLimit);
+  if (!State.Policy.BoundedQueues) {
+    P.Queue.MaxCalls = std::numeric_limits<std::size_t>::max();
+    P.Queue.MaxBytes = std::numeric_limits<std::size_t>::max();
+  }
   for (Upstream &U : P.Upstreams) {
     U.Limit.Max = static_cast<double>(Spec.MaxLimit);
     U.Limit.Limit = std::min(U.Limit.Limit, U.Limit.Max);
