--- a/src/bench/policy.cpp
+++ b/src/bench/policy.cpp
@@ -227,8 +227,7 @@
   });
 }
 
-static void carryOut(PolicyWorld &W, std::size_t,
-                     const ReleaseAction &Action) {
+static void carryOut(PolicyWorld &W, std::size_t, const ReleaseAction &Action) {
   W.Claims[Action.RequestId] = 0;
 }
 
@@ -269,8 +268,8 @@
 static void scheduleSource(PolicyWorld &W, std::size_t Index) {
   const ModelSource &Source = W.Plan.Sources[Index];
   TimePoint Base = std::max(W.Now, Source.From);
-  double Phase = std::fmod(toMs(Base.time_since_epoch()) / 1e3,
-                           BurstPeriodSeconds);
+  double Phase =
+      std::fmod(toMs(Base.time_since_epoch()) / 1e3, BurstPeriodSeconds);
   double Rate = Source.Rate * (Phase < 1 ? Source.BurstFactor : 1);
   double Seconds = -std::log(1 - randomUnit(W.Rng)) / Rate;
   TimePoint Next = Base + fromMs(Seconds * 1e3);
@@ -378,9 +377,10 @@
     for (const ModelSource &Source : Plan.Sources) {
       double Mean = (1 * Source.BurstFactor + (BurstPeriodSeconds - 1)) /
                     BurstPeriodSeconds;
-      Work += Source.Rate * Mean *
-              workOf(Plan, *Bundle::find(Plan.Under->Pipelines, Source.Pipeline),
-                     Pool.Name);
+      Work +=
+          Source.Rate * Mean *
+          workOf(Plan, *Bundle::find(Plan.Under->Pipelines, Source.Pipeline),
+                 Pool.Name);
     }
     const ModelShape &Shape = Plan.Shapes.at(Pool.Name);
     double Use = Work / 1e3 / (Shape.Count * Shape.Capacity);
@@ -406,9 +406,8 @@
   double Useful = 0;
   for (const CallerEvent &E : W.Seen.Callers) {
     if (onTime(E))
-      Useful +=
-          workOf(W.Plan, *Bundle::find(W.Plan.Under->Pipelines, E.Pipeline),
-                 Pool);
+      Useful += workOf(
+          W.Plan, *Bundle::find(W.Plan.Under->Pipelines, E.Pipeline), Pool);
   }
   const ModelShape &Shape = W.Plan.Shapes.at(Pool);
   return Useful / (toMs(W.Plan.Length) * Shape.Count * Shape.Capacity);
--- a/src/bench/policy_base.h
+++ b/src/bench/policy_base.h
@@ -24,41 +24,41 @@
 
 /// A modelled upstream: it does nothing but take its time.
 struct ModelUpstream {
-  std::string Address; ///< IP:PORT.
-  std::string Pool;    ///< Its pool.
-  ModelShape Shape;    ///< Normal behaviour.
-  double Slow = 1;     ///< Times are multiplied by this.
-  bool Dead = false;   ///< Refuses connections.
-  double Fail = 0;     ///< Share of calls answered with an error.
-  double CutAfter = 0; ///< Share of calls that run, then are lost.
+  std::string Address;  ///< IP:PORT.
+  std::string Pool;     ///< Its pool.
+  ModelShape Shape;     ///< Normal behaviour.
+  double Slow = 1;      ///< Times are multiplied by this.
+  bool Dead = false;    ///< Refuses connections.
+  double Fail = 0;      ///< Share of calls answered with an error.
+  double CutAfter = 0;  ///< Share of calls that run, then are lost.
   bool Leaving = false; ///< In the host list.
-  int Active = 0;      ///< Calls being worked on.
+  int Active = 0;       ///< Calls being worked on.
   std::list<std::pair<std::size_t, AttemptId>> Waiting; ///< Over capacity.
 };
 
 /// A source of requests.
 struct ModelSource {
-  std::string Organisation; ///< Who.
-  std::string Pipeline;     ///< What for.
-  double Rate = 0;          ///< Requests/s.
-  TimePoint From{};         ///< First moment.
+  std::string Organisation;           ///< Who.
+  std::string Pipeline;               ///< What for.
+  double Rate = 0;                    ///< Requests/s.
+  TimePoint From{};                   ///< First moment.
   TimePoint Until = TimePoint::max(); ///< Last moment.
-  double BurstFactor = 1;   ///< Rate in bursts, of one second in five.
+  double BurstFactor = 1; ///< Rate in bursts, of one second in five.
 };
 
 /// Something that happens at a set time.
 struct ModelFault {
-  TimePoint At{}; ///< When.
+  TimePoint At{};                               ///< When.
   std::function<void(struct PolicyWorld &)> Do; ///< What.
 };
 
 /// One experiment.
 struct PolicyPlan {
-  std::string Name;       ///< For tables.
-  BundlePtr Under;        ///< Bundle.
-  std::map<std::string, ModelShape> Shapes; ///< By pool.
-  std::vector<ModelSource> Sources; ///< Load.
-  std::vector<ModelFault> Faults;   ///< Script of faults.
+  std::string Name;                           ///< For tables.
+  BundlePtr Under;                            ///< Bundle.
+  std::map<std::string, ModelShape> Shapes;   ///< By pool.
+  std::vector<ModelSource> Sources;           ///< Load.
+  std::vector<ModelFault> Faults;             ///< Script of faults.
   Duration Length = std::chrono::seconds(20); ///< Of sending.
   std::size_t Nodes = 1;  ///< Routers that share the upstreams.
   double ClaimMs = 8;     ///< Time of a claim.
@@ -68,40 +68,41 @@
 
 /// A call in progress at a modelled upstream.
 struct ModelCall {
-  std::size_t Node = 0;     ///< Router that sent it.
-  std::size_t Upstream = 0; ///< Index.
-  DispatchAction Action;    ///< What was sent.
-  std::size_t Execution = 0; ///< Index in the history.
-  bool Started = false;     ///< Not waiting any more.
-  bool Cancelled = false;   ///< Its router has closed it.
+  std::size_t Node = 0;        ///< Router that sent it.
+  std::size_t Upstream = 0;    ///< Index.
+  DispatchAction Action;       ///< What was sent.
+  std::size_t Execution = 0;   ///< Index in the history.
+  bool Started = false;        ///< Not waiting any more.
+  bool Cancelled = false;      ///< Its router has closed it.
   std::int64_t TokensLeft = 0; ///< Of an engine.
   std::int64_t TokensDone = 0; ///< Of an engine.
-  TimePoint Began{};        ///< When work on it began.
+  TimePoint Began{};           ///< When work on it began.
 };
 
 /// The state of an experiment.
 struct PolicyWorld {
-  PolicyPlan Plan;                   ///< What to do.
-  TimePoint Now{};                   ///< Virtual time.
-  Random Rng;                        ///< Seeded.
-  std::vector<RouterState> Routers;  ///< One for each node.
+  PolicyPlan Plan;                      ///< What to do.
+  TimePoint Now{};                      ///< Virtual time.
+  Random Rng;                           ///< Seeded.
+  std::vector<RouterState> Routers;     ///< One for each node.
   std::vector<ModelUpstream> Upstreams; ///< All.
-  std::multimap<TimePoint, std::function<void()>> Events; ///< Agenda.
+  std::multimap<TimePoint, std::function<void()>> Events;       ///< Agenda.
   std::map<std::pair<std::size_t, AttemptId>, ModelCall> Calls; ///< Live.
-  std::map<std::pair<std::size_t, RequestSerial>, std::size_t> Asked; ///< To
+  std::map<std::pair<std::size_t, RequestSerial>, std::size_t>
+      Asked;                         ///< To
                                      ///< caller events.
   std::map<std::string, int> Claims; ///< Ids that are claimed.
   bool KvOutage = false;             ///< Claims are refused.
   History Seen;                      ///< By callers and upstreams.
   Metrics Counted;                   ///< Over all nodes.
-  double UsefulMs = 0; ///< Bottleneck work of requests that were on time.
-  std::uint64_t LastId = 0;          ///< Counts requests.
+  double UsefulMs = 0;      ///< Bottleneck work of requests that were on time.
+  std::uint64_t LastId = 0; ///< Counts requests.
 };
 
 /// What an experiment came to.
 struct PolicyResult {
-  double OnTime = 0;        ///< Share of all requests.
-  std::map<std::string, double> OnTimeOf; ///< By organisation.
+  double OnTime = 0;                             ///< Share of all requests.
+  std::map<std::string, double> OnTimeOf;        ///< By organisation.
   std::map<std::string, std::size_t> RequestsOf; ///< By organisation.
   double OnTimeEstablished = 0; ///< Share, of established organisations.
   double Goodput = 0;       ///< On-time work of the fullest pool over what it
--- a/src/bench/policy_scenarios.cpp
+++ b/src/bench/policy_scenarios.cpp
@@ -59,14 +59,12 @@
 
 static void poolDead(PolicyPlan &Plan) {
   Plan.Faults.push_back({FaultStart, [](PolicyWorld &W) {
-                           forPool(W, "rerankers", [](ModelUpstream &U) {
-                             U.Dead = true;
-                           });
+                           forPool(W, "rerankers",
+                                   [](ModelUpstream &U) { U.Dead = true; });
                          }});
   Plan.Faults.push_back({FaultEnd, [](PolicyWorld &W) {
-                           forPool(W, "rerankers", [](ModelUpstream &U) {
-                             U.Dead = false;
-                           });
+                           forPool(W, "rerankers",
+                                   [](ModelUpstream &U) { U.Dead = false; });
                          }});
 }
 
@@ -82,8 +80,7 @@
 static void kvOutage(PolicyPlan &Plan) {
   Plan.Faults.push_back(
       {FaultStart, [](PolicyWorld &W) { W.KvOutage = true; }});
-  Plan.Faults.push_back(
-      {FaultEnd, [](PolicyWorld &W) { W.KvOutage = false; }});
+  Plan.Faults.push_back({FaultEnd, [](PolicyWorld &W) { W.KvOutage = false; }});
 }
 
 static void leaving(PolicyPlan &Plan) {
--- a/src/cli/cli_bench.cpp
+++ b/src/cli/cli_bench.cpp
@@ -25,6 +25,10 @@
 DEFINE_string(run_name, "run", "load: first part of request ids");
 DEFINE_bool(retry, false,
             "load: callers repeat after `not run` and lost nodes");
+DEFINE_string(leaving, "",
+              "load: an upstream that is marked as leaving half "
+              "way; needs --hosts");
+DEFINE_string(hosts, "", "load: address of the stand-in of the host list");
 DEFINE_double(leave_share, 0, "load: share of callers that close early");
 
 namespace fulmar {
@@ -69,6 +73,21 @@
   addExecutions(Seen, Under, Runs);
 }
 
+/// Marks an upstream as leaving half way through the load.
+static void planLeaving(TimerService &Timers, HttpClient &Client,
+                        History &Seen) {
+  if (FLAGS_leaving.empty())
+    return;
+  Timers.after(fromMs(FLAGS_seconds * 500), [&Timers, &Client, &Seen] {
+    HttpCall Call;
+    Call.Address = FLAGS_hosts;
+    Call.Path = "/leave";
+    Call.Body = FLAGS_leaving;
+    Client.start(std::move(Call), HttpCallbacks());
+    Seen.Leaving.push_back({FLAGS_leaving, Timers.now()});
+  });
+}
+
 static ExitCode benchLoad() {
   BundlePtr Under = buildBundle(loadBundleItems(FLAGS_bundle), 1);
   TimerService Timers;
@@ -82,10 +101,12 @@
   Plan.Retry = FLAGS_retry;
   Plan.LeaveShare = FLAGS_leave_share;
   LoadRun Load(Loop, Timers, Under, Plan);
+  History Seen;
+  HttpClient Client(Loop);
+  planLeaving(Timers, Client, Seen);
   Load.start();
   while (!Load.done())
     Loop.runOnce();
-  History Seen;
   Seen.Callers = Load.events();
   for (const std::string &Address : expandRange(FLAGS_upstreams))
     fetchExecutions(Address, *Under, Seen);
--- a/src/cli/cli_policy.cpp
+++ b/src/cli/cli_policy.cpp
@@ -52,8 +52,9 @@
 }
 
 /// A polyline of attainment over load.
-static std::string polyline(const std::vector<std::pair<double, double>> &Points,
-                            const char *Colour) {
+static std::string
+polyline(const std::vector<std::pair<double, double>> &Points,
+         const char *Colour) {
   std::string Out = "<polyline fill='none' stroke-width='2' stroke='" +
                     std::string(Colour) + "' points='";
   for (auto [Load, Share] : Points)
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -50,8 +50,8 @@
      "load|policy|slopes|overhead",
      "Send load to nodes, compare policies, measure slopes.",
      {"bundle", "seconds", "rate", "seed", "entry", "upstreams", "run_name",
-      "retry", "json", "scenario", "svg", "leave_share", "sizes", "nodes",
-      "token"},
+      "leaving", "hosts", "retry", "json", "scenario", "svg", "leave_share",
+      "sizes", "nodes", "token"},
      runBench},
     {"help", "[settings|bundle|codes]", "Print reference pages.", {}, runHelp},
 };
--- a/src/standin/standin_hosts.cpp
+++ b/src/standin/standin_hosts.cpp
@@ -66,6 +66,10 @@
     Outage = Exchange->Body.find("true") != std::string::npos;
     return Exchange->reply(HttpOk, "", {});
   }
+  if (Exchange->Path == "/leave") {
+    setLeaving(Exchange->Body, true);
+    return Exchange->reply(HttpOk, "", {});
+  }
   if (Outage)
     return Exchange->abort();
   if (Exchange->Path != "/v1/hosts")
--- a/src/standin/standin_hosts.h
+++ b/src/standin/standin_hosts.h
@@ -15,7 +15,8 @@
   std::string FailureDomain; ///< Where it runs.
 };
 
-/// Answers GET /v1/hosts; POST /v1/hosts replaces the list after a lag.
+/// Answers GET /v1/hosts; POST /v1/hosts replaces the list after a lag, and
+/// POST /leave with an address marks that upstream as leaving.
 class StandinHosts {
 public:
   StandinHosts(EventLoop &Loop, TimerService &Timers, const std::string &Host,
--- a/src/timer.cpp
+++ b/src/timer.cpp
@@ -12,12 +12,12 @@
 }
 
 TimerId TimerService::after(Duration Delay, Callback Fn) {
-  return insert(Now + Delay, Duration::zero(), std::move(Fn));
+  return insert(now() + Delay, Duration::zero(), std::move(Fn));
 }
 
 TimerId TimerService::every(Duration Period, Callback Fn) {
   assert(Period > Duration::zero());
-  return insert(Now + Period, Period, std::move(Fn));
+  return insert(now() + Period, Period, std::move(Fn));
 }
 
 void TimerService::cancel(TimerId Id) {
--- a/src/timer_base.h
+++ b/src/timer_base.h
@@ -22,8 +22,13 @@
 public:
   using Callback = std::function<void()>; ///< Run on the loop's thread.
 
-  /// \return The time of the latest advance.
-  TimePoint now() const { return Now; }
+  /// Takes the time from \p Fn from now on. Without it, time stands still
+  /// between two advances: right for a test, but in a loop that slept for a
+  /// second, whatever woke it up would be dated a second back.
+  void setClock(std::function<TimePoint()> Fn) { Clock = std::move(Fn); }
+
+  /// \return The present time; never before that of the latest advance.
+  TimePoint now() const { return Clock ? std::max(Now, Clock()) : Now; }
 
   /// Calls \p Fn once, \p Delay from now.
   TimerId after(Duration Delay, Callback Fn);
@@ -38,7 +43,7 @@
   std::optional<TimePoint> nextDue() const;
 
   /// Moves time to \p To and calls all that is due, in order of due time.
-  /// \pre \p To is not before now().
+  /// \pre \p To is not before the latest advance.
   void advance(TimePoint To);
 
 private:
@@ -51,7 +56,8 @@
 
   TimerId insert(TimePoint Due, Duration Period, Callback Fn);
 
-  TimePoint Now{};                       ///< Latest reading.
+  TimePoint Now{};                       ///< Of the latest advance.
+  std::function<TimePoint()> Clock;      ///< Live readings; may be empty.
   std::uint64_t LastId = 0;              ///< Latest id given out.
   std::multimap<TimePoint, Entry> Queue; ///< By due time, then by age.
   /// Where each subscription stands in the queue, so that ending one of many
--- a/tests/ledger_world.h
+++ b/tests/ledger_world.h
@@ -13,9 +13,9 @@
 
 /// What a request of the test came to.
 struct WorldTry {
-  std::size_t Node = 0;  ///< Where it was sent.
-  std::string Id;        ///< Its id.
-  RequestSerial Serial;  ///< Its local name there.
+  std::size_t Node = 0;                         ///< Where it was sent.
+  std::string Id;                               ///< Its id.
+  RequestSerial Serial;                         ///< Its local name there.
   ClaimVerdict Verdict = ClaimVerdict::Invalid; ///< Last one heard.
   bool Executed = false; ///< It was granted in time, and ran.
   bool Ended = false;    ///< It was given up or refused.
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -135,8 +135,8 @@
   LedgerHead Head;
   std::map<std::uint64_t, std::vector<LedgerEntry>> None;
   bool Changed = false;
-  LedgerEntry Claim{{1, 2}, 7, 1, LedgerState::Claimed, 1000,
-                    ResultCode::Invalid};
+  LedgerEntry Claim{
+      {1, 2}, 7, 1, LedgerState::Claimed, 1000, ResultCode::Invalid};
   LedgerEntry Release = Claim;
   Release.State = LedgerState::Released;
   applyOp(Head, None, Release, 10, Changed);
