--- /dev/null
+++ b/tests/test_api.cpp
@@ -0,0 +1,311 @@
+// The callers' interface on real sockets: bad input of every kind.
+#include <arpa/inet.h>
+#include <unistd.h>
+
+#include "bench/demo.h"
+#include "bundle_cmd.h"
+#include "bundle_func.h"
+#include "http_client.h"
+#include "json_func.h"
+#include "node.h"
+#include "peer_codec.h"
+#include "rollout_service.h"
+#include "router_service.h"
+#include "signature_func.h"
+#include "standin/standin_site.h"
+
+using namespace fulmar;
+using namespace std::chrono_literals;
+
+/// Nodes and stand-ins on one loop.
+struct ApiSite {
+  TimerService Timers;
+  EventLoop Loop{Timers};
+  BundlePtr Under;
+  std::unique_ptr<StandinSite> Site;
+  std::vector<Settings> Configs;
+  std::vector<std::unique_ptr<Node>> Nodes;
+  SigningKey Key = makeSigningKey();
+  std::unique_ptr<HttpClient> Client = std::make_unique<HttpClient>(Loop);
+
+  explicit ApiSite(std::size_t Count = 1) {
+    BundleItems Items =
+        loadBundleItems(SOURCE_DIR "/examples/turno-certo-bundle.json");
+    Under = buildBundle(Items, 1);
+    Site = std::make_unique<StandinSite>(Loop, Timers, *Under, SitePlan());
+    Site->Kv.restore(BundleKey,
+                     encodeBundle(sealBundle(Items, 1, "op", Key.PrivateHex,
+                                             "first", 1)));
+    std::vector<int> Ports = freePorts("127.0.0.1", Count * 3);
+    for (std::size_t I = 0; I < Count; ++I) {
+      Settings S;
+      S.NodeId = "n" + std::to_string(I);
+      S.FailureDomain = "fd1";
+      S.CallerPort = Ports[I * 3];
+      S.OperatorPort = Ports[I * 3 + 1];
+      S.PeerPort = Ports[I * 3 + 2];
+      S.KvAddress = "127.0.0.1:" + std::to_string(Site->Kv.port());
+      S.HostListAddress = "127.0.0.1:" + std::to_string(Site->Hosts.port());
+      S.OperatorKeys = {"op:" + Key.PublicHex};
+      S.OperatorToken = "operators-only";
+      S.PeerKey = "secret-between-nodes";
+      S.MaxBodyBytes = 4096;
+      S.ProbePeriodMs = 100;
+      S.ProbeTimeoutMs = 30;
+      S.EntryTtlMs = 200;
+      Site->Hosts.Nodes.push_back(
+          {S.NodeId, "127.0.0.1:" + std::to_string(S.PeerPort), "fd1"});
+      Configs.push_back(S);
+      Nodes.push_back(std::make_unique<Node>(Loop, Timers, S));
+    }
+    waitFor([&] {
+      for (auto &N : Nodes) {
+        const RouterState &S = N->router().state();
+        if (!S.InForce || S.Pools.at("engines").Upstreams.empty())
+          return false;
+      }
+      return true;
+    });
+  }
+  ~ApiSite() {
+    Client.reset();
+    Nodes.clear();
+  }
+  template <typename Fn> void waitFor(Fn Ready) {
+    for (int I = 0; I < 20000 && !Ready(); ++I)
+      Loop.runOnce();
+    REQUIRE(Ready());
+  }
+  std::string address(std::size_t I = 0) const {
+    return "127.0.0.1:" + std::to_string(Configs[I].CallerPort);
+  }
+  HttpAnswer call(HttpCall Call) {
+    if (Call.Address.empty())
+      Call.Address = address();
+    HttpAnswer Out;
+    bool Done = false;
+    HttpCallbacks On;
+    On.OnDone = [&](const HttpAnswer &A) {
+      Out = A;
+      Done = true;
+    };
+    Client->start(std::move(Call), std::move(On));
+    waitFor([&] { return Done; });
+    return Out;
+  }
+  HttpAnswer post(const std::string &Body, HttpHeaders Headers = {},
+                  std::size_t To = 0) {
+    HttpCall Call;
+    Call.Address = address(To);
+    Call.Path = "/v1/requests";
+    Call.Body = Body;
+    Call.Headers = std::move(Headers);
+    return call(std::move(Call));
+  }
+  static double code(const HttpAnswer &A) {
+    Diagnostics Wrong;
+    auto Root = parseJson(A.Body, JsonDialect::Strict, Wrong);
+    return Root ? Root->number("code") : -1;
+  }
+  /// Sends raw bytes and waits until the node has had a look at them.
+  void raw(const std::string &Bytes) {
+    int Fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in To{};
+    To.sin_family = AF_INET;
+    To.sin_port = htons(static_cast<std::uint16_t>(Configs[0].CallerPort));
+    inet_pton(AF_INET, "127.0.0.1", &To.sin_addr);
+    REQUIRE(::connect(Fd, reinterpret_cast<sockaddr *>(&To), sizeof(To)) == 0);
+    REQUIRE(::send(Fd, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) > 0);
+    for (int I = 0; I < 10; ++I)
+      Loop.runOnce();
+    ::close(Fd);
+    for (int I = 0; I < 10; ++I)
+      Loop.runOnce();
+  }
+};
+
+static const char *const Coverage =
+    R"({"organisation":"recife-docas","pipeline":"coverage","input":"x"})";
+static const char *const Confirm =
+    R"({"organisation":"recife-docas","pipeline":"confirm","input":"x"})";
+
+SCENARIO("callers send what they should not") {
+  ApiSite S;
+  SECTION("bodies") {
+    CHECK(S.code(S.post("")) == 2000);
+    CHECK(S.code(S.post("{")) == 2000);
+    CHECK(S.code(S.post("[1]")) == 2000);
+    CHECK(S.code(S.post(std::string(3000, '['))) == 2000);
+    CHECK(S.code(S.post(R"({"organisation":1,"pipeline":"x"})")) == 2000);
+    CHECK(S.code(S.post(R"({"organisation":"a","pipelin":"x"})")) == 2000);
+    CHECK(S.code(S.post(R"({"organisation":"a","organisation":"b"})")) == 2000);
+    CHECK(S.code(S.post(std::string(5000, ' '))) == 2003);
+    CHECK(S.code(S.post(
+              R"({"organisation":"recife-docas","pipeline":"no"})")) == 2001);
+    CHECK(S.code(S.post(R"({"organisation":"no","pipeline":"coverage"})")) ==
+          2002);
+    CHECK(S.code(S.post(Confirm)) == 2004);
+  }
+  SECTION("headers") {
+    CHECK(S.code(S.post(Coverage, {{header::DeadlineMs, "soon"}})) == 2005);
+    CHECK(S.code(S.post(Coverage, {{header::DeadlineMs, "-5"}})) == 2005);
+    CHECK(S.code(S.post(Coverage, {{header::DeadlineMs, "9999"}})) == 2005);
+    CHECK(S.code(S.post(Coverage, {{header::IdempotencyKey,
+                                    std::string(200, 'k')}})) == 2000);
+    CHECK(S.code(S.post(Coverage, {{header::IdempotencyKey, "a b"}})) == 2000);
+  }
+  SECTION("paths") {
+    HttpCall Call;
+    Call.Path = "/nothing";
+    CHECK(S.code(S.call(Call)) == 5014);
+  }
+  SECTION("bytes that are not HTTP, cut or endless") {
+    S.raw("\x16\x03\x01 not http at all\r\n\r\n");
+    S.raw("POST /v1/requests HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n");
+    S.raw("POST /v1/requests HTTP/1.1\r\nContent-Length: -1\r\n\r\nx");
+    S.raw("POST /v1/requests HTTP/1.1\r\nContent-Length: 50\r\n\r\n{");
+    S.raw("GET / HTTP/1.1\r\n" + std::string(200000, 'h'));
+    S.raw("GET /%zz%00 HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  THEN("and the node goes on serving") {
+    CHECK(S.code(S.post(Coverage)) == 1000);
+  }
+}
+
+SCENARIO("operators' endpoints are not open to callers") {
+  ApiSite S;
+  HttpCall Call;
+  Call.Address = "127.0.0.1:" + std::to_string(S.Configs[0].OperatorPort);
+  Call.Method = "GET";
+  Call.Path = "/metrics";
+  CHECK(S.call(Call).Status == 401);
+  Call.Headers = {{"Authorization", "Bearer wrong"}};
+  CHECK(S.call(Call).Status == 401);
+  Call.Headers = {{"Authorization", "Bearer operators-only"}};
+  CHECK_THAT(S.call(Call).Body,
+             Catch::Contains("fulmarstep_bundle_version 1"));
+  Call.Address = S.address();
+  CHECK(S.call(Call).Status == 404);
+}
+
+SCENARIO("an id is used again, at other nodes") {
+  // Symptom: two people are sent to one shift. Sequence: a worker confirms,
+  // the connection is lost, the phone confirms again at another node. Cause:
+  // each node knowing only its own requests.
+  ApiSite S(3);
+  HttpHeaders Key = {{header::IdempotencyKey, "shift-1"}};
+  CHECK(S.code(S.post(Confirm, Key, 0)) == 1000);
+  std::size_t Executions = S.Site->executions().size();
+  // The outcome is recorded a moment after the answer.
+  HttpAnswer Again;
+  for (int I = 0; I < 50; ++I) {
+    Again = S.post(Confirm, Key, 1);
+    if (S.code(Again) == 1001)
+      break;
+    CHECK(S.code(Again) == 4001);
+  }
+  CHECK(S.code(Again) == 1001);
+  CHECK(S.code(S.post(Confirm, Key, 2)) == 1001);
+  CHECK(S.Site->executions().size() == Executions);
+}
+
+SCENARIO("the key-value service is down") {
+  ApiSite S;
+  S.Site->Kv.Faults.Outage = true;
+  HttpHeaders Key = {{header::IdempotencyKey, "shift-2"}};
+  std::size_t Before = S.Site->executions().size();
+  THEN("non-idempotent requests are not run, and everything else goes on") {
+    CHECK(S.code(S.post(Confirm, Key)) == 2030);
+    CHECK(S.Site->executions().size() == Before);
+    CHECK(S.code(S.post(Coverage)) == 1000);
+    S.Site->Kv.Faults.Outage = false;
+    double Code = 0;
+    for (int I = 0; I < 200 && Code != 1000; ++I)
+      Code = S.code(S.post(Confirm, Key));
+    CHECK(Code == 1000);
+  }
+}
+
+SCENARIO("a caller closes early") {
+  ApiSite S;
+  for (StandinUpstream *U : S.Site->pool("retrievers"))
+    U->Faults.Stall = 1;
+  HttpCall Call;
+  Call.Address = S.address();
+  Call.Path = "/v1/requests";
+  Call.Body = Coverage;
+  HttpCallId Id = S.Client->start(Call, HttpCallbacks());
+  S.waitFor([&] { return !S.Site->executions().empty(); });
+  S.Client->cancel(Id);
+  THEN("its upstream work is cancelled") {
+    S.waitFor([&] { return S.Nodes[0]->router().state().Requests.empty(); });
+    CHECK(S.Nodes[0]->router().state().Attempts.empty());
+  }
+}
+
+SCENARIO("a node stops while requests run") {
+  ApiSite S(2);
+  for (StandinUpstream *U : S.Site->pool("retrievers"))
+    U->Faults.Slow = 100;
+  HttpAnswer Slow;
+  bool Done = false;
+  HttpCall Call;
+  Call.Address = S.address();
+  Call.Path = "/v1/requests";
+  Call.Body = Coverage;
+  HttpCallbacks On;
+  On.OnDone = [&](const HttpAnswer &A) {
+    Slow = A;
+    Done = true;
+  };
+  S.Client->start(Call, On);
+  S.waitFor([&] { return !S.Site->executions().empty(); });
+  S.Nodes[0]->drain();
+  S.Nodes[0]->drain();
+  HttpCall Ready;
+  Ready.Method = "GET";
+  Ready.Path = "/readyz";
+  CHECK(S.code(S.call(Ready)) == 2011);
+  THEN("it still serves who has its address, and cuts nothing off") {
+    S.waitFor([&] { return Done; });
+    CHECK(S.code(Slow) == 1000);
+  }
+  THEN("the other node does not give its address out") {
+    HttpCall Entries;
+    Entries.Address = S.address(1);
+    Entries.Method = "GET";
+    Entries.Path = "/v1/entries";
+    S.waitFor([&] {
+      return S.call(Entries).Body.find(S.address(0)) == std::string::npos;
+    });
+    CHECK_THAT(S.call(Entries).Body, Catch::Contains(S.address(1)));
+  }
+}
+
+SCENARIO("a stream of tokens is the whole answer") {
+  ApiSite S;
+  HttpCall Call;
+  Call.Address = S.address();
+  Call.Path = "/v1/requests";
+  Call.Body = R"({"organisation":"recife-docas","pipeline":"offer",)"
+              R"("input":"x","stream":true})";
+  std::string Streamed, Result;
+  bool Done = false;
+  EventReader Events;
+  HttpCallbacks On;
+  On.OnChunk = [&](std::string_view Chunk) {
+    Events.feed(Chunk, [&](std::string_view Data) {
+      Diagnostics Wrong;
+      auto Event = parseJson(Data, JsonDialect::Strict, Wrong);
+      REQUIRE(Event);
+      if (Event->find("code"))
+        Result = Event->text("output");
+      Streamed += Event->text("token");
+    });
+  };
+  On.OnDone = [&](const HttpAnswer &) { Done = true; };
+  S.Client->start(Call, On);
+  S.waitFor([&] { return Done; });
+  CHECK(Streamed == Result);
+  CHECK(Streamed.size() > 20);
+}
