A process that was paused reads the host list before it sends

A node that was stopped went on, found requests in its sockets and sent them by a host list as old as the pause. Ruled out: a late poll alone (0.5 s period), the upstream's own mark. Change: the router's service notices a gap of its loop, holds attempts back until the list is read anew (0.4 s at most), and sends those whose upstream is leaving elsewhere; no byte was sent, so that is safe.

--- /dev/null
+++ b/src/bench/fleet.cpp
@@ -0,0 +1,209 @@
+/// \file fleet.cpp Measurements on running nodes.
+#include "bench/fleet.h"
+
+#include <sstream>
+
+#include "bundle_cmd.h"
+#include "bundle_func.h"
+#include "http_client.h"
+#include "json_func.h"
+#include "kv_consul.h"
+#include "peer_codec.h"
+#include "result_type.h"
+#include "rollout_service.h"
+
+namespace fulmar {
+
+static constexpr Duration PollPeriod = std::chrono::milliseconds(5);
+static constexpr Duration PollTimeout = std::chrono::milliseconds(300);
+static constexpr Duration AcceptRetry = std::chrono::milliseconds(100);
+static constexpr Duration FinalPatience = std::chrono::seconds(20);
+
+/// One run of changes, on one loop.
+struct RolloutWatch {
+  const FleetAccess &Fleet;           ///< Nodes.
+  const RolloutPlan &Plan;            ///< Changes.
+  TimerService Timers;                ///< Time.
+  EventLoop Loop{Timers};             ///< Runs it.
+  HttpClient Client{Loop};            ///< Polls.
+  ConsulKv Kv{Client, Fleet.Kv};      ///< Accepts.
+  std::vector<std::uint64_t> Version; ///< Latest seen of each node.
+  std::vector<TimePoint> Answered;    ///< When each node last answered.
+  RolloutRun Out;                     ///< Result.
+
+  RolloutWatch(const FleetAccess &F, const RolloutPlan &P)
+      : Fleet(F), Plan(P), Version(F.Nodes.size(), 0),
+        Answered(F.Nodes.size()) {
+    for (std::size_t I = 0; I < F.Nodes.size(); ++I)
+      poll(I);
+  }
+
+  void poll(std::size_t I) {
+    HttpCall Call;
+    Call.Address = Fleet.Nodes[I];
+    Call.Method = "GET";
+    Call.Path = "/v1/version";
+    Call.Timeout = PollTimeout;
+    Call.Headers.push_back({"Authorization", "Bearer " + Fleet.Token});
+    HttpCallbacks On;
+    On.OnDone = [this, I](const HttpAnswer &Answer) {
+      if (Answer.Status == HttpOk)
+        heard(I, Answer.Body);
+      Timers.after(PollPeriod, [this, I] { poll(I); });
+    };
+    Client.start(std::move(Call), std::move(On));
+  }
+
+  void heard(std::size_t I, const std::string &Body) {
+    Diagnostics Wrong;
+    auto Root = parseJson(Body, JsonDialect::Strict, Wrong);
+    auto Now = Root ? static_cast<std::uint64_t>(Root->number("version")) : 0;
+    // A process that has just started has none yet; that is no reversion.
+    if (Now > 0 && Now < Version[I])
+      ++Out.Reverted;
+    Version[I] = std::max(Version[I], Now);
+    if (Now > 0)
+      Answered[I] = Timers.now();
+  }
+
+  /// Writes the next version; tries again through outages.
+  std::uint64_t accept(int Step) {
+    std::uint64_t Accepted = 0;
+    while (Accepted == 0) {
+      bool Done = false;
+      Kv.get(BundleKey, [&](KvStatus Status, const KvEntry &Entry) {
+        if (Status != KvStatus::Ok) {
+          Done = true;
+          return;
+        }
+        write(Entry, Step, Done, Accepted);
+      });
+      while (!Done)
+        Loop.runOnce();
+      if (Accepted == 0)
+        wait(AcceptRetry);
+    }
+    return Accepted;
+  }
+
+  void write(const KvEntry &Entry, int Step, bool &Done,
+             std::uint64_t &Accepted) {
+    auto Before = decodeBundle(Entry.Value);
+    if (!Before)
+      throw Error(ResultCode::BundleInvalid, "no bundle to change");
+    BundleItems Items = Before->Items;
+    auto First = Items.lower_bound("organisations/");
+    Diagnostics Wrong;
+    Json Item = *parseJson(First->second.Json, JsonDialect::Strict, Wrong);
+    for (auto &[Name, Value] : Item.Members) {
+      if (Name == "weight")
+        Value = Json(1 + Step % 100);
+    }
+    First->second = makeItem(First->first, writeJson(Item));
+    SignedBundle Next =
+        sealBundle(std::move(Items), Before->Seal.Version + 1, Plan.Signer,
+                   Plan.PrivateHex, "measured", EventLoop::wallClock());
+    Kv.cas(BundleKey, encodeBundle(Next), Entry.Index,
+           [&Done, &Accepted, Version = Next.Seal.Version](KvStatus Status) {
+             if (Status == KvStatus::Ok)
+               Accepted = Version;
+             Done = true;
+           });
+  }
+
+  void wait(Duration Length) {
+    TimePoint Until = Timers.now() + Length;
+    while (Timers.now() < Until)
+      Loop.runOnce();
+  }
+
+  /// Waits until every node that can be reached has \p Wanted.
+  void watchChange(std::uint64_t Wanted) {
+    TimePoint Start = Timers.now();
+    std::vector<bool> Done(Version.size(), false);
+    double Last = 0;
+    std::size_t Open = Version.size();
+    while (Open > 0 && Timers.now() < Start + Plan.Patience) {
+      Loop.runOnce();
+      double Ms = toMs(Timers.now() - Start);
+      for (std::size_t I = 0; I < Done.size(); ++I) {
+        // A node that is silent for several polls is paused or down.
+        bool Silent = Timers.now() - Answered[I] > 3 * PollTimeout;
+        if (Done[I] || (Version[I] < Wanted && !Silent))
+          continue;
+        Done[I] = true;
+        --Open;
+        if (Version[I] < Wanted) {
+          ++Out.OutOfReach;
+          continue;
+        }
+        Out.NodeMs.push_back(Ms);
+        Last = Ms;
+      }
+    }
+    Out.EverywhereMs.push_back(Open > 0 ? toMs(Plan.Patience) : Last);
+  }
+
+  void run() {
+    wait(PollTimeout);
+    std::uint64_t Wanted = 0;
+    for (int I = 0; I < Plan.Changes; ++I) {
+      TimePoint Next = Timers.now() + Plan.Interval;
+      Wanted = accept(I);
+      watchChange(Wanted);
+      if (Next > Timers.now())
+        wait(Next - Timers.now());
+    }
+    TimePoint Until = Timers.now() + FinalPatience;
+    auto Behind = [&] {
+      std::size_t Count = 0;
+      for (std::uint64_t V : Version)
+        Count += V < Wanted ? 1 : 0;
+      return Count;
+    };
+    while (Behind() > 0 && Timers.now() < Until)
+      Loop.runOnce();
+    Out.Behind = Behind();
+  }
+};
+
+RolloutRun runRollout(const FleetAccess &Fleet, const RolloutPlan &Plan) {
+  RolloutWatch Watch(Fleet, Plan);
+  Watch.run();
+  return Watch.Out;
+}
+
+FleetMetrics readMetrics(const FleetAccess &Fleet) {
+  TimerService Timers;
+  EventLoop Loop(Timers);
+  HttpClient Client(Loop);
+  FleetMetrics Out;
+  std::size_t Waiting = Fleet.Nodes.size();
+  for (const std::string &Node : Fleet.Nodes) {
+    HttpCall Call;
+    Call.Address = Node;
+    Call.Method = "GET";
+    Call.Path = "/metrics";
+    Call.Timeout = std::chrono::seconds(5);
+    Call.Headers.push_back({"Authorization", "Bearer " + Fleet.Token});
+    HttpCallbacks On;
+    On.OnDone = [&Out, &Waiting, Node](const HttpAnswer &Answer) {
+      --Waiting;
+      std::istringstream Lines(Answer.Body);
+      std::string Name;
+      std::string Value;
+      while (Lines >> Name >> Value) {
+        if (Name[0] != '#' && Name.find('{') == std::string::npos)
+          Out[Name][Node] = std::strtod(Value.c_str(), nullptr);
+        else
+          std::getline(Lines, Value);
+      }
+    };
+    Client.start(std::move(Call), std::move(On));
+  }
+  while (Waiting > 0)
+    Loop.runOnce();
+  return Out;
+}
+
+} // namespace fulmar
--- a/src/cli/cli_bench.cpp
+++ b/src/cli/cli_bench.cpp
@@ -122,11 +122,17 @@
 }
 
 ExitCode runBench(const Words &Rest) {
-  if (Rest.size() == 1 && Rest[0] == "load")
-    return benchLoad();
-  if (Rest.size() == 1 && Rest[0] == "policy")
-    return benchPolicy();
-  throw Error(ResultCode::UsageError, "bench needs one of: load, policy");
+  static const std::vector<std::pair<std::string, ExitCode (*)()>> Parts = {
+      {"load", benchLoad},
+      {"policy", benchPolicy},
+      {"rollout", benchRollout},
+      {"fleet", benchFleet}};
+  for (const auto &[Name, Run] : Parts) {
+    if (Rest.size() == 1 && Rest[0] == Name)
+      return Run();
+  }
+  throw Error(ResultCode::UsageError,
+              "bench needs one of: load, policy, rollout, fleet");
 }
 
 } // namespace fulmar
--- a/src/cli/cli_bench.h
+++ b/src/cli/cli_bench.h
@@ -9,6 +9,12 @@
 /// Compares policies in virtual time.
 ExitCode benchPolicy();
 
+/// Accepts changes and measures until they are in force on running nodes.
+ExitCode benchRollout();
+
+/// Reads running nodes' metrics twice and prints rates.
+ExitCode benchFleet();
+
 } // namespace fulmar
 
 #endif
--- /dev/null
+++ b/src/cli/cli_fleet.cpp
@@ -0,0 +1,90 @@
+/// \file cli_fleet.cpp `bench rollout` and `bench fleet`: running nodes.
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <thread>
+
+#include <gflags/gflags.h>
+
+#include "bench/fleet.h"
+#include "cli/cli_bench.h"
+#include "cli/cli_blocking.h"
+#include "json_func.h"
+#include "result_type.h"
+
+DECLARE_string(nodes);
+DECLARE_string(token);
+DECLARE_string(kv);
+DECLARE_string(key);
+DECLARE_string(signer);
+DECLARE_double(seconds);
+DEFINE_int32(changes, 100, "rollout: changes to accept");
+DEFINE_int32(interval_ms, 300, "rollout: time between two changes");
+
+namespace fulmar {
+
+static FleetAccess access() {
+  return {splitList(FLAGS_nodes), FLAGS_token, FLAGS_kv};
+}
+
+static double quantileOf(std::vector<double> Values, double Q) {
+  if (Values.empty())
+    return 0;
+  std::sort(Values.begin(), Values.end());
+  return Values[static_cast<std::size_t>(
+      std::lround(Q * static_cast<double>(Values.size() - 1)))];
+}
+
+ExitCode benchRollout() {
+  RolloutPlan Plan;
+  std::string Key = readFile(FLAGS_key);
+  Plan.PrivateHex = Key.substr(0, Key.find('\n'));
+  Plan.Signer = FLAGS_signer;
+  Plan.Changes = FLAGS_changes;
+  Plan.Interval = std::chrono::milliseconds(FLAGS_interval_ms);
+  RolloutRun Run = runRollout(access(), Plan);
+  std::printf(
+      "changes=%d nodes=%zu everywhere_p50_ms=%.0f "
+      "everywhere_p99_ms=%.0f everywhere_max_ms=%.0f node_p50_ms=%.0f "
+      "node_p99_ms=%.0f out_of_reach=%zu reverted=%zu behind=%zu\n",
+      FLAGS_changes, access().Nodes.size(), quantileOf(Run.EverywhereMs, 0.5),
+      quantileOf(Run.EverywhereMs, 0.99), quantileOf(Run.EverywhereMs, 1),
+      quantileOf(Run.NodeMs, 0.5), quantileOf(Run.NodeMs, 0.99), Run.OutOfReach,
+      Run.Reverted, Run.Behind);
+  if (Run.Reverted + Run.Behind > 0)
+    throw Error(ResultCode::InvariantBroken,
+                "a node went back, or did not follow");
+  return ExitCode::Good;
+}
+
+/// Prints what grew between two readings, for each node and second.
+static void printRates(const FleetMetrics &Before, const FleetMetrics &After,
+                       double Seconds) {
+  std::printf("%-42s %12s %12s\n", "metric, a node and second", "mean", "max");
+  for (const auto &[Name, Nodes] : After) {
+    bool Counter = Name.size() > 6 && Name.rfind("_total") == Name.size() - 6;
+    double Sum = 0, Max = 0;
+    for (const auto &[Node, Value] : Nodes) {
+      double Old = 0;
+      if (Counter && Before.count(Name) && Before.at(Name).count(Node))
+        Old = Before.at(Name).at(Node);
+      double Rate = Counter ? (Value - Old) / Seconds : Value;
+      Sum += Rate;
+      Max = std::max(Max, Rate);
+    }
+    if (Max > 0)
+      std::printf("%-42s %12.5g %12.5g\n", Name.c_str(),
+                  Sum / static_cast<double>(Nodes.size()), Max);
+  }
+}
+
+ExitCode benchFleet() {
+  FleetMetrics Before = readMetrics(access());
+  std::this_thread::sleep_for(std::chrono::microseconds(
+      static_cast<std::int64_t>(FLAGS_seconds * 1e6)));
+  FleetMetrics After = readMetrics(access());
+  printRates(Before, After, FLAGS_seconds);
+  return ExitCode::Good;
+}
+
+} // namespace fulmar
--- a/src/host_list_service.cpp
+++ b/src/host_list_service.cpp
@@ -26,6 +26,20 @@
 }
 
 void HostListService::poll() {
+  read([this](bool) {
+    Timers->after(std::chrono::milliseconds(Config.HostListPollMs),
+                  [this] { poll(); });
+  });
+}
+
+void HostListService::refresh(std::function<void()> Done) {
+  read([Done = std::move(Done)](bool Good) {
+    if (Good)
+      Done();
+  });
+}
+
+void HostListService::read(std::function<void(bool)> Done) {
   HttpCall Call;
   Call.Address = Config.HostListAddress;
   Call.Method = "GET";
@@ -35,30 +49,34 @@
   if (!Tag.empty())
     Call.Headers.push_back({"If-None-Match", Tag});
   HttpCallbacks On;
-  On.OnDone = [this](const HttpAnswer &Answer) { answered(Answer); };
+  On.OnDone = [this, Done = std::move(Done)](const HttpAnswer &Answer) {
+    Done(answered(Answer));
+  };
   Client->start(std::move(Call), std::move(On));
 }
 
-void HostListService::answered(const HttpAnswer &Answer) {
-  Timers->after(std::chrono::milliseconds(Config.HostListPollMs),
-                [this] { poll(); });
+/// \return Whether the list is in force as the platform has it now.
+bool HostListService::answered(const HttpAnswer &Answer) {
   bool Good = Answer.Status == HttpOk || Answer.Status == HttpNotModified;
   if (!Good) {
     // An old list is better than none: upstreams that are gone show by their
     // failures, and new ones can wait.
     if (FailuresInRow++ == 0)
       logEvent(LogLevel::Warning, "host_list_unavailable", {});
-    return;
+    return false;
   }
   FailuresInRow = 0;
   if (Answer.Status == HttpNotModified)
-    return;
+    return true;
   Diagnostics Wrong;
   auto Root = parseJson(Answer.Body, JsonDialect::Strict, Wrong);
-  if (!Root)
-    return logEvent(LogLevel::Error, "host_list_damaged", {});
+  if (!Root) {
+    logEvent(LogLevel::Error, "host_list_damaged", {});
+    return false;
+  }
   Tag = Answer.header("ETag");
   take(*Root);
+  return true;
 }
 
 void HostListService::take(const Json &Root) {
--- a/src/host_list_service.h
+++ b/src/host_list_service.h
@@ -20,6 +20,10 @@
 
   void start() override;
 
+  /// Reads the list at once and calls \p Done when it is in force; not at all
+  /// when it cannot be read.
+  void refresh(std::function<void()> Done);
+
   /// \return Reads that failed since the last good one; 0: it is fresh.
   int failures() const { return FailuresInRow; }
   /// \return Whether it was ever read.
@@ -27,7 +31,8 @@
 
 private:
   void poll();
-  void answered(const HttpAnswer &Answer);
+  void read(std::function<void(bool)> Done);
+  bool answered(const HttpAnswer &Answer);
   void take(const Json &Root);
   void apply();
 
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -55,6 +55,12 @@
   if (Exchange->Path == "/metrics")
     return Exchange->reply(HttpOk, metrics(),
                            {{"Content-Type", "text/plain; version=0.0.4"}});
+  if (Exchange->Path == "/v1/version") {
+    const auto &Roll = Services.find<RolloutService>(service::Rollout);
+    Json Out;
+    Out.set("version", Roll.state().InForce.Seal.Version);
+    return Exchange->reply(HttpOk, writeJson(Out), {});
+  }
   if (Exchange->Path == "/v1/status")
     return Exchange->reply(HttpOk, writeJson(status()),
                            {{"Content-Type", "application/json"}});
--- a/src/router_attempt.cpp
+++ b/src/router_attempt.cpp
@@ -9,15 +9,6 @@
 
 namespace fulmar {
 
-Upstream *upstreamOf(Pool &P, UpstreamId Id) {
-  for (Upstream &U : P.Upstreams) {
-    if (U.Id != Id)
-      continue;
-    return &U;
-  }
-  return nullptr;
-}
-
 static Duration floorOf(RouterState &State, const Request &R,
                         const Attempt &A) {
   const StageSpec &Stage = R.Pipeline->Stages[A.Stage];
@@ -32,7 +23,7 @@
   std::erase(R.Live, Id);
   Pool &P = State.Pools.at(A.Pool);
   State.Touched.push_back(&P);
-  Upstream *U = upstreamOf(P, A.Upstream);
+  Upstream *U = upstreamById(P, A.Upstream);
   if (U)
     --U->InFlight;
   if (Cancel) {
@@ -177,7 +168,7 @@
   const StageSpec &Stage = R.stage();
   Estimate &E = stageEstimate(State, *R.Pipeline, Stage);
   estimateAdd(E, Took, Now);
-  if (Upstream *U = upstreamOf(State.Pools.at(A.Pool), A.Upstream))
+  if (Upstream *U = upstreamById(State.Pools.at(A.Pool), A.Upstream))
     upstreamSucceeded(*U, Took, estimateFloor(E), State.Policy, Now);
   settleCost(State, R, A, Result, true, Now);
   cancelOthers(State, R, AttemptId{}, Now, Out);
@@ -211,7 +202,7 @@
   Attempt A = closeAttempt(State, Id, false, Now, Out);
   Request &R = State.Requests.at(A.Request);
   Pool &P = State.Pools.at(A.Pool);
-  if (Upstream *U = upstreamOf(P, A.Upstream))
+  if (Upstream *U = upstreamById(P, A.Upstream))
     upstreamFailed(P, *U, State.Policy, Now);
   if (Result.End == AttemptEnd::Malformed)
     ++State.Counts.Foreign;
@@ -228,7 +219,7 @@
     return;
   }
   Pool &P = State.Pools.at(Found->second.Pool);
-  if (Upstream *U = upstreamOf(P, Found->second.Upstream)) {
+  if (Upstream *U = upstreamById(P, Found->second.Upstream)) {
     if (Result.Leaving)
       U->Leaving = true;
     if (Result.ReportedLoad >= 0) {
@@ -258,7 +249,7 @@
   }
   Attempt A = closeAttempt(State, Id, true, Now, Out);
   Pool &P = State.Pools.at(A.Pool);
-  if (Upstream *U = upstreamOf(P, A.Upstream))
+  if (Upstream *U = upstreamById(P, A.Upstream))
     upstreamFailed(P, *U, State.Policy, Now);
   estimateAdd(stageEstimate(State, *R.Pipeline, R.stage()), Now - A.Started,
               Now);
--- a/src/router_internal.h
+++ b/src/router_internal.h
@@ -49,9 +49,6 @@
 void attemptTimedOut(RouterState &State, AttemptId Id, TimePoint Now,
                      RouterActions &Out);
 
-/// \return The upstream that an attempt went to, or nullptr.
-Upstream *upstreamOf(Pool &P, UpstreamId Id);
-
 /// \return Whether a non-idempotent stage may be running for \p R.
 bool effectPending(const Request &R);
 
--- a/src/router_service.cpp
+++ b/src/router_service.cpp
@@ -1,14 +1,23 @@
 /// \file router_service.cpp Carries out the router's actions.
 #include "router_service.h"
 
+#include "host_list_service.h"
 #include "ledger_service.h"
 #include "log_func.h"
 #include "metrics_func.h"
 #include "node_services.h"
 #include "result_func.h"
+#include "upstream_func.h"
 
 namespace fulmar {
 
+/// The loop shows that it runs this often.
+static constexpr Duration BeatPeriod = std::chrono::milliseconds(100);
+/// A gap of this length between two beats is a pause of the process.
+static constexpr Duration PauseGap = std::chrono::seconds(1);
+/// Attempts wait no longer than this for a fresh host list.
+static constexpr Duration HoldLimit = std::chrono::milliseconds(400);
+
 RouterService::RouterService(Kernel &K, std::string OwnDomain,
                              std::uint64_t Seed, std::size_t MaxRequests)
     : Services(K) {
@@ -21,6 +30,9 @@
   Timers = &Services.find<TimerService>(service::Timers);
   Client = &Services.find<HttpClientService>(service::Http).Client;
   Claims = &Services.find<LedgerService>(service::Ledger);
+  Hosts = &Services.find<HostListService>(service::Hosts);
+  LastBeat = now();
+  Timers->every(BeatPeriod, [this] { LastBeat = now(); });
   arm();
 }
 
@@ -104,7 +116,55 @@
   });
 }
 
+/// Keeps an attempt back when this process has just been paused. What it knows
+/// of upstreams is as old as the pause: one of them may have been leaving for
+/// minutes. It would show as new work there long after the mark.
+/// \return Whether the attempt waits.
+bool RouterService::holdBack(const DispatchAction &Action) {
+  if (!Holding && now() - LastBeat > PauseGap) {
+    Holding = true;
+    logEvent(LogLevel::Warning, "process_was_paused",
+             {{"ms", toMs(now() - LastBeat)}});
+    Hosts->refresh([this] { endHold(); });
+    Timers->after(HoldLimit, [this] { endHold(); });
+  }
+  if (Holding)
+    Held.push_back(Action);
+  return Holding;
+}
+
+void RouterService::endHold() {
+  if (!Holding)
+    return;
+  Holding = false;
+  std::vector<DispatchAction> Waiting;
+  Waiting.swap(Held);
+  for (DispatchAction &Action : Waiting) {
+    auto Found = State.Attempts.find(Action.Attempt);
+    if (Found == State.Attempts.end())
+      continue; // Given up meanwhile.
+    Pool &P = State.Pools.at(Found->second.Pool);
+    const Upstream *U = upstreamById(P, Found->second.Upstream);
+    if (U && U->Listed && !U->Leaving) {
+      sendNow(Action);
+      continue;
+    }
+    // No byte was sent, so it may be tried elsewhere.
+    AttemptResult Result;
+    Result.End = AttemptEnd::ConnectFailed;
+    Result.Message = "leaving";
+    RouterActions Out;
+    attemptEnded(State, Action.Attempt, Result, now(), Out);
+    perform(std::move(Out));
+  }
+}
+
 void RouterService::carryOut(DispatchAction &Action) {
+  if (!holdBack(Action))
+    sendNow(Action);
+}
+
+void RouterService::sendNow(DispatchAction &Action) {
   AttemptId Id = Action.Attempt;
   UpstreamCallbacks On;
   On.OnSent = [this, Id] { attemptSent(State, Id); };
--- a/src/router_service.h
+++ b/src/router_service.h
@@ -14,6 +14,7 @@
 namespace fulmar {
 
 class LedgerService;
+class HostListService;
 
 /// Who gets the answer to a request.
 class RequestSink {
@@ -68,11 +69,15 @@
   void carryOut(RecordAction &Action);
   void arm();
   TimePoint now() const;
+  bool holdBack(const DispatchAction &Action);
+  void endHold();
+  void sendNow(DispatchAction &Action);
 
   Kernel &Services;                ///< Finds the others.
   TimerService *Timers = nullptr;  ///< Time.
   HttpClient *Client = nullptr;    ///< Calls upstreams.
   LedgerService *Claims = nullptr; ///< Decides on claims.
+  HostListService *Hosts = nullptr; ///< Reads the host list.
   RouterState State;               ///< Decides.
   Metrics Counted;                 ///< Counts.
   std::unordered_map<RequestSerial, std::shared_ptr<RequestSink>>
@@ -84,6 +89,9 @@
   TimerId Wake;                     ///< For the router's next due time.
   TimePoint WakeAt{};               ///< When that is.
   std::vector<UpstreamSpec> Listed; ///< As last given.
+  TimePoint LastBeat{};             ///< When the loop was last seen to run.
+  bool Holding = false;             ///< Attempts wait for a fresh host list.
+  std::vector<DispatchAction> Held; ///< Those that do.
 };
 
 } // namespace fulmar
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -21,6 +21,15 @@
 /// Draws per wanted sample before the pool is searched in order.
 static constexpr int DrawsPerSample = 3;
 
+Upstream *upstreamById(Pool &P, UpstreamId Id) {
+  for (Upstream &U : P.Upstreams) {
+    if (U.Id != Id)
+      continue;
+    return &U;
+  }
+  return nullptr;
+}
+
 bool upstreamEligible(const Upstream &U, const RouterPolicy &Policy,
                       TimePoint Now) {
   if (!U.Listed || U.Leaving)
--- a/src/upstream_func.h
+++ b/src/upstream_func.h
@@ -23,6 +23,9 @@
 /// \return How many calls the eligible upstreams take at once.
 double poolSlots(const Pool &P, const RouterPolicy &Policy, TimePoint Now);
 
+/// \return The upstream called \p Id, or nullptr when it is gone.
+Upstream *upstreamById(Pool &P, UpstreamId Id);
+
 /// Takes in a call that ended well.
 /// \param Floor what the stage takes on an uncrowded upstream; zero: unknown.
 void upstreamSucceeded(Upstream &U, Duration Took, Duration Floor,
--- a/tests/test_api.cpp
+++ b/tests/test_api.cpp
@@ -33,9 +33,9 @@
         loadBundleItems(SOURCE_DIR "/examples/turno-certo-bundle.json");
     Under = buildBundle(Items, 1);
     Site = std::make_unique<StandinSite>(Loop, Timers, *Under, SitePlan());
-    Site->Kv.restore(BundleKey,
-                     encodeBundle(sealBundle(Items, 1, "op", Key.PrivateHex,
-                                             "first", 1)));
+    Site->Kv.restore(
+        BundleKey,
+        encodeBundle(sealBundle(Items, 1, "op", Key.PrivateHex, "first", 1)));
     std::vector<int> Ports = freePorts("127.0.0.1", Count * 3);
     for (std::size_t I = 0; I < Count; ++I) {
       Settings S;
@@ -165,6 +165,11 @@
     S.raw("POST /v1/requests HTTP/1.1\r\nContent-Length: -1\r\n\r\nx");
     S.raw("POST /v1/requests HTTP/1.1\r\nContent-Length: 50\r\n\r\n{");
     S.raw("GET / HTTP/1.1\r\n" + std::string(200000, 'h'));
+    std::string Whole = "POST /v1/requests HTTP/1.1\r\nHost: x\r\n"
+                        "Content-Length: " +
+                        std::to_string(std::string(Coverage).size()) +
+                        "\r\n\r\n" + Coverage;
+    S.raw(Whole + Whole + Whole);
     S.raw("GET /%zz%00 HTTP/1.1\r\nHost: x\r\n\r\n");
   }
   THEN("and the node goes on serving") {
@@ -182,8 +187,7 @@
   Call.Headers = {{"Authorization", "Bearer wrong"}};
   CHECK(S.call(Call).Status == 401);
   Call.Headers = {{"Authorization", "Bearer operators-only"}};
-  CHECK_THAT(S.call(Call).Body,
-             Catch::Contains("fulmarstep_bundle_version 1"));
+  CHECK_THAT(S.call(Call).Body, Catch::Contains("fulmarstep_bundle_version 1"));
   Call.Address = S.address();
   CHECK(S.call(Call).Status == 404);
 }
@@ -226,6 +230,45 @@
   }
 }
 
+SCENARIO("a process is paused while an upstream is marked as leaving") {
+  // Symptom: an upstream that has been leaving for seconds gets new work; found
+  // by fault run 96. Sequence: the node is stopped, the upstream is marked, the
+  // node goes on and finds requests in its sockets before it has read the host
+  // list again. Cause: trusting a list that is as old as the pause.
+  ApiSite S;
+  StandinUpstream *Leaver = S.Site->pool("retrievers").front();
+  Duration Skipped{};
+  S.Timers.setClock([&] { return EventLoop::clock() + Skipped; });
+  S.Site->Hosts.setLeaving(S.Site->addressOf(Leaver), true);
+  S.waitFor([&] {
+    for (const UpstreamSpec &U : S.Site->Hosts.Upstreams)
+      if (U.Leaving)
+        return true;
+    return false;
+  });
+  Skipped = 10s;
+  std::size_t Done = 0;
+  struct CountSink : RequestSink {
+    std::size_t *Done;
+    void token(std::string_view) override {}
+    void finished(const RequestReport &R) override {
+      CHECK(R.Code == ResultCode::Complete);
+      ++*Done;
+    }
+  };
+  for (int I = 0; I < 20; ++I) {
+    auto Sink = std::make_shared<CountSink>();
+    Sink->Done = &Done;
+    RequestInput Input;
+    Input.Id = "r" + std::to_string(I);
+    Input.Organisation = "recife-docas";
+    Input.Pipeline = "coverage";
+    S.Nodes[0]->router().submit(Input, Sink);
+  }
+  S.waitFor([&] { return Done == 20; });
+  CHECK(Leaver->Executions.empty());
+}
+
 SCENARIO("a caller closes early") {
   ApiSite S;
   for (StandinUpstream *U : S.Site->pool("retrievers"))
