--- a/src/bench/policy.cpp
+++ b/src/bench/policy.cpp
@@ -202,6 +202,11 @@
                      const FinishAction &Action) {
   const RequestReport &Report = Action.Report;
   metricsAdd(W.Counted, Report);
+  for (const StageRun &Run : Report.Ran) {
+    W.BusyMs += Run.BusyMs;
+    if (Report.Code != ResultCode::Complete)
+      W.LostBusyMs += Run.BusyMs;
+  }
   auto Found = W.Asked.find({Node, Report.Serial});
   if (Found == W.Asked.end())
     return;
@@ -428,6 +433,8 @@
         static_cast<double>(Calls) / static_cast<double>(Needed);
   if (Busy + Wasted > 0)
     Out.WastedShare = Wasted / (Busy + Wasted);
+  if (W.BusyMs > 0)
+    Out.LostShare = W.LostBusyMs / W.BusyMs;
 }
 
 static PolicyResult evaluate(const PolicyWorld &W) {
--- a/src/bench/policy_base.h
+++ b/src/bench/policy_base.h
@@ -95,8 +95,9 @@
   bool KvOutage = false;             ///< Claims are refused.
   History Seen;                      ///< By callers and upstreams.
   Metrics Counted;                   ///< Over all nodes.
-  double UsefulMs = 0;      ///< Bottleneck work of requests that were on time.
-  std::uint64_t LastId = 0; ///< Counts requests.
+  double BusyMs = 0;                 ///< Upstream time of all ended requests.
+  double LostBusyMs = 0;             ///< Of those that did not complete.
+  std::uint64_t LastId = 0;          ///< Counts requests.
 };
 
 /// What an experiment came to.
@@ -109,6 +110,7 @@
                             ///< could have done.
   double Amplification = 0; ///< Attempts over stage calls needed.
   double WastedShare = 0;   ///< Busy time of attempts that did not count.
+  double LostShare = 0;     ///< Busy time of requests that did not complete.
   double P50Ms = 0;         ///< Of complete answers.
   double P99Ms = 0;         ///< Of complete answers.
   std::size_t Requests = 0; ///< Sent.
--- a/src/cli/cli_policy.cpp
+++ b/src/cli/cli_policy.cpp
@@ -20,18 +20,25 @@
 namespace fulmar {
 
 static void printHeader() {
-  std::printf("%-14s %-9s %8s %8s %8s %8s %7s %8s %8s %8s %7s\n", "scenario",
-              "policy", "requests", "on time", "establ.", "goodput", "ampl.",
-              "wasted", "p50 ms", "p99 ms", "broken");
+  std::printf("%-14s %-9s %8s %8s %8s %8s %7s %7s %7s %7s %8s %8s %7s\n",
+              "scenario", "policy", "requests", "on time", "establ.", "goodput",
+              "not run", "ampl.", "wasted", "lost", "p50 ms", "p99 ms",
+              "broken");
 }
 
 static void printRow(const std::string &Scenario, const char *Policy,
                      const PolicyResult &R) {
-  std::printf("%-14s %-9s %8zu %7.2f%% %7.2f%% %7.1f%% %7.3f %7.1f%% %8.0f "
-              "%8.0f %7zu\n",
+  std::size_t NotRun = 0;
+  for (const auto &[Code, Count] : R.Codes)
+    NotRun += Code / 1000 == 2 ? Count : 0;
+  std::printf("%-14s %-9s %8zu %7.2f%% %7.2f%% %7.1f%% %6.1f%% %7.3f %6.1f%% "
+              "%6.1f%% %8.0f %8.0f %7zu\n",
               Scenario.c_str(), Policy, R.Requests, 100 * R.OnTime,
-              100 * R.OnTimeEstablished, 100 * R.Goodput, R.Amplification,
-              100 * R.WastedShare, R.P50Ms, R.P99Ms, R.Broken.total());
+              100 * R.OnTimeEstablished, 100 * R.Goodput,
+              100.0 * static_cast<double>(NotRun) /
+                  static_cast<double>(std::max<std::size_t>(1, R.Requests)),
+              R.Amplification, 100 * R.WastedShare, 100 * R.LostShare, R.P50Ms,
+              R.P99Ms, R.Broken.total());
 }
 
 static void printJson(const std::string &Scenario, const char *Policy,
@@ -45,7 +52,9 @@
   Out.set("requests", static_cast<std::int64_t>(R.Requests));
   Out.set("on_time", R.OnTime).set("established", R.OnTimeEstablished);
   Out.set("goodput", R.Goodput).set("amplification", R.Amplification);
-  Out.set("wasted", R.WastedShare).set("p50_ms", R.P50Ms);
+  Out.set("lost", R.LostShare)
+      .set("wasted", R.WastedShare)
+      .set("p50_ms", R.P50Ms);
   Out.set("p99_ms", R.P99Ms).set("codes", std::move(Codes));
   Out.set("broken", formatViolations(R.Broken));
   std::cout << writeJson(Out) << "\n";
--- a/src/fair_queue.cpp
+++ b/src/fair_queue.cpp
@@ -102,28 +102,57 @@
   return Call;
 }
 
-/// Finds the call that gives way in a full queue: the last one of whoever has
-/// the most waiting for its share.
-static CallPlace victimPlace(FairQueue &Queue) {
-  CallPlace Victim{};
-  double Most = -1;
+/// The call that gives way in a full queue, and how far its organisation is
+/// above its share.
+struct Victim {
+  CallPlace Place; ///< Its last call.
+  double Over;     ///< Cost waiting, over its share.
+};
+
+/// \return The part of the pool that an organisation of this weight is due.
+static double shareOf(const FairQueue &Queue, std::size_t Group,
+                      std::size_t Class, double Weight, double ActiveWeight) {
+  return groupWeight(Queue, Group) * classWeight(Queue, Class) * Weight /
+         std::max(ActiveWeight, 1e-9);
+}
+
+/// Finds the last call of whoever has the most waiting for its share.
+static Victim findVictim(FairQueue &Queue) {
+  Victim Found{{}, -1};
   for (std::size_t G = 0; G < Queue.Groups.size(); ++G) {
     for (std::size_t C = 0; C < Queue.Groups[G].Classes.size(); ++C) {
       ClassQueue &Class = Queue.Groups[G].Classes[C];
-      double Share = groupWeight(Queue, G) * classWeight(Queue, C) /
-                     std::max(Class.ActiveWeight, 1e-9);
       for (const auto &[Used, Id] : Class.Active) {
         const OrganisationQueue &Own = Class.Queues.at(Id);
-        double Over = Own.Backlog / (Share * Own.Weight);
-        if (Over <= Most)
+        double Over =
+            Own.Backlog / shareOf(Queue, G, C, Own.Weight, Class.ActiveWeight);
+        if (Over <= Found.Over)
           continue;
-        Most = Over;
-        Victim = {static_cast<OrganisationGroup>(G),
-                  static_cast<PipelineClass>(C), Id, Own.Calls.rbegin()->first};
+        Found = {{static_cast<OrganisationGroup>(G),
+                  static_cast<PipelineClass>(C), Id, Own.Calls.rbegin()->first},
+                 Over};
       }
     }
   }
-  return Victim;
+  return Found;
+}
+
+bool queueWouldRefuse(FairQueue &Queue, const QueuedCall &Call,
+                      std::size_t Room) {
+  if (queueSize(Queue) < Room)
+    return false;
+  if (Queue.ByArrival)
+    return true;
+  const ClassQueue &Class =
+      Queue.Groups[at(Call.Group)].Classes[at(Call.Class)];
+  auto Found = Class.Queues.find(Call.Organisation);
+  bool Waiting = Found != Class.Queues.end() && !Found->second.Calls.empty();
+  double Own = Waiting ? Found->second.Backlog : 0;
+  double Active = Class.ActiveWeight + (Waiting ? 0 : Call.Weight);
+  double Over =
+      (Own + Call.Cost) /
+      shareOf(Queue, at(Call.Group), at(Call.Class), Call.Weight, Active);
+  return Over >= findVictim(Queue).Over;
 }
 
 std::optional<RequestSerial> queuePush(FairQueue &Queue,
@@ -134,7 +163,7 @@
     return std::nullopt;
   // Refusing whoever comes last would let one organisation fill the queue and
   // lock the others out; a wave of new ones would do just that.
-  return takeCall(Queue, victimPlace(Queue)).Request;
+  return takeCall(Queue, findVictim(Queue).Place).Request;
 }
 
 /// Picks the index with waiting calls whose clock has used least.
--- a/src/fair_queue_func.h
+++ b/src/fair_queue_func.h
@@ -33,6 +33,11 @@
                   PipelineClass Class, OrganisationId Organisation,
                   double Weight);
 
+/// \return Whether a call of this organisation would have to give way if the
+/// queue had \p Room places; false while there is room.
+bool queueWouldRefuse(FairQueue &Queue, const QueuedCall &Call,
+                      std::size_t Room);
+
 /// \return How many calls wait.
 inline std::size_t queueSize(const FairQueue &Queue) {
   return Queue.Places.size();
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -112,12 +112,34 @@
   return ResultCode::Invalid;
 }
 
+/// Part of a queue that is filled from the door; the rest is for requests that
+/// are on their way from earlier stages.
+static constexpr double DoorShare = 0.8;
+
+/// Whether \p R would find no place at a later stage. Without this it would be
+/// refused there, after the earlier stages have worked for nothing, and its
+/// caller would hear "failed" in place of "not run".
+static bool stageFull(RouterState &State, Pool &P, const StageSpec &Stage,
+                      const Request &R) {
+  QueuedCall Call;
+  Call.Organisation = R.Payer;
+  Call.Group = R.Organisation->Group;
+  Call.Class = R.Pipeline->Class;
+  Call.Weight = R.Organisation->Weight;
+  Call.Cost = toMs(estimateMean(stageEstimate(State, *R.Pipeline, Stage)));
+  auto Room = static_cast<std::size_t>(static_cast<double>(P.Queue.MaxCalls) *
+                                       DoorShare);
+  return queueWouldRefuse(P.Queue, Call, std::max<std::size_t>(1, Room));
+}
+
 /// Checks whether a welcome request can be served now.
 static ResultCode checkCapacity(RouterState &State, Request &R, TimePoint Now) {
   if (!takeRate(State, *R.Organisation, R.Payer, Now))
     return ResultCode::OverLimit;
   for (const StageSpec &Stage : R.Pipeline->Stages) {
     Pool &P = State.Pools.at(Stage.Pool);
+    if (State.Policy.Admission && stageFull(State, P, Stage, R))
+      return ResultCode::QueueFull;
     bool Any =
         std::any_of(P.Upstreams.begin(), P.Upstreams.end(),
                     [](const Upstream &U) { return U.Listed && !U.Leaving; });
--- a/src/router_service.h
+++ b/src/router_service.h
@@ -73,13 +73,13 @@
   void endHold();
   void sendNow(DispatchAction &Action);
 
-  Kernel &Services;                ///< Finds the others.
-  TimerService *Timers = nullptr;  ///< Time.
-  HttpClient *Client = nullptr;    ///< Calls upstreams.
-  LedgerService *Claims = nullptr; ///< Decides on claims.
+  Kernel &Services;                 ///< Finds the others.
+  TimerService *Timers = nullptr;   ///< Time.
+  HttpClient *Client = nullptr;     ///< Calls upstreams.
+  LedgerService *Claims = nullptr;  ///< Decides on claims.
   HostListService *Hosts = nullptr; ///< Reads the host list.
-  RouterState State;               ///< Decides.
-  Metrics Counted;                 ///< Counts.
+  RouterState State;                ///< Decides.
+  Metrics Counted;                  ///< Counts.
   std::unordered_map<RequestSerial, std::shared_ptr<RequestSink>>
       Sinks; ///< By
              ///< request.
