--- a/src/fair_queue.cpp
+++ b/src/fair_queue.cpp
@@ -8,6 +8,8 @@
 
 /// Organisations without waiting calls are forgotten above this number.
 static constexpr std::size_t MaxIdleOrganisations = 1024;
+/// Backlog for its share, against the worst one's, that counts as well below.
+static constexpr double WellBelow = 0.5;
 
 template <typename Enum> static std::size_t at(Enum E) {
   return static_cast<std::size_t>(E);
@@ -152,7 +154,10 @@
   double Over =
       (Own + Call.Cost) /
       shareOf(Queue, at(Call.Group), at(Call.Class), Call.Weight, Active);
-  return Over >= findVictim(Queue).Over;
+  // Whoever is admitted here pushes out the last call of the one furthest above
+  // its share, after that call's earlier stages have run. That pays only for
+  // one that is well below.
+  return Over >= findVictim(Queue).Over * WellBelow;
 }
 
 std::optional<RequestSerial> queuePush(FairQueue &Queue,
