--- a/src/router.cpp
+++ b/src/router.cpp
@@ -112,6 +112,8 @@
   return ResultCode::Invalid;
 }
 
+/// While a pool is down, one request is let through to it in this time.
+static constexpr Duration ProbePeriod = std::chrono::milliseconds(100);
 /// Part of a queue that is filled from the door; the rest is for requests that
 /// are on their way from earlier stages.
 static constexpr double DoorShare = 0.8;
@@ -132,6 +134,18 @@
   return queueWouldRefuse(P.Queue, Call, std::max<std::size_t>(1, Room));
 }
 
+/// Whether a pool is down, and was probed a moment ago. A request that needs it
+/// would use up the stages before it and fail; one now and then still goes, to
+/// notice when it is back.
+static bool downAndProbed(Pool &P, TimePoint Now) {
+  if (!poolDown(P))
+    return false;
+  if (Now < P.NextProbe)
+    return true;
+  P.NextProbe = Now + ProbePeriod;
+  return false;
+}
+
 /// Checks whether a welcome request can be served now.
 static ResultCode checkCapacity(RouterState &State, Request &R, TimePoint Now) {
   if (!takeRate(State, *R.Organisation, R.Payer, Now))
@@ -143,7 +157,7 @@
     bool Any =
         std::any_of(P.Upstreams.begin(), P.Upstreams.end(),
                     [](const Upstream &U) { return U.Listed && !U.Leaving; });
-    if (!Any)
+    if (!Any || (State.Policy.Ejection && downAndProbed(P, Now)))
       return ResultCode::NoUpstream;
   }
   if (!State.Policy.Admission)
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -235,6 +235,19 @@
   U.LatencyRatio += (Ratio - U.LatencyRatio) * LatencyGain;
 }
 
+bool poolDown(const Pool &P) {
+  bool Any = false;
+  for (const Upstream &U : P.Upstreams) {
+    if (!U.Listed || U.Leaving)
+      continue;
+    // One that was ejected and let in again keeps all but one of its failures.
+    if (U.Failures < FailuresToEject - 1)
+      return false;
+    Any = true;
+  }
+  return Any;
+}
+
 void ejectSlow(Pool &P, const RouterPolicy &Policy, TimePoint Now) {
   if (!Policy.Ejection)
     return;
--- a/src/upstream_base.h
+++ b/src/upstream_base.h
@@ -54,6 +54,7 @@
   std::vector<Upstream> Upstreams; ///< Listed, and unlisted with calls left.
   FairQueue Queue;                 ///< Waiting calls.
   std::size_t NextTurn = 0;        ///< For round robin.
+  TimePoint NextProbe{};           ///< While down: when one more may try.
 };
 
 /// What is asked of a choice.
--- a/src/upstream_func.h
+++ b/src/upstream_func.h
@@ -39,6 +39,10 @@
 /// least that long.
 void upstreamAbandoned(Upstream &U, Duration Elapsed, Duration Floor);
 
+/// \return Whether every upstream of the pool has failed several times in a
+/// row, so that one more call would most likely fail too.
+bool poolDown(const Pool &P);
+
 /// Ejects upstreams that are far slower than the rest of the pool.
 void ejectSlow(Pool &P, const RouterPolicy &Policy, TimePoint Now);
 
