--- a/src/bench/policy_scenarios.cpp
+++ b/src/bench/policy_scenarios.cpp
@@ -1,6 +1,8 @@
 /// \file policy_scenarios.cpp The experiments of docs/EXPERIMENTS.md.
 #include "bench/policy_func.h"
 
+#include <algorithm>
+
 #include "result_type.h"
 
 namespace fulmar {
@@ -100,6 +102,9 @@
 /// Fifty new organisations, together ten times the load of the old ones.
 static void takeoverWave(PolicyPlan &Plan) {
   auto Wider = std::make_shared<Bundle>(*Plan.Under);
+  auto Batch = std::find_if(
+      Wider->Pipelines.begin(), Wider->Pipelines.end(),
+      [](const auto &P) { return P.Class == PipelineClass::Batch; });
   double Established = 0;
   for (const ModelSource &Source : Plan.Sources)
     Established += Source.Rate;
@@ -107,9 +112,9 @@
     OrganisationSpec New;
     New.Name = "wave-" + std::to_string(100 + I);
     New.Group = OrganisationGroup::New;
-    New.Pipelines = {"reconcile"};
+    New.Pipelines = {Batch->Name};
     Wider->Organisations.push_back(New);
-    Plan.Sources.push_back({New.Name, "reconcile",
+    Plan.Sources.push_back({New.Name, Batch->Name,
                             Established * WaveFactor / WaveSize, FaultStart});
   }
   std::sort(Wider->Organisations.begin(), Wider->Organisations.end(),
@@ -117,6 +122,14 @@
   Plan.Under = Wider;
 }
 
+/// As many nodes as a site has today, which know nothing of each other's calls.
+static void eightNodes(PolicyPlan &Plan) { Plan.Nodes = 8; }
+
+static void eightNodesSlow(PolicyPlan &Plan) {
+  eightNodes(Plan);
+  oneSlow(Plan);
+}
+
 /// One experiment of the table.
 struct Scenario {
   const char *Name;             ///< In the table.
@@ -137,6 +150,9 @@
     {"takeover-wave", 0.6, takeoverWave},
     {"kv-outage", UsualLoad, kvOutage},
     {"leaving", UsualLoad, leaving},
+    {"nodes8-0.9", 0.9, eightNodes},
+    {"nodes8-2", 2, eightNodes},
+    {"nodes8-slow", UsualLoad, eightNodesSlow},
 };
 
 std::vector<std::string> scenarioNames() {
