--- a/src/member.cpp
+++ b/src/member.cpp
@@ -22,6 +22,8 @@
 /// Dead members are kept for longer than regions lose each other.
 static constexpr Duration DeadLife = std::chrono::hours(2);
 static constexpr Duration ErrandLife = std::chrono::seconds(5);
+/// Random draws for each member wanted, before fewer are good enough.
+static constexpr std::size_t DrawsPerMember = 8;
 
 static int newsCopies(const Membership &M) {
   double Size = static_cast<double>(M.Members.size() + 2);
@@ -43,13 +45,19 @@
   return State == MemberState::Alive || State == MemberState::Leaving;
 }
 
-/// Adds news, the least often told first, and random entries to fill up.
+/// Marks a belief as news.
+static void makeNews(Membership &M, const std::string &Id, Member &Other) {
+  Other.NewsLeft = newsCopies(M);
+  M.News.insert(Id);
+}
+
+/// Adds news, the least often told first, and random entries to fill up. Only
+/// what is news is looked at: most of the time that is nothing, however large
+/// the fleet.
 static void addNews(Membership &M, MemberMessage &Message) {
   std::vector<Member *> News;
-  for (auto &[Id, Other] : M.Members) {
-    if (Other.NewsLeft > 0)
-      News.push_back(&Other);
-  }
+  for (const std::string &Id : M.News)
+    News.push_back(&M.Members.at(Id));
   std::size_t Size = std::min(News.size(), NewsPerMessage);
   std::partial_sort(News.begin(),
                     News.begin() + static_cast<std::ptrdiff_t>(Size),
@@ -57,17 +65,13 @@
                       return A->NewsLeft > B->NewsLeft;
                     });
   for (std::size_t I = 0; I < Size; ++I) {
-    --News[I]->NewsLeft;
     Message.Updates.push_back(News[I]->Info);
+    if (--News[I]->NewsLeft <= 0)
+      M.News.erase(News[I]->Info.Id);
   }
-  if (M.Members.empty())
-    return;
-  for (std::size_t I = Size; I < std::min(NewsPerMessage, FillersPerMessage);
-       ++I) {
-    auto It = M.Members.begin();
-    std::advance(
-        It, static_cast<std::ptrdiff_t>(randomIndex(M.Rng, M.Members.size())));
-    Message.Updates.push_back(It->second.Info);
+  for (std::size_t I = Size; I < FillersPerMessage && !M.Ids.empty(); ++I) {
+    const std::string &Id = M.Ids[randomIndex(M.Rng, M.Ids.size())];
+    Message.Updates.push_back(M.Members.at(Id).Info);
   }
 }
 
@@ -98,15 +102,17 @@
 }
 
 std::vector<MemberInfo> randomMembers(Membership &M, std::size_t Size) {
-  std::vector<MemberInfo> All;
-  for (const auto &[Id, Other] : M.Members) {
-    if (answers(Other.Info.State))
-      All.push_back(Other.Info);
+  std::vector<MemberInfo> Out;
+  std::set<std::size_t> Drawn;
+  // Several draws for each member wanted: some are dead, some drawn twice.
+  std::size_t Draws = std::min(M.Ids.size(), Size) * DrawsPerMember;
+  for (std::size_t I = 0; I < Draws && Out.size() < Size; ++I) {
+    std::size_t Index = randomIndex(M.Rng, M.Ids.size());
+    const MemberInfo &Info = M.Members.at(M.Ids[Index]).Info;
+    if (answers(Info.State) && Drawn.insert(Index).second)
+      Out.push_back(Info);
   }
-  std::shuffle(All.begin(), All.end(), M.Rng);
-  if (All.size() > Size)
-    All.resize(Size);
-  return All;
+  return Out;
 }
 
 void memberSeeds(Membership &M, const std::vector<HostPort> &Seeds) {
@@ -149,9 +155,11 @@
     M.Members.erase(It);
     return;
   }
+  if (Fresh)
+    M.Ids.push_back(Said.Id);
   bool Changed = Fresh || Said.State != Other.Info.State;
   Other.Info = Said;
-  Other.NewsLeft = newsCopies(M);
+  makeNews(M, Said.Id, Other);
   if (!Changed)
     return;
   Other.Since = Now;
@@ -162,7 +170,7 @@
                      TimePoint Now, MemberActions &Out) {
   Other.Info.State = State;
   Other.Since = Now;
-  Other.NewsLeft = newsCopies(M);
+  makeNews(M, Other.Info.Id, Other);
   Out.push_back(MemberChangedAction{Other.Info});
 }
 
@@ -259,9 +267,14 @@
     ++M.Counts.Deaths;
     setState(M, Other, MemberState::Dead, Now, Out);
   }
-  std::erase_if(M.Members, [Now](const auto &Entry) {
-    return Entry.second.Info.State == MemberState::Dead &&
-           Now - Entry.second.Since > DeadLife;
+  std::erase_if(M.Members, [&M, Now](const auto &Entry) {
+    bool Forgotten = Entry.second.Info.State == MemberState::Dead &&
+                     Now - Entry.second.Since > DeadLife;
+    if (Forgotten) {
+      M.News.erase(Entry.first);
+      std::erase(M.Ids, Entry.first);
+    }
+    return Forgotten;
   });
   std::erase_if(M.Errands, [Now](const auto &Entry) {
     return Entry.second.Expires <= Now;
--- a/src/member_base.h
+++ b/src/member_base.h
@@ -47,10 +47,12 @@
 
 /// Membership on one node.
 struct Membership {
-  MemberInfo Self;                           ///< This node.
-  std::map<std::string, Member> Members;     ///< The others, by id.
-  std::set<HostPort> Seeds;                  ///< Addresses to join through.
-  Duration Period = std::chrono::seconds(1); ///< Of one probe.
+  MemberInfo Self;                       ///< This node.
+  std::map<std::string, Member> Members; ///< The others, by id.
+  std::set<HostPort> Seeds;              ///< Addresses to join through.
+  std::set<std::string> News;   ///< Members whose belief is still passed on.
+  std::vector<std::string> Ids; ///< All members, in any order, to draw from.
+  Duration Period = std::chrono::seconds(1);         ///< Of one probe.
   Duration Timeout = std::chrono::milliseconds(300); ///< Until indirect ones.
   Random Rng;                     ///< For the order of probes.
   std::vector<std::string> Order; ///< Still to be probed in this round.
--- a/src/micro/micro.cpp
+++ b/src/micro/micro.cpp
@@ -44,8 +44,9 @@
             {"name":"c","pool":"p"},{"name":"d","pool":"e","timeout_ms":4000}]})";
   Text += R"(],"organisations":[)";
   for (std::size_t I = 0; I < Organisations; ++I)
-    Text += std::string(I ? "," : "") + R"({"name":"o)" + std::to_string(I) +
-            R"(","weight":2,"rate_limit":100,"pipelines":["l0","l1","l2"]})";
+    Text +=
+        std::string(I ? "," : "") + R"({"name":"o)" + std::to_string(I) +
+        R"(","weight":2,"rate_limit":1000000,"burst":1000000,"pipelines":["l0","l1","l2"]})";
   return Text + "]}";
 }
 
@@ -208,8 +209,7 @@
   for (std::size_t I = 1; I <= Members; ++I)
     All.Updates.push_back(memberInfo(I));
   memberReceived(*M, All, TimePoint{}, Out);
-  for (auto &[Id, Other] : M->Members)
-    Other.NewsLeft = 0;
+  M->News.clear();
   MemberMessage Ping;
   Ping.Kind = MemberMessageKind::Ping;
   Ping.Target = M->Self.Id;
@@ -246,7 +246,7 @@
     // The next version, with one organisation changed; sealing it is the
     // operator's work, but it is counted here, too.
     SignedBundle Next = R->InForce;
-    auto Item = Next.Items.begin();
+    auto Item = Next.Items.lower_bound("organisations/");
     std::uint64_t Version = Next.Seal.Version + 1;
     Item->second =
         makeItem(Item->first, R"({"name":")" + Item->first.substr(14) +
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -152,7 +152,9 @@
     return ResultCode::OverLimit;
   for (const StageSpec &Stage : R.Pipeline->Stages) {
     Pool &P = State.Pools.at(Stage.Pool);
-    if (State.Policy.Admission && stageFull(State, P, Stage, R))
+    // The first stage's queue decides by itself, before anything has run.
+    bool Later = &Stage != &R.Pipeline->Stages.front();
+    if (State.Policy.Admission && Later && stageFull(State, P, Stage, R))
       return ResultCode::QueueFull;
     bool Any =
         std::any_of(P.Upstreams.begin(), P.Upstreams.end(),
