--- a/src/host_list_service.cpp
+++ b/src/host_list_service.cpp
@@ -6,7 +6,7 @@
 #include "member_service.h"
 #include "node_services.h"
 #include "router_service.h"
-#include "upstream_func.h"
+#include "subset_func.h"
 
 namespace fulmar {
 
@@ -83,8 +83,9 @@
   Listed.clear();
   if (const Json *List = Root.find("upstreams")) {
     for (const Json &Item : List->Items)
-      Listed.push_back({Item.text("address"), Item.text("pool"),
-                        Item.text("failure_domain"), Item.flag("leaving")});
+      Listed[Item.text("pool")].push_back(
+          {Item.text("address"), Item.text("pool"), Item.text("failure_domain"),
+           Item.flag("leaving")});
   }
   std::vector<HostPort> Seeds;
   if (const Json *List = Root.find("nodes")) {
@@ -101,15 +102,14 @@
 void HostListService::apply() {
   if (!Known)
     return;
-  std::map<std::string, std::vector<UpstreamSpec>> ByPool;
-  for (const UpstreamSpec &Spec : Listed)
-    ByPool[Spec.Pool].push_back(Spec);
   std::vector<UpstreamSpec> Used;
   std::vector<std::string> Nodes = Members->ids();
-  for (const auto &[Pool, Specs] : ByPool) {
-    for (std::size_t Index :
-         chooseSubset(Specs, Nodes, Config.NodeId,
-                      static_cast<std::size_t>(Config.UpstreamSubset)))
+  for (const auto &[Pool, Specs] : Listed) {
+    Subset &S = Subsets[Pool];
+    S.Self = Config.NodeId;
+    subsetNodes(S, Nodes);
+    for (std::size_t Index : chooseSubset(
+             S, Specs, static_cast<std::size_t>(Config.UpstreamSubset)))
       Used.push_back(Specs[Index]);
   }
   Router->upstreams(std::move(Used));
--- a/src/host_list_service.h
+++ b/src/host_list_service.h
@@ -6,6 +6,7 @@
 #include "json_type.h"
 #include "kernel.h"
 #include "settings_type.h"
+#include "subset_base.h"
 #include "upstream_base.h"
 
 namespace fulmar {
@@ -42,10 +43,12 @@
   HttpClient *Client = nullptr;     ///< Reads.
   RouterService *Router = nullptr;  ///< Gets upstreams.
   MemberService *Members = nullptr; ///< Gets seeds, knows nodes.
-  std::vector<UpstreamSpec> Listed; ///< As last read.
-  std::string Tag;                  ///< ETag of that.
-  bool Known = false;               ///< Read at least once.
-  int FailuresInRow = 0;            ///< Since the last good read.
+  std::map<std::string, std::vector<UpstreamSpec>> Listed; ///< By pool, as
+                                                           ///< last read.
+  std::map<std::string, Subset> Subsets;                   ///< By pool.
+  std::string Tag;                                         ///< ETag of that.
+  bool Known = false;    ///< Read at least once.
+  int FailuresInRow = 0; ///< Since the last good read.
 };
 
 } // namespace fulmar
--- a/src/micro/micro.cpp
+++ b/src/micro/micro.cpp
@@ -20,6 +20,7 @@
 #include "rollout_func.h"
 #include "router_func.h"
 #include "signature_func.h"
+#include "subset_func.h"
 #include "upstream_func.h"
 
 using namespace fulmar;
@@ -138,13 +139,23 @@
 static Operation chooseSampled(std::size_t Size) { return choose(Size, 0); }
 static Operation chooseByPrefix(std::size_t Size) { return choose(Size, 77); }
 
+/// One node goes and comes again, before 200 upstreams.
 static Operation subset(std::size_t Nodes) {
   auto Listed = upstreams(200, "p");
-  std::vector<std::string> Ids;
+  auto Ids = std::make_shared<std::vector<std::string>>();
   for (std::size_t I = 0; I < Nodes; ++I)
-    Ids.push_back("n" + std::to_string(I));
-  return [Listed, Ids] {
-    benchmark::DoNotOptimize(chooseSubset(Listed, Ids, "n0", 64));
+    Ids->push_back("n" + std::to_string(I));
+  auto S = std::make_shared<Subset>();
+  S->Self = "n0";
+  subsetNodes(*S, *Ids);
+  return [Listed, Ids, S] {
+    std::string Gone = Ids->back();
+    Ids->pop_back();
+    subsetNodes(*S, *Ids);
+    benchmark::DoNotOptimize(chooseSubset(*S, Listed, 64));
+    Ids->push_back(Gone);
+    subsetNodes(*S, *Ids);
+    benchmark::DoNotOptimize(chooseSubset(*S, Listed, 64));
   };
 }
 
--- /dev/null
+++ b/src/subset_base.h
@@ -0,0 +1,29 @@
+/// \file subset_base.h Which upstreams of a pool this node uses.
+#ifndef FULMARSTEP_SUBSET_BASE_H
+#define FULMARSTEP_SUBSET_BASE_H
+
+#include <string>
+#include <unordered_map>
+
+#include "upstream_base.h"
+
+namespace fulmar {
+
+/// Where this node stands among the nodes for one upstream.
+struct SubsetEntry {
+  std::uint64_t Key = 0;       ///< Hash of the upstream's address.
+  std::uint64_t OwnWeight = 0; ///< This node's rendezvous weight for it.
+  std::size_t Higher = 0;      ///< Nodes with a higher weight.
+  bool Listed = true;          ///< Seen in the latest host list.
+};
+
+/// The subset of one pool, kept up to date as nodes and upstreams come and go.
+struct Subset {
+  std::string Self;               ///< This node's id.
+  std::vector<std::string> Nodes; ///< Other live nodes, sorted.
+  std::unordered_map<std::string, SubsetEntry> Entries; ///< By address.
+};
+
+} // namespace fulmar
+
+#endif
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -299,41 +299,4 @@
   }
 }
 
-/// Nodes that take each upstream, so that all together take Size of them each.
-static std::size_t takersOf(std::size_t Upstreams, std::size_t Nodes,
-                            std::size_t Size) {
-  std::size_t Takers = (Size * Nodes + Upstreams - 1) / Upstreams;
-  return std::clamp<std::size_t>(Takers, 1, Nodes);
-}
-
-std::vector<std::size_t> chooseSubset(std::span<const UpstreamSpec> Listed,
-                                      std::span<const std::string> Nodes,
-                                      const std::string &Self,
-                                      std::size_t Size) {
-  std::vector<std::size_t> Out;
-  bool All = Listed.size() <= Size || Nodes.size() <= 1;
-  std::size_t Takers = All ? 0 : takersOf(Listed.size(), Nodes.size(), Size);
-  for (std::size_t I = 0; I < Listed.size(); ++I) {
-    if (All) {
-      Out.push_back(I);
-      continue;
-    }
-    // Seen from the upstream: its takers are the nodes with the highest
-    // weights for it, so each upstream has equally many, and a node that comes
-    // or goes moves one taker of the upstreams that it takes.
-    std::uint64_t Key = hash64(Listed[I].Address);
-    std::uint64_t Own = rendezvousWeight(Key, Self);
-    std::size_t Higher = 0;
-    for (const std::string &Node : Nodes) {
-      if (Node != Self && rendezvousWeight(Key, Node) > Own)
-        ++Higher;
-      if (Higher >= Takers)
-        break;
-    }
-    if (Higher < Takers)
-      Out.push_back(I);
-  }
-  return Out;
-}
-
 } // namespace fulmar
--- a/src/upstream_func.h
+++ b/src/upstream_func.h
@@ -51,14 +51,6 @@
 void updateUpstreams(Pool &P, std::span<const UpstreamSpec> Listed,
                      const std::string &OwnDomain, std::uint32_t &LastId);
 
-/// Chooses which upstreams this node uses, at most \p Size of a pool.
-/// \param Nodes ids of all live nodes, this one included.
-/// \return Indexes into \p Listed, ascending.
-std::vector<std::size_t> chooseSubset(std::span<const UpstreamSpec> Listed,
-                                      std::span<const std::string> Nodes,
-                                      const std::string &Self,
-                                      std::size_t Size);
-
 } // namespace fulmar
 
 #endif
--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -12,6 +12,7 @@
 #include "peer_codec.h"
 #include "peer_window.h"
 #include "signature_func.h"
+#include "subset_func.h"
 #include "timer_base.h"
 #include "upstream_call.h"
 #include "upstream_func.h"
@@ -280,17 +281,29 @@
   for (int I = 0; I < 100; ++I)
     Nodes.push_back("n" + std::to_string(I));
   std::vector<int> Takers(400, 0);
-  for (const std::string &Node : Nodes)
-    for (std::size_t I : chooseSubset(Listed, Nodes, Node, 32))
+  for (const std::string &Node : Nodes) {
+    Subset S;
+    S.Self = Node;
+    subsetNodes(S, Nodes);
+    for (std::size_t I : chooseSubset(S, Listed, 32))
       ++Takers[I];
+  }
   THEN("every upstream has the same number of nodes") {
     for (int Count : Takers)
       CHECK(Count == 8);
   }
   THEN("a node that goes changes few of another's upstreams") {
-    auto Before = chooseSubset(Listed, Nodes, "n7", 32);
+    Subset S;
+    S.Self = "n7";
+    subsetNodes(S, Nodes);
+    auto Before = chooseSubset(S, Listed, 32);
     Nodes.erase(Nodes.begin() + 50);
-    auto After = chooseSubset(Listed, Nodes, "n7", 32);
+    subsetNodes(S, Nodes);
+    auto After = chooseSubset(S, Listed, 32);
+    Subset Anew;
+    Anew.Self = "n7";
+    subsetNodes(Anew, Nodes);
+    CHECK(chooseSubset(Anew, Listed, 32) == After);
     std::vector<std::size_t> Same;
     std::set_intersection(Before.begin(), Before.end(), After.begin(),
                           After.end(), std::back_inserter(Same));
