--- a/src/bench/fleet.cpp
+++ b/src/bench/fleet.cpp
@@ -14,7 +14,6 @@
 
 namespace fulmar {
 
-static constexpr Duration PollPeriod = std::chrono::milliseconds(5);
 static constexpr Duration PollTimeout = std::chrono::milliseconds(300);
 static constexpr Duration AcceptRetry = std::chrono::milliseconds(100);
 static constexpr Duration FinalPatience = std::chrono::seconds(20);
@@ -49,7 +48,7 @@
     On.OnDone = [this, I](const HttpAnswer &Answer) {
       if (Answer.Status == HttpOk)
         heard(I, Answer.Body);
-      Timers.after(PollPeriod, [this, I] { poll(I); });
+      Timers.after(Plan.Poll, [this, I] { poll(I); });
     };
     Client.start(std::move(Call), std::move(On));
   }
--- a/src/bench/fleet.h
+++ b/src/bench/fleet.h
@@ -25,6 +25,7 @@
   std::string Signer;                                 ///< Its name.
   int Changes = 100;                                  ///< How many.
   Duration Interval = std::chrono::milliseconds(300); ///< Between two.
+  Duration Poll = std::chrono::milliseconds(5); ///< Between looks at a node.
   Duration Patience = std::chrono::seconds(15); ///< Until a node counts as out
                                                 ///< of reach.
 };
--- a/src/bench/report.cpp
+++ b/src/bench/report.cpp
@@ -55,7 +55,7 @@
              : static_cast<double>(Good) / static_cast<double>(Last.size());
 }
 
-static double quantileOf(std::vector<double> Values, double Q) {
+double quantileOf(std::vector<double> Values, double Q) {
   if (Values.empty())
     return 0;
   std::sort(Values.begin(), Values.end());
--- a/src/bench/report_func.h
+++ b/src/bench/report_func.h
@@ -27,6 +27,9 @@
 /// \return Share of requests that were answered completely and on time.
 double attainment(const History &H);
 
+/// \return The quantile \p Q of \p Values; 0 without any.
+double quantileOf(std::vector<double> Values, double Q);
+
 /// \return A quantile of the latency of complete answers, in ms, counted from
 /// when each request was due, so that a stalled sender does not hide waiting.
 double latencyQuantile(const History &H, double Q);
--- a/src/cli/cli_bench.cpp
+++ b/src/cli/cli_bench.cpp
@@ -126,13 +126,14 @@
       {"load", benchLoad},
       {"policy", benchPolicy},
       {"rollout", benchRollout},
-      {"fleet", benchFleet}};
+      {"fleet", benchFleet},
+      {"overhead", benchOverhead}};
   for (const auto &[Name, Run] : Parts) {
     if (Rest.size() == 1 && Rest[0] == Name)
       return Run();
   }
   throw Error(ResultCode::UsageError,
-              "bench needs one of: load, policy, rollout, fleet");
+              "bench needs one of: load, policy, rollout, fleet, overhead");
 }
 
 } // namespace fulmar
--- a/src/cli/cli_bench.h
+++ b/src/cli/cli_bench.h
@@ -12,6 +12,9 @@
 /// Accepts changes and measures until they are in force on running nodes.
 ExitCode benchRollout();
 
+/// Measures what one node adds to a request.
+ExitCode benchOverhead();
+
 /// Reads running nodes' metrics twice and prints rates.
 ExitCode benchFleet();
 
--- a/src/cli/cli_fleet.cpp
+++ b/src/cli/cli_fleet.cpp
@@ -1,12 +1,12 @@
 /// \file cli_fleet.cpp `bench rollout` and `bench fleet`: running nodes.
 #include <algorithm>
-#include <cmath>
 #include <cstdio>
 #include <thread>
 
 #include <gflags/gflags.h>
 
 #include "bench/fleet.h"
+#include "bench/report_func.h"
 #include "cli/cli_bench.h"
 #include "cli/cli_blocking.h"
 #include "json_func.h"
@@ -21,20 +21,14 @@
 DEFINE_int32(changes, 100, "rollout: changes to accept");
 DEFINE_int32(interval_ms, 300, "rollout: time between two changes");
 
+DEFINE_int32(poll_ms, 5, "rollout: time between two looks at a node");
+
 namespace fulmar {
 
 static FleetAccess access() {
   return {splitList(FLAGS_nodes), FLAGS_token, FLAGS_kv};
 }
 
-static double quantileOf(std::vector<double> Values, double Q) {
-  if (Values.empty())
-    return 0;
-  std::sort(Values.begin(), Values.end());
-  return Values[static_cast<std::size_t>(
-      std::lround(Q * static_cast<double>(Values.size() - 1)))];
-}
-
 ExitCode benchRollout() {
   RolloutPlan Plan;
   std::string Key = readFile(FLAGS_key);
@@ -42,6 +36,7 @@
   Plan.Signer = FLAGS_signer;
   Plan.Changes = FLAGS_changes;
   Plan.Interval = std::chrono::milliseconds(FLAGS_interval_ms);
+  Plan.Poll = std::chrono::milliseconds(FLAGS_poll_ms);
   RolloutRun Run = runRollout(access(), Plan);
   std::printf(
       "changes=%d nodes=%zu everywhere_p50_ms=%.0f "
