--- a/tests/test_settings.cpp
+++ b/tests/test_settings.cpp
@@ -35,6 +35,11 @@
       CHECK(S.EntryTtlMs == 3000);
     }
   }
+  GIVEN("the examples of both deployments") {
+    for (const char *Name : {"avstamning", "turno-certo"})
+      CHECK_NOTHROW(loadSettings(std::string(SOURCE_DIR "/examples/") + Name +
+                                 "-node.json"));
+  }
   GIVEN("a file with several mistakes") {
     std::string Text = GoodSettings;
     Text.replace(Text.find("\"n1\""), 4,
