--- a/src/bench/direct.cpp
+++ b/src/bench/direct.cpp
@@ -31,7 +31,8 @@
   });
 }
 
-void DirectRun::callStage(std::size_t Stage, std::string Input, TimePoint Due) {
+void DirectRun::callStage(std::size_t Stage, const std::string &Input,
+                          TimePoint Due) {
   Json Body;
   Body.set("stage", "s" + std::to_string(Stage + 1)).set("input", Input);
   HttpCall Call;
--- a/src/bench/direct.h
+++ b/src/bench/direct.h
@@ -25,7 +25,7 @@
 
 private:
   void schedule();
-  void callStage(std::size_t Stage, std::string Input, TimePoint Due);
+  void callStage(std::size_t Stage, const std::string &Input, TimePoint Due);
 
   TimerService &Timers;            ///< Time.
   HttpClient Client;               ///< Makes the calls.
--- a/src/rollout.cpp
+++ b/src/rollout.cpp
@@ -119,16 +119,16 @@
 
 static void tellPeers(Rollout &R, std::span<const std::string> Peers,
                       const std::string &Except, RolloutActions &Out) {
-  // Peers are most likely one version behind.
-  std::uint64_t Have = R.Steps.empty() ? 0 : R.Steps.back().FromVersion;
-  Digest HaveRoot = R.Steps.empty() ? Digest{} : R.Steps.back().FromRoot;
+  // A fetch carries our version, so to a peer that is behind it is a notice,
+  // and that peer fetches what it lacks. Sending the change itself would bring
+  // it to each node as often as it is told, three times on average.
   std::size_t Told = 0;
   for (const std::string &Peer : Peers) {
     if (Peer == Except)
       continue;
     if (Told++ == R.FanOut)
       return;
-    sendDelta(R, Peer, deltaFrom(R, Have, HaveRoot), Out);
+    Out.push_back(FetchBundleAction{Peer});
   }
 }
 
@@ -163,7 +163,9 @@
   }
   std::optional<SignedBundle> Next = applyDelta(R.InForce, Delta);
   if (!Next) {
-    // It starts from another version than ours: ask for what starts here.
+    // It starts from another version than ours: ask for what starts here. The
+    // fetch before, if there was one, has had its answer.
+    R.FetchUntil = TimePoint{};
     return rolloutHeard(R, From, Delta.Seal.Version, shortRoot(Delta.Seal.Root),
                         Now, Out);
   }
