--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -78,8 +78,13 @@
                         std::string_view Name,
                         Histogram ClassMetrics::*Member) {
   writeType(Out, Name, "histogram");
-  for (const auto &[Key, Class] : M.Classes)
+  for (const auto &[Key, Class] : M.Classes) {
+    // Most organisations have no tokens in most classes; at 300 of them, empty
+    // histograms would be most of the page.
+    if ((Class.*Member).count() == 0)
+      continue;
     writeHistogram(Out, Name, labels(Key), Class.*Member);
+  }
 }
 
 static void writeCosts(std::string &Out, const Metrics &M,
