Clean-up: one way to feed an event to the ledger and the router; shared load plan

Cause: duplicates showed the same three lines around each event (17 places), the same look-up of a request twice, and a load plan made twice from flags.

--- a/src/cli/cli_bench.cpp
+++ b/src/cli/cli_bench.cpp
@@ -88,15 +88,20 @@
   });
 }
 
-static ExitCode benchLoad() {
-  BundlePtr Under = buildBundle(loadBundleItems(FLAGS_bundle), 1);
-  TimerService Timers;
-  EventLoop Loop(Timers);
+LoadPlan loadPlanFromFlags(const Bundle &Under) {
   LoadPlan Plan;
-  addSources(Plan, *Under, FLAGS_rate);
+  addSources(Plan, Under, FLAGS_rate);
   Plan.Entries = splitList(FLAGS_entry);
   Plan.Length = fromMs(FLAGS_seconds * 1e3);
   Plan.Seed = FLAGS_seed;
+  return Plan;
+}
+
+static ExitCode benchLoad() {
+  BundlePtr Under = buildBundle(loadBundleItems(FLAGS_bundle), 1);
+  TimerService Timers;
+  EventLoop Loop(Timers);
+  LoadPlan Plan = loadPlanFromFlags(*Under);
   Plan.RunName = FLAGS_run_name;
   Plan.Retry = FLAGS_retry;
   Plan.LeaveShare = FLAGS_leave_share;
--- a/src/cli/cli_bench.h
+++ b/src/cli/cli_bench.h
@@ -2,10 +2,14 @@
 #ifndef FULMARSTEP_CLI_BENCH_H
 #define FULMARSTEP_CLI_BENCH_H
 
+#include "bench/load_base.h"
 #include "cli/cli_type.h"
 
 namespace fulmar {
 
+/// Makes a load from the flags: all organisations and their pipelines.
+LoadPlan loadPlanFromFlags(const Bundle &Under);
+
 /// Compares policies in virtual time.
 ExitCode benchPolicy();
 
--- a/src/cli/cli_overhead.cpp
+++ b/src/cli/cli_overhead.cpp
@@ -13,10 +13,8 @@
 #include "cli/cli_blocking.h"
 
 DECLARE_string(bundle);
-DECLARE_double(seconds);
 DECLARE_double(rate);
 DECLARE_uint64(seed);
-DECLARE_string(entry);
 DECLARE_string(nodes);
 DECLARE_string(token);
 DECLARE_string(upstreams);
@@ -33,11 +31,7 @@
   BundlePtr Under = buildBundle(loadBundleItems(FLAGS_bundle), 1);
   TimerService Timers;
   EventLoop Loop(Timers);
-  LoadPlan Plan;
-  addSources(Plan, *Under, FLAGS_rate);
-  Plan.Entries = splitList(FLAGS_entry);
-  Plan.Length = fromMs(FLAGS_seconds * 1e3);
-  Plan.Seed = FLAGS_seed;
+  LoadPlan Plan = loadPlanFromFlags(*Under);
   LoadRun Load(Loop, Timers, Under, Plan);
   DirectRun Direct(Loop, Timers, splitList(FLAGS_upstreams), FLAGS_rate,
                    Plan.Length, FLAGS_seed + 1);
--- a/src/ledger_service.cpp
+++ b/src/ledger_service.cpp
@@ -20,6 +20,12 @@
          std::to_string(Name);
 }
 
+template <typename Fn> void LedgerService::feed(Fn Event) {
+  LedgerActions Out;
+  Event(Out);
+  perform(Out);
+}
+
 LedgerService::LedgerService(Kernel &K, Ledger Initial)
     : Services(K), State(std::move(Initial)) {}
 
@@ -33,41 +39,41 @@
   Members->onChange([this] { State.Nodes = Members->ids(); });
   Peers->on<LedgerEntry>(
       [this](const PeerMessage &Message, const LedgerEntry &Op) {
-        LedgerActions Out;
-        ledgerPeerOp(State, Message.Sender, Op, Timers->now(),
-                     EventLoop::wallClock(), Out);
-        perform(Out);
+        feed([&](LedgerActions &Out) {
+          ledgerPeerOp(State, Message.Sender, Op, Timers->now(),
+                       EventLoop::wallClock(), Out);
+        });
       });
   Peers->on<LedgerResult>(
       [this](const PeerMessage &, const LedgerResult &Result) {
-        LedgerActions Out;
-        ledgerPeerResult(State, Result, Timers->now(), Out);
-        perform(Out);
+        feed([&](LedgerActions &Out) {
+          ledgerPeerResult(State, Result, Timers->now(), Out);
+        });
       });
 }
 
 void LedgerService::claim(const ClaimAction &Action) {
-  LedgerActions Out;
-  ledgerClaim(State, Action.Request,
-              ledgerKey(Action.Organisation, Action.RequestId), Action.Deadline,
-              Timers->now(), EventLoop::wallClock(), Out);
-  perform(Out);
+  feed([&](LedgerActions &Out) {
+    ledgerClaim(State, Action.Request,
+                ledgerKey(Action.Organisation, Action.RequestId),
+                Action.Deadline, Timers->now(), EventLoop::wallClock(), Out);
+  });
 }
 
 void LedgerService::release(const ReleaseAction &Action) {
-  LedgerActions Out;
-  ledgerRelease(State, Action.Request,
-                ledgerKey(Action.Organisation, Action.RequestId), Timers->now(),
-                EventLoop::wallClock(), Out);
-  perform(Out);
+  feed([&](LedgerActions &Out) {
+    ledgerRelease(State, Action.Request,
+                  ledgerKey(Action.Organisation, Action.RequestId),
+                  Timers->now(), EventLoop::wallClock(), Out);
+  });
 }
 
 void LedgerService::record(const RecordAction &Action) {
-  LedgerActions Out;
-  ledgerRecord(State, Action.Request,
-               ledgerKey(Action.Organisation, Action.RequestId), Action.Code,
-               Timers->now(), EventLoop::wallClock(), Out);
-  perform(Out);
+  feed([&](LedgerActions &Out) {
+    ledgerRecord(State, Action.Request,
+                 ledgerKey(Action.Organisation, Action.RequestId), Action.Code,
+                 Timers->now(), EventLoop::wallClock(), Out);
+  });
 }
 
 void LedgerService::perform(const LedgerActions &Actions) {
@@ -83,9 +89,9 @@
     return;
   Duration Delay = std::max(Duration::zero(), *Due - Timers->now());
   Wake = Timers->after(Delay, [this] {
-    LedgerActions Out;
-    ledgerTick(State, Timers->now(), EventLoop::wallClock(), Out);
-    perform(Out);
+    feed([&](LedgerActions &Out) {
+      ledgerTick(State, Timers->now(), EventLoop::wallClock(), Out);
+    });
   });
 }
 
@@ -93,11 +99,11 @@
   ShardId Shard = Action.Shard;
   Kv->get(headKey(Shard), [this, Shard](KvStatus Status, const KvEntry &E) {
     auto Head = decodeHead(E.Value);
-    LedgerActions Out;
-    ledgerHeadRead(State, Shard, Head ? Status : KvStatus::Unavailable,
-                   Head.value_or(LedgerHead()), E.Index, Timers->now(),
-                   EventLoop::wallClock(), Out);
-    perform(Out);
+    feed([&](LedgerActions &Out) {
+      ledgerHeadRead(State, Shard, Head ? Status : KvStatus::Unavailable,
+                     Head.value_or(LedgerHead()), E.Index, Timers->now(),
+                     EventLoop::wallClock(), Out);
+    });
   });
 }
 
@@ -111,11 +117,11 @@
             // read as empty: its claims would be granted a second time.
             if (!Entries || E.Index == 0)
               Status = KvStatus::Unavailable;
-            LedgerActions Out;
-            ledgerSegmentRead(State, Shard, Name, Status,
-                              Entries.value_or(std::vector<LedgerEntry>()),
-                              Timers->now(), EventLoop::wallClock(), Out);
-            perform(Out);
+            feed([&](LedgerActions &Out) {
+              ledgerSegmentRead(State, Shard, Name, Status,
+                                Entries.value_or(std::vector<LedgerEntry>()),
+                                Timers->now(), EventLoop::wallClock(), Out);
+            });
           });
 }
 
@@ -123,10 +129,10 @@
   ShardId Shard = Action.Shard;
   Kv->cas(headKey(Shard), encodeHead(Action.Head), Action.Index,
           [this, Shard](KvStatus Status) {
-            LedgerActions Out;
-            ledgerHeadWritten(State, Shard, Status, Timers->now(),
-                              EventLoop::wallClock(), Out);
-            perform(Out);
+            feed([&](LedgerActions &Out) {
+              ledgerHeadWritten(State, Shard, Status, Timers->now(),
+                                EventLoop::wallClock(), Out);
+            });
           });
 }
 
@@ -134,10 +140,10 @@
   ShardId Shard = Action.Shard;
   Kv->cas(segmentKey(Shard, Action.Name), encodeSegment(Action.Entries), 0,
           [this, Shard](KvStatus Status) {
-            LedgerActions Out;
-            ledgerSegmentWritten(State, Shard, Status, Timers->now(),
-                                 EventLoop::wallClock(), Out);
-            perform(Out);
+            feed([&](LedgerActions &Out) {
+              ledgerSegmentWritten(State, Shard, Status, Timers->now(),
+                                   EventLoop::wallClock(), Out);
+            });
           });
 }
 
--- a/src/ledger_service.h
+++ b/src/ledger_service.h
@@ -34,6 +34,8 @@
   std::size_t undecided() const { return State.Local.size(); }
 
 private:
+  /// Hands the ledger one event and carries out what it asks for.
+  template <typename Fn> void feed(Fn Event);
   void perform(const LedgerActions &Actions);
   void carryOut(const ReadHeadAction &Action);
   void carryOut(const ReadSegmentAction &Action);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -259,13 +259,20 @@
   }
 }
 
+/// \return The request, unless its caller has its answer already.
+static Request *openRequest(RouterState &State, RequestSerial Serial) {
+  auto Found = State.Requests.find(Serial);
+  bool Open = Found != State.Requests.end() &&
+              Found->second.Phase != RequestPhase::Detached;
+  return Open ? &Found->second : nullptr;
+}
+
 void callerLeft(RouterState &State, RequestSerial Serial, TimePoint Now,
                 RouterActions &Out) {
-  auto Found = State.Requests.find(Serial);
-  if (Found == State.Requests.end() ||
-      Found->second.Phase == RequestPhase::Detached)
+  Request *Open = openRequest(State, Serial);
+  if (!Open)
     return;
-  Request &R = Found->second;
+  Request &R = *Open;
   if (effectPending(R)) {
     detachRequest(State, R, ResultCode::OutcomeUnknown, Now, Out, false);
     return;
@@ -279,11 +286,10 @@
 
 static void deadlinePassed(RouterState &State, RequestSerial Serial,
                            TimePoint Now, RouterActions &Out) {
-  auto Found = State.Requests.find(Serial);
-  if (Found == State.Requests.end() ||
-      Found->second.Phase == RequestPhase::Detached)
+  Request *Open = openRequest(State, Serial);
+  if (!Open)
     return;
-  Request &R = Found->second;
+  Request &R = *Open;
   if (effectPending(R)) {
     detachRequest(State, R, ResultCode::OutcomeUnknown, Now, Out, true);
     return;
--- a/src/router_service.cpp
+++ b/src/router_service.cpp
@@ -18,6 +18,12 @@
 /// Attempts wait no longer than this for a fresh host list.
 static constexpr Duration HoldLimit = std::chrono::milliseconds(400);
 
+template <typename Fn> void RouterService::feed(Fn Event) {
+  RouterActions Out;
+  Event(Out);
+  perform(std::move(Out));
+}
+
 RouterService::RouterService(Kernel &K, std::string OwnDomain,
                              std::uint64_t Seed, std::size_t MaxRequests)
     : Services(K) {
@@ -55,16 +61,14 @@
 }
 
 void RouterService::left(RequestSerial Serial) {
-  RouterActions Out;
-  callerLeft(State, Serial, now(), Out);
-  perform(std::move(Out));
+  feed([&](RouterActions &Out) { callerLeft(State, Serial, now(), Out); });
 }
 
 void RouterService::claimDecided(RequestSerial Serial, ClaimVerdict Verdict,
                                  ResultCode EarlierCode) {
-  RouterActions Out;
-  claimAnswered(State, Serial, Verdict, EarlierCode, now(), Out);
-  perform(std::move(Out));
+  feed([&](RouterActions &Out) {
+    claimAnswered(State, Serial, Verdict, EarlierCode, now(), Out);
+  });
 }
 
 void RouterService::bundle(BundlePtr Next) {
@@ -77,9 +81,7 @@
 
 void RouterService::upstreams(std::vector<UpstreamSpec> Next) {
   Listed = std::move(Next);
-  RouterActions Out;
-  hostListChanged(State, Listed, now(), Out);
-  perform(std::move(Out));
+  feed([&](RouterActions &Out) { hostListChanged(State, Listed, now(), Out); });
 }
 
 void RouterService::refuseNew() { State.Draining = true; }
@@ -110,9 +112,7 @@
   Duration Delay = std::max(Duration::zero(), *Due - now());
   Wake = Timers->after(Delay, [this] {
     Wake = TimerId{};
-    RouterActions Out;
-    routerTick(State, now(), Out);
-    perform(std::move(Out));
+    feed([&](RouterActions &Out) { routerTick(State, now(), Out); });
   });
 }
 
@@ -153,9 +153,9 @@
     AttemptResult Result;
     Result.End = AttemptEnd::ConnectFailed;
     Result.Message = "leaving";
-    RouterActions Out;
-    attemptEnded(State, Action.Attempt, Result, now(), Out);
-    perform(std::move(Out));
+    feed([&](RouterActions &Out) {
+      attemptEnded(State, Action.Attempt, Result, now(), Out);
+    });
   }
 }
 
@@ -169,15 +169,14 @@
   UpstreamCallbacks On;
   On.OnSent = [this, Id] { attemptSent(State, Id); };
   On.OnToken = [this, Id](std::string_view Text) {
-    RouterActions Out;
-    attemptToken(State, Id, Text, now(), Out);
-    perform(std::move(Out));
+    feed(
+        [&](RouterActions &Out) { attemptToken(State, Id, Text, now(), Out); });
   };
   On.OnEnd = [this, Id](const AttemptResult &Result) {
     auto Keep = Calls.extract(Id);
-    RouterActions Out;
-    attemptEnded(State, Id, Result, now(), Out);
-    perform(std::move(Out));
+    feed([&](RouterActions &Out) {
+      attemptEnded(State, Id, Result, now(), Out);
+    });
   };
   auto Call =
       std::make_shared<UpstreamCall>(*Client, std::move(Action), std::move(On));
--- a/src/router_service.h
+++ b/src/router_service.h
@@ -59,6 +59,8 @@
   const Metrics &metrics() const { return Counted; }
 
 private:
+  /// Hands the router one event and carries out what it asks for.
+  template <typename Fn> void feed(Fn Event);
   void perform(RouterActions Actions);
   void carryOut(DispatchAction &Action);
   void carryOut(CancelAction &Action);
