A fleet-wide limit starts from an even share

Cause: a node that had not heard of the others' demand took the whole limit of an organisation for up to a second: nine nodes let nine times the limit through. Change: a fresh rate starts from one over the number of live nodes.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -70,6 +70,10 @@
     return true;
   auto [It, Fresh] = State.Rates.try_emplace(Payer);
   RateBucket &Bucket = It->second;
+  // A node that has not heard of the others' demand must not take the whole
+  // limit for itself: nine of them would let nine times the limit through.
+  if (Fresh)
+    Bucket.Share = State.EvenShare;
   double Burst = std::max(1.0, Spec.Burst * Bucket.Share);
   if (Fresh) {
     Bucket.Tokens = Burst;
--- a/src/demand_service.cpp
+++ b/src/demand_service.cpp
@@ -49,6 +49,8 @@
   if (!Routing.InForce)
     return;
   std::size_t Nodes = Members->ids().size();
+  Routing.EvenShare =
+      1.0 / static_cast<double>(std::max<std::size_t>(1, Nodes));
   for (const OrganisationSpec &Spec : Routing.InForce->Organisations) {
     auto Payer = Routing.Payers.find(Spec.Name);
     if (Spec.RateLimit <= 0 || Payer == Routing.Payers.end())
--- a/src/router_base.h
+++ b/src/router_base.h
@@ -128,8 +128,9 @@
   std::unordered_map<AttemptId, Attempt> Attempts;     ///< In progress.
   std::map<std::string, Pool> Pools; ///< By name; kept while calls refer.
   std::unordered_map<std::string, OrganisationId> Payers; ///< Local names.
-  std::unordered_map<OrganisationId, RateBucket> Rates;   ///< By payer.
-  std::unordered_map<std::string, RetryBudget> Budgets;   ///< By pipeline.
+  double EvenShare = 1; ///< Of the fleet's limits, while demand is not known.
+  std::unordered_map<OrganisationId, RateBucket> Rates; ///< By payer.
+  std::unordered_map<std::string, RetryBudget> Budgets; ///< By pipeline.
   std::map<std::pair<std::string, std::string>, Estimate>
       Estimates; ///< By
                  ///< pipeline and stage.
--- a/tests/test_api.cpp
+++ b/tests/test_api.cpp
@@ -325,6 +325,28 @@
   }
 }
 
+SCENARIO("a limit of the fleet goes where the demand is") {
+  ApiSite S(3);
+  const char *Limited =
+      R"({"organisation":"paraiba-turnos","pipeline":"coverage","input":"x"})";
+  auto Share = [&] {
+    const RouterState &R = S.Nodes[0]->router().state();
+    auto Payer = R.Payers.find("paraiba-turnos");
+    return Payer == R.Payers.end() ? 0 : R.Rates.at(Payer->second).Share;
+  };
+  S.waitFor([&] { return S.Nodes[0]->router().state().EvenShare < 0.4; });
+  CHECK(S.code(S.post(Limited)) == 1000);
+  CHECK(Share() == Approx(1.0 / 3));
+  // Twenty seconds of a steady demand, however long they take here.
+  Duration Skipped{};
+  S.Timers.setClock([&] { return EventLoop::clock() + Skipped; });
+  for (int I = 0; I < 400 && Share() <= 0.9; ++I) {
+    Skipped += 50ms;
+    S.post(Limited);
+  }
+  CHECK(Share() > 0.9);
+}
+
 SCENARIO("a stream of tokens is the whole answer") {
   ApiSite S;
   HttpCall Call;
