--- a/src/bench/policy_scenarios.cpp
+++ b/src/bench/policy_scenarios.cpp
@@ -122,6 +122,33 @@
   Plan.Under = Wider;
 }
 
+/// Adds more load of one class for some of the time.
+static void addWindow(PolicyPlan &Plan, PipelineClass Class, double Factor,
+                      TimePoint From, TimePoint Until) {
+  std::vector<ModelSource> More;
+  for (const ModelSource &Source : Plan.Sources) {
+    const auto *Pipeline = Bundle::find(Plan.Under->Pipelines, Source.Pipeline);
+    if (Pipeline->Class != Class)
+      continue;
+    More.push_back(Source);
+    More.back().Rate *= Factor - 1;
+    More.back().From = From;
+    More.back().Until = Until;
+  }
+  Plan.Sources.insert(Plan.Sources.end(), More.begin(), More.end());
+}
+
+/// Batch statements come at four times their rate for half of the run.
+static void monthEnd(PolicyPlan &Plan) {
+  addWindow(Plan, PipelineClass::Batch, 4, FaultStart, FaultEnd);
+}
+
+/// Everybody looks at the same time: interactive at eight times its rate.
+static void dawn(PolicyPlan &Plan) {
+  static constexpr TimePoint DawnEnd{std::chrono::seconds(9)};
+  addWindow(Plan, PipelineClass::Interactive, 8, FaultStart, DawnEnd);
+}
+
 /// As many nodes as a site has today, which know nothing of each other's calls.
 static void eightNodes(PolicyPlan &Plan) { Plan.Nodes = 8; }
 
@@ -144,6 +171,8 @@
     {"load-2", 2, nullptr},
     {"load-4", 4, nullptr},
     {"bursts", UsualLoad, bursts},
+    {"month-end", UsualLoad, monthEnd},
+    {"dawn", UsualLoad, dawn},
     {"slow-upstream", UsualLoad, oneSlow},
     {"dead-pool", UsualLoad, poolDead},
     {"failing", UsualLoad, failing},
