--- a/src/cli/cli_bundle.cpp
+++ b/src/cli/cli_bundle.cpp
@@ -147,6 +147,9 @@
         Todo[Item.text("id")] = Item.text("operator");
     }
   }
+  // Who waits may wait for nodes that are still starting, too.
+  if (Todo.empty() && FLAGS_wait)
+    return 1;
   if (Todo.empty())
     throw Error(ResultCode::NodeUnreachable,
                 "no node answers at " + FLAGS_nodes);
