--- a/tests/test_parts.cpp
+++ b/tests/test_parts.cpp
@@ -64,6 +64,21 @@
   CHECK_FALSE(T.nextDue());
 }
 
+SCENARIO("what wakes a loop is dated when it happens") {
+  // Symptom: the history of a fault run says that a request ran before it was
+  // sent. Sequence: the loop sleeps for a second, a message wakes it, its
+  // handler asks for the time. Cause: handing out the time of the last advance,
+  // which was before the sleep.
+  TimerService T;
+  TimePoint Clock(1s);
+  T.setClock([&] { return Clock; });
+  T.advance(T.now());
+  Clock += 1s;
+  CHECK(T.now() == TimePoint(2s));
+  T.after(10ms, [] {});
+  CHECK(T.nextDue() == TimePoint(2010ms));
+}
+
 SCENARIO("log lines can be split at spaces") {
   CHECK(logLine("e", {{"a", 1}, {"b", "x y"}, {"c", "q\"z"}, {"d", ""}}) ==
         "event=e a=1 b=\"x y\" c=\"q\\\"z\" d=\"\"");
