The refusal is measured as a refusal again

Cause: since queues hold 10,000 calls by default, the micro-benchmark's requests were queued, not refused.

--- a/src/micro/micro.cpp
+++ b/src/micro/micro.cpp
@@ -36,7 +36,8 @@
 };
 
 static std::string bundleText(std::size_t Organisations) {
-  std::string Text = R"({"pools": [{"name":"p","kind":"stage"},
+  std::string Text =
+      R"({"pools": [{"name":"p","kind":"stage","queue_limit":1000},
     {"name":"e","kind":"engine","model":"m"}], "models":[{"name":"m"}],
     "pipelines":[)";
   for (int I = 0; I < 14; ++I)
