One rule for room at an upstream, one way to make a queued call

Cause: the dispatcher had its own copy of the rule for room (adaptive or fixed limit) that the choice of an upstream uses; had one been changed alone, the dispatcher's assertion 'there is room' would have failed. The door's look at a later queue built the same call as the queueing does, field by field. Change: poolHasRoom beside the choice; makeCall takes the stage.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -123,15 +123,10 @@
 /// caller would hear "failed" in place of "not run".
 static bool stageFull(RouterState &State, Pool &P, const StageSpec &Stage,
                       const Request &R) {
-  QueuedCall Call;
-  Call.Organisation = R.Payer;
-  Call.Group = R.Organisation->Group;
-  Call.Class = R.Pipeline->Class;
-  Call.Weight = R.Organisation->Weight;
-  Call.Cost = toMs(estimateMean(stageEstimate(State, *R.Pipeline, Stage)));
   auto Room = static_cast<std::size_t>(static_cast<double>(P.Queue.MaxCalls) *
                                        DoorShare);
-  return queueWouldRefuse(P.Queue, Call, std::max<std::size_t>(1, Room));
+  return queueWouldRefuse(P.Queue, makeCall(State, R, Stage),
+                          std::max<std::size_t>(1, Room));
 }
 
 /// Whether a pool is down, and was probed a moment ago. A request that needs it
--- a/src/router_dispatch.cpp
+++ b/src/router_dispatch.cpp
@@ -18,14 +18,15 @@
 /// How long a non-idempotent attempt may run on after its caller was answered.
 static constexpr Duration DetachedGrace = std::chrono::seconds(30);
 
-static QueuedCall makeCall(RouterState &State, const Request &R) {
+QueuedCall makeCall(RouterState &State, const Request &R,
+                    const StageSpec &Stage) {
   QueuedCall Call;
   Call.Request = R.Serial;
   Call.Organisation = R.Payer;
   Call.Group = R.Organisation->Group;
   Call.Class = R.Pipeline->Class;
   Call.Weight = R.Organisation->Weight;
-  Call.Cost = toMs(estimateMean(stageEstimate(State, *R.Pipeline, R.stage())));
+  Call.Cost = toMs(estimateMean(stageEstimate(State, *R.Pipeline, Stage)));
   Call.Deadline = R.Deadline;
   Call.Bytes = R.Payload.size();
   return Call;
@@ -37,7 +38,7 @@
   R.Phase = RequestPhase::Queued;
   R.StageReady = Now;
   State.Touched.push_back(&P);
-  auto Loser = queuePush(P.Queue, makeCall(State, R));
+  auto Loser = queuePush(P.Queue, makeCall(State, R, R.stage()));
   if (!Loser)
     return;
   Request &Gone = State.Requests.at(*Loser);
@@ -145,17 +146,6 @@
   return true;
 }
 
-static bool anyRoom(const Pool &P, const RouterPolicy &Policy, TimePoint Now) {
-  for (const Upstream &U : P.Upstreams) {
-    bool Fixed = Policy.Limit == LimitRule::Fixed;
-    bool Room = Fixed ? U.InFlight < U.Limit.Max
-                      : U.InFlight < static_cast<int>(U.Limit.Limit);
-    if (Room && upstreamEligible(U, Policy, Now))
-      return true;
-  }
-  return false;
-}
-
 /// Sends one call that was taken out of the queue.
 static void sendCall(RouterState &State, Pool &P, const QueuedCall &Call,
                      TimePoint Now, RouterActions &Out) {
@@ -180,7 +170,7 @@
   while (!State.Touched.empty()) {
     Pool &P = *State.Touched.back();
     State.Touched.pop_back();
-    while (queueSize(P.Queue) > 0 && anyRoom(P, State.Policy, Now)) {
+    while (queueSize(P.Queue) > 0 && poolHasRoom(P, State.Policy, Now)) {
       auto Call = queuePop(P.Queue);
       sendCall(State, P, *Call, Now, Out);
     }
--- a/src/router_internal.h
+++ b/src/router_internal.h
@@ -16,6 +16,10 @@
 void detachRequest(RouterState &State, Request &R, ResultCode Code,
                    TimePoint Now, RouterActions &Out, bool Deliver);
 
+/// Makes the call that \p R queues for \p Stage.
+QueuedCall makeCall(RouterState &State, const Request &R,
+                    const StageSpec &Stage);
+
 /// Queues the current stage of \p R; \p R may be refused and gone afterwards.
 void enqueueStage(RouterState &State, Request &R, TimePoint Now,
                   RouterActions &Out);
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -160,6 +160,14 @@
   return bySampling(P, Policy, Hints, Rng, Now);
 }
 
+bool poolHasRoom(const Pool &P, const RouterPolicy &Policy, TimePoint Now) {
+  for (const Upstream &U : P.Upstreams) {
+    if (hasRoom(U, Policy) && upstreamEligible(U, Policy, Now))
+      return true;
+  }
+  return false;
+}
+
 double poolSlots(const Pool &P, const RouterPolicy &Policy, TimePoint Now) {
   double Slots = 0;
   for (const Upstream &U : P.Upstreams) {
--- a/src/upstream_func.h
+++ b/src/upstream_func.h
@@ -20,6 +20,9 @@
 bool upstreamEligible(const Upstream &U, const RouterPolicy &Policy,
                       TimePoint Now);
 
+/// \return Whether some eligible upstream has room for one more call.
+bool poolHasRoom(const Pool &P, const RouterPolicy &Policy, TimePoint Now);
+
 /// \return How many calls the eligible upstreams take at once.
 double poolSlots(const Pool &P, const RouterPolicy &Policy, TimePoint Now);
 
