--- a/src/event_loop.h
+++ b/src/event_loop.h
@@ -20,6 +20,9 @@
   EventLoop(const EventLoop &) = delete;
   EventLoop &operator=(const EventLoop &) = delete;
 
+  /// \return The timer service that it advances.
+  TimerService &timers() const;
+
   /// \return The library's handle, for adapters only.
   event_base *base() const;
 
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -3,6 +3,7 @@
 #define FULMARSTEP_HTTP_TYPE_H
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fulmar {
@@ -14,6 +15,19 @@
 };
 using HttpHeaders = std::vector<HttpHeader>;
 
+/// \return The header called \p Name in any case, or nullptr.
+const HttpHeader *findHeader(const HttpHeaders &Headers, std::string_view Name);
+
+/// \return The value of the header \p Name, or empty.
+std::string headerValue(const HttpHeaders &Headers, std::string_view Name);
+
+/// \return Whether \p Name is a header that concerns one connection only, or
+/// one that \p Headers lists as such in its Connection line.
+bool isHopHeader(const HttpHeaders &Headers, std::string_view Name);
+
+/// \return The usual phrase for a status.
+std::string_view statusPhrase(int Status);
+
 inline constexpr int HttpOk = 200;              ///< Status of a good answer.
 inline constexpr int HttpTooManyRequests = 429; ///< Status of a rate limit.
 
