Calls are formed for the whole fleet at one node of each pool

Cause: an upstream takes 240 ms for a call of one piece and 450 ms for one of 24; eight nodes that form calls alone found their upstreams full in 1,082 of 2,912 calls.

Change: batch_home chooses a node for each pool by rendezvous hashing, batch_relay asks it over datagrams, with repeats and a move to another node when it is silent. Space is given back before the next call goes out.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -33,6 +33,9 @@
 /// is full for a burst of six seconds turns away the least urgent first, but
 /// a request that has waited this long goes before a fresh urgent one.
 static constexpr Duration PriorityStep = std::chrono::milliseconds(150);
+/// Sizes of results are approximate; this part of an upstream's space is left
+/// for those that are larger.
+static constexpr double RoomShare = 0.92;
 /// Time for a call's way to the upstream and back.
 static constexpr Duration CallOverhead = std::chrono::milliseconds(5);
 
@@ -303,8 +306,8 @@
     if (betterToWait(P, *U, std::min(Most, Waiting), Now))
       continue;
     std::vector<double> Bytes;
-    std::vector<BatchItem> Items =
-        takePieces(P, Order, Most, P.Spec.RoomBytes - U->RoomUsed, Now, Bytes);
+    std::vector<BatchItem> Items = takePieces(
+        P, Order, Most, P.Spec.RoomBytes * RoomShare - U->RoomUsed, Now, Bytes);
     if (Items.empty())
       continue;
     Waiting -= static_cast<int>(Items.size());
--- /dev/null
+++ b/src/batch_relay.cpp
@@ -0,0 +1,267 @@
+/// \file batch_relay.cpp Asks for pieces of work, here or at another node.
+#include "batch_relay.h"
+
+#include "batch_home.h"
+#include "log_func.h"
+#include "member_service.h"
+#include "node_services.h"
+#include "peer_service.h"
+
+namespace fulmar {
+
+/// Between two looks at what has to be sent again.
+static constexpr Duration TickPeriod = std::chrono::milliseconds(20);
+/// What a node is done with is told together within this time. It is short: the
+/// space of results that are not needed bounds the next calls.
+static constexpr Duration ReleaseDelay = std::chrono::milliseconds(4);
+/// An ask that nobody acknowledged is sent again after this time: several round
+/// trips between failure domains (2 to 3 ms), and a pause of a node whose share
+/// of a processor is used up (up to 75 ms) costs one repeat only.
+static constexpr Duration ResendAfter = std::chrono::milliseconds(60);
+/// Unanswered sends before another node is asked.
+static constexpr int SendsBeforeMove = 4;
+/// An acknowledged ask is asked about again after this time, in case its node
+/// ended or its result was lost.
+static constexpr Duration AskAgainAfter = std::chrono::milliseconds(300);
+/// A silent node is not asked for this long.
+static constexpr Duration SilentTime = std::chrono::seconds(2);
+/// Results are kept for a node that did not acknowledge them.
+static constexpr Duration ResultLife = std::chrono::seconds(3);
+static constexpr int MaxResultSends = 6;
+
+void BatchRelay::start() {
+  Timers = &Services.find<TimerService>(service::Timers);
+  Pools = &Services.find<BatchService>(service::Batches);
+  Members = &Services.find<MemberService>(service::Members);
+  Peers = &Services.find<PeerService>(service::Peers);
+  Peers->on<BatchAskMessage>(
+      [this](const PeerMessage &From, const BatchAskMessage &Message) {
+        serve(From.Sender, Message);
+      });
+  Peers->on<BatchAnswerMessage>(
+      [this](const PeerMessage &From, const BatchAnswerMessage &Message) {
+        answered(From.Sender, Message);
+      });
+  Peers->on<BatchReleaseMessage>(
+      [this](const PeerMessage &From, const BatchReleaseMessage &Message) {
+        released(From.Sender, Message);
+      });
+  Members->onChange([this] { membersChanged(); });
+  Timers->every(TickPeriod, [this] { tick(); });
+}
+
+BatchTicket BatchRelay::ask(const std::string &Pool, const BatchAsk &Ask,
+                            DoneFn Done) {
+  BatchTicket Ticket{++LastTicket};
+  OwnAsk &Mine = Own[Ticket];
+  Mine.Pool = Pool;
+  Mine.Ask = Ask;
+  Mine.Asked = Timers->now();
+  Mine.Done = std::move(Done);
+  place(Ticket);
+  return Ticket;
+}
+
+/// Gives an ask to the node that forms its pool's calls.
+void BatchRelay::place(BatchTicket Ticket) {
+  OwnAsk &Mine = Own.at(Ticket);
+  std::set<std::string> Left;
+  for (const auto &[Node, Until] : Silent) {
+    if (Until > Timers->now())
+      Left.insert(Node);
+  }
+  std::string Home = batchHome(Members->state(), Mine.Pool, Left);
+  Mine.Unanswered = 0;
+  if (Home != Members->state().Self.Id) {
+    ++Counts.Remote;
+    Mine.Home = Home;
+    return send(Ticket, Mine);
+  }
+  ++Counts.Local;
+  Mine.Home.clear();
+  BatchAsk Ask = Mine.Ask;
+  Ask.Due -= Timers->now() - Mine.Asked;
+  Ask.Dead -= Timers->now() - Mine.Asked;
+  Mine.Local =
+      Pools->ask(Mine.Pool, Ask, [this, Ticket](const BatchResult &Result) {
+        ended(Ticket, Result);
+      });
+}
+
+void BatchRelay::send(BatchTicket Ticket, OwnAsk &Mine) {
+  BatchAskMessage Message{Ticket.Value, Mine.Pool, Mine.Ask};
+  Message.Ask.Due -= Timers->now() - Mine.Asked;
+  Message.Ask.Dead -= Timers->now() - Mine.Asked;
+  ++Mine.Unanswered;
+  Mine.NextSend = Timers->now() + ResendAfter;
+  Peers->sendTo(Mine.Home, std::move(Message));
+}
+
+void BatchRelay::ended(BatchTicket Ticket, const BatchResult &Result) {
+  auto Found = Own.find(Ticket);
+  if (Found == Own.end())
+    return;
+  DoneFn Done = std::move(Found->second.Done);
+  Own.erase(Found);
+  Done(Result);
+}
+
+void BatchRelay::cancel(BatchTicket Ticket) {
+  auto Found = Own.find(Ticket);
+  if (Found == Own.end())
+    return;
+  OwnAsk Gone = std::move(Found->second);
+  Own.erase(Found);
+  if (Gone.Home.empty())
+    return Pools->cancel(Gone.Local);
+  release(Gone.Home, "", {"", {}, {Ticket.Value}, {}});
+}
+
+void BatchRelay::free(const std::string &Pool,
+                      const std::vector<std::string> &Handles) {
+  if (Handles.empty())
+    return;
+  std::string Home = batchHome(Members->state(), Pool, {});
+  if (Home == Members->state().Self.Id)
+    return Pools->free(Pool, Handles);
+  release(Home, Pool, {Pool, {}, {}, Handles});
+}
+
+/// Adds to what a node will be told in a moment.
+void BatchRelay::release(const std::string &Node, const std::string &Pool,
+                         BatchReleaseMessage Part) {
+  BatchReleaseMessage &Whole = Releases[{Node, Pool}];
+  Whole.Pool = Pool;
+  auto Append = [](auto &To, const auto &From) {
+    To.insert(To.end(), From.begin(), From.end());
+  };
+  Append(Whole.Taken, Part.Taken);
+  Append(Whole.Cancelled, Part.Cancelled);
+  Append(Whole.Freed, Part.Freed);
+  if (ReleasePlanned)
+    return;
+  ReleasePlanned = true;
+  Timers->after(ReleaseDelay, [this] { flushReleases(); });
+}
+
+void BatchRelay::flushReleases() {
+  ReleasePlanned = false;
+  for (auto &[Key, Message] : Releases)
+    Peers->sendTo(Key.first, std::move(Message));
+  Releases.clear();
+}
+
+void BatchRelay::answered(const std::string &Node,
+                          const BatchAnswerMessage &Message) {
+  BatchTicket Ticket{Message.Ticket};
+  auto Found = Own.find(Ticket);
+  if (Found == Own.end() || Found->second.Home != Node) {
+    // Cancelled, or done by another node meanwhile: nobody wants the result.
+    if (!Message.Pending)
+      release(Node, "", {"", {}, {Message.Ticket}, {}});
+    return;
+  }
+  if (!Message.Pending)
+    release(Node, "", {"", {Message.Ticket}, {}, {}});
+  Silent.erase(Node);
+  if (!Message.Pending)
+    return ended(Ticket, Message.Result);
+  Found->second.Unanswered = 0;
+  Found->second.NextSend = Timers->now() + AskAgainAfter;
+}
+
+void BatchRelay::serve(const std::string &Node,
+                       const BatchAskMessage &Message) {
+  ServedKey Key{Node, Message.Ticket};
+  auto [Found, Fresh] = Served.try_emplace(Key);
+  if (!Fresh && Found->second.Local.Value == 0)
+    return sendResult(Key, Found->second);
+  Peers->sendTo(Node, BatchAnswerMessage{Message.Ticket, true, {}});
+  if (!Fresh)
+    return;
+  ++Counts.Served;
+  Found->second.Pool = Message.Pool;
+  Found->second.Local = Pools->ask(
+      Message.Pool, Message.Ask, [this, Key](const BatchResult &Result) {
+        auto Ended = Served.find(Key);
+        if (Ended == Served.end())
+          return;
+        Ended->second.Local = BatchTicket{};
+        Ended->second.Result = Result;
+        Ended->second.ForgetAt = Timers->now() + ResultLife;
+        sendResult(Key, Ended->second);
+      });
+}
+
+void BatchRelay::sendResult(const ServedKey &Key, ServedAsk &Ended) {
+  ++Ended.Sends;
+  Ended.NextSend = Timers->now() + ResendAfter;
+  Peers->sendTo(Key.first, BatchAnswerMessage{Key.second, false, Ended.Result});
+}
+
+void BatchRelay::released(const std::string &Node,
+                          const BatchReleaseMessage &Message) {
+  for (std::uint64_t Ticket : Message.Taken)
+    Served.erase({Node, Ticket});
+  for (std::uint64_t Ticket : Message.Cancelled) {
+    auto Found = Served.find({Node, Ticket});
+    if (Found == Served.end())
+      continue;
+    if (Found->second.Local.Value != 0)
+      Pools->cancel(Found->second.Local);
+    else
+      Pools->free(Found->second.Pool, Found->second.Result.Handles);
+    Served.erase(Found);
+  }
+  Pools->free(Message.Pool, Message.Freed);
+}
+
+void BatchRelay::tick() {
+  TimePoint Now = Timers->now();
+  std::vector<BatchTicket> Due;
+  for (const auto &[Ticket, Mine] : Own) {
+    if (!Mine.Home.empty() && Mine.NextSend <= Now)
+      Due.push_back(Ticket);
+  }
+  for (BatchTicket Ticket : Due) {
+    OwnAsk &Mine = Own.at(Ticket);
+    if (Mine.Unanswered < SendsBeforeMove) {
+      send(Ticket, Mine);
+      continue;
+    }
+    logEvent(LogLevel::Warning, "batch_home_silent",
+             {{"node", Mine.Home},
+              {"pool", Mine.Pool},
+              {"id", Mine.Ask.RequestId},
+              {"sends", Mine.Unanswered}});
+    Silent[Mine.Home] = Now + SilentTime;
+    ++Counts.Moved;
+    place(Ticket);
+  }
+  for (auto It = Served.begin(); It != Served.end();) {
+    ServedAsk &Ended = It->second;
+    bool Over = Ended.Local.Value == 0 &&
+                (Ended.ForgetAt <= Now || Ended.Sends > MaxResultSends);
+    if (!Over && Ended.Local.Value == 0 && Ended.NextSend <= Now)
+      sendResult(It->first, Ended);
+    It = Over ? Served.erase(It) : std::next(It);
+  }
+}
+
+/// Asks at nodes that are gone are placed anew at once.
+void BatchRelay::membersChanged() {
+  std::vector<BatchTicket> Lost;
+  for (const auto &[Ticket, Mine] : Own) {
+    if (Mine.Home.empty())
+      continue;
+    const MemberInfo *Info = Members->info(Mine.Home);
+    if (!Info || Info->State == MemberState::Dead)
+      Lost.push_back(Ticket);
+  }
+  for (BatchTicket Ticket : Lost) {
+    ++Counts.Moved;
+    place(Ticket);
+  }
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/batch_relay.h
@@ -0,0 +1,93 @@
+/// \file batch_relay.h Asks for pieces of work, here or at another node.
+#ifndef FULMARSTEP_BATCH_RELAY_H
+#define FULMARSTEP_BATCH_RELAY_H
+
+#include "batch_service.h"
+
+namespace fulmar {
+
+class MemberService;
+class PeerService;
+struct PeerMessage;
+
+/// Counts for operators.
+struct RelayCounts {
+  std::uint64_t Local = 0;  ///< Asks served by this node's own pools.
+  std::uint64_t Remote = 0; ///< Asks sent to another node.
+  std::uint64_t Moved = 0;  ///< Asks sent to a second node.
+  std::uint64_t Served = 0; ///< Asks of other nodes.
+};
+
+/// Asks the node that forms a pool's calls, and serves the asks of others.
+class BatchRelay : public Service {
+public:
+  using DoneFn = BatchService::DoneFn;
+
+  explicit BatchRelay(Kernel &K) : Services(K) {}
+
+  void start() override;
+
+  /// Asks for pieces. \p Done is called once, not before this returns.
+  BatchTicket ask(const std::string &Pool, const BatchAsk &Ask, DoneFn Done);
+  /// Nobody waits for these pieces any more; \p Done is not called.
+  void cancel(BatchTicket Ticket);
+  /// The results of \p Pool are not needed any more.
+  void free(const std::string &Pool, const std::vector<std::string> &Handles);
+
+  /// \return Counts so far.
+  const RelayCounts &counts() const { return Counts; }
+
+private:
+  /// An ask of this node.
+  struct OwnAsk {
+    std::string Pool;     ///< Which pool.
+    BatchAsk Ask;         ///< What is asked.
+    TimePoint Asked{};    ///< When; its times count from then.
+    DoneFn Done;          ///< Hears the result.
+    std::string Home;     ///< The node asked; empty: this one.
+    BatchTicket Local;    ///< Name at this node's own pools.
+    TimePoint NextSend{}; ///< When to ask again.
+    int Unanswered = 0;   ///< Sends in a row that nobody answered.
+  };
+  /// An ask of another node.
+  struct ServedAsk {
+    std::string Pool;     ///< Which pool.
+    BatchTicket Local;    ///< Name at this node's own pools; 0: ended.
+    BatchResult Result;   ///< Once it has ended.
+    TimePoint ForgetAt{}; ///< Once it has ended.
+    TimePoint NextSend{}; ///< When to send the result again.
+    int Sends = 0;        ///< Times that the result was sent.
+  };
+  using ServedKey = std::pair<std::string, std::uint64_t>; ///< Node, ticket.
+
+  void place(BatchTicket Ticket);
+  void send(BatchTicket Ticket, OwnAsk &Own);
+  void ended(BatchTicket Ticket, const BatchResult &Result);
+  void serve(const std::string &Node, const BatchAskMessage &Message);
+  void sendResult(const ServedKey &Key, ServedAsk &Served);
+  void answered(const std::string &Node, const BatchAnswerMessage &Message);
+  void released(const std::string &Node, const BatchReleaseMessage &Message);
+  void release(const std::string &Node, const std::string &Pool,
+               BatchReleaseMessage Part);
+  void flushReleases();
+  void tick();
+  void membersChanged();
+
+  Kernel &Services;                        ///< Finds the others.
+  TimerService *Timers = nullptr;          ///< Time.
+  BatchService *Pools = nullptr;           ///< This node's own pools.
+  MemberService *Members = nullptr;        ///< The other nodes.
+  PeerService *Peers = nullptr;            ///< Carries messages.
+  std::map<BatchTicket, OwnAsk> Own;       ///< In progress.
+  std::map<ServedKey, ServedAsk> Served;   ///< In progress or just ended.
+  std::map<std::string, TimePoint> Silent; ///< Nodes left out until then.
+  std::map<std::pair<std::string, std::string>, BatchReleaseMessage>
+      Releases;                 ///< To be sent, by node and pool.
+  bool ReleasePlanned = false;  ///< flushReleases will run.
+  std::uint64_t LastTicket = 0; ///< Counts asks.
+  RelayCounts Counts;           ///< For operators.
+};
+
+} // namespace fulmar
+
+#endif
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -114,6 +114,8 @@
 }
 
 void BatchService::send(BatchPool &P, const SendBatchAction &Send) {
+  // The call's results may need the space that these results take.
+  sendFrees(Send.Address);
   HttpCall Call = Wire.writeBatch(Send.Items, Send.Instance);
   Call.Address = Send.Address;
   Call.Timeout = Send.Timeout;
@@ -166,15 +168,21 @@
 
 void BatchService::flushFrees() {
   FlushPlanned = false;
-  std::map<std::string, std::vector<std::string>> Now;
-  Now.swap(Frees);
-  for (const auto &[Address, Handles] : Now) {
-    HttpCall Call = Wire.writeFree(Handles);
-    Call.Address = Address;
-    Call.Timeout = FreeTimeout;
-    // A free that is lost costs the space until the result expires by itself.
-    Client->start(std::move(Call), HttpCallbacks());
-  }
+  while (!Frees.empty())
+    sendFrees(std::string(Frees.begin()->first));
+}
+
+/// Lets one upstream drop what was given back so far.
+void BatchService::sendFrees(const std::string &Address) {
+  auto Found = Frees.find(Address);
+  if (Found == Frees.end())
+    return;
+  HttpCall Call = Wire.writeFree(Found->second);
+  Frees.erase(Found);
+  Call.Address = Address;
+  Call.Timeout = FreeTimeout;
+  // A free that is lost costs the space until the result expires by itself.
+  Client->start(std::move(Call), HttpCallbacks());
 }
 
 } // namespace fulmar
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -52,6 +52,7 @@
   void answer(const std::string &Pool, const AnswerBatchAction &Answer);
   void queueFree(const std::string &Handle);
   void flushFrees();
+  void sendFrees(const std::string &Address);
   void tick();
 
   Kernel &Services;                       ///< Finds the others.
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -51,6 +51,28 @@
   Duration RetryIn{}; ///< When there may be room, if it was refused.
 };
 
+/// Ask another node for pieces.
+struct BatchAskMessage {
+  std::uint64_t Ticket = 0; ///< The asking node's name for it.
+  std::string Pool;         ///< Which pool.
+  BatchAsk Ask;             ///< What is asked.
+};
+
+/// Answer to it: at once that it is known, later what it came to.
+struct BatchAnswerMessage {
+  std::uint64_t Ticket = 0; ///< As in the ask.
+  bool Pending = false;     ///< The result comes later.
+  BatchResult Result;       ///< Unless Pending.
+};
+
+/// What the asking node is done with.
+struct BatchReleaseMessage {
+  std::string Pool;                     ///< Which pool.
+  std::vector<std::uint64_t> Taken;     ///< Results that have come.
+  std::vector<std::uint64_t> Cancelled; ///< Nobody waits for these.
+  std::vector<std::string> Freed;       ///< Results no longer needed.
+};
+
 /// One piece in a call.
 struct BatchItem {
   BatchAskId Ask;                  ///< Whose piece.
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -2,7 +2,7 @@
 /// services.
 #include "gateway_node.h"
 
-#include "batch_service.h"
+#include "batch_relay.h"
 #include "core/hash.h"
 #include "drain_service.h"
 #include "entry_api.h"
@@ -61,6 +61,7 @@
                std::make_unique<UpstreamFeed>(Services, Wire, Seed + 4));
   Services.add(service::Batches,
                std::make_unique<BatchService>(Services, Wire));
+  Services.add(service::Relay, std::make_unique<BatchRelay>(Services));
   Services.add(service::Gateway, std::make_unique<GatewayService>(
                                      Services, Config, Wire, Seed + 5));
   Services.add(service::Entries,
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -2,7 +2,7 @@
 #ifndef FULMARSTEP_GATEWAY_REQUEST_H
 #define FULMARSTEP_GATEWAY_REQUEST_H
 
-#include "batch_service.h"
+#include "batch_relay.h"
 #include "event_stream.h"
 #include "fair_queue_base.h"
 #include "forward_type.h"
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -20,12 +20,19 @@
 /// those that are being closed, and other callers may exist.
 static constexpr double ConnectionShare = 0.8;
 
+/// Calls of this node that one engine may have above the others' mean before a
+/// session is sent elsewhere. A session's part of a prompt is several thousand
+/// tokens, a tenth of a second of an engine's time; a few more requests beside
+/// it slow it by a few per cent.
+static constexpr double SessionSlack = 4;
+
 GatewayService::GatewayService(Kernel &K, const GatewaySettings &S,
                                const WireFormat &W, std::uint64_t Seed)
     : Services(K), Config(S), Wire(W), Rng(Seed) {
   // Upstreams say themselves when they are full; a limit of ours that follows
   // latency would mistake a long prompt for crowding.
   Policy.Limit = LimitRule::Fixed;
+  Policy.AffinitySlack = SessionSlack;
 }
 
 void GatewayService::start() {
@@ -34,7 +41,8 @@
   Routes = &Services.find<RouteFeed>(service::Routes);
   Upstreams = &Services.find<UpstreamFeed>(service::Upstreams);
   Members = &Services.find<MemberService>(service::Members);
-  Batches = &Services.find<BatchService>(service::Batches);
+  Batches = &Services.find<BatchRelay>(service::Relay);
+  OwnPools = &Services.find<BatchService>(service::Batches);
   Routes->onChange([this] { configChanged(); });
   Upstreams->onChange([this] { upstreamsChanged(); });
   Members->onChange([this] { upstreamsChanged(); });
@@ -124,7 +132,7 @@
     if (!Spec.Batch)
       setPool(Spec);
   }
-  Batches->update(*Table, Upstreams->book().Entries, allowance());
+  OwnPools->update(*Table, Upstreams->book().Entries, allowance());
 }
 
 void GatewayService::sweep() {
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -98,21 +98,22 @@
   RetryAllowance allowance() const;
   RouteTimes &timesOf(const ForwardRequest &R);
 
-  Kernel &Services;                           ///< Finds the others.
-  const GatewaySettings &Config;              ///< Bounds.
-  const WireFormat &Wire;                     ///< Translates.
-  Random Rng;                                 ///< Choices and spreads.
-  RouterPolicy Policy;                        ///< Choice of upstreams.
-  TimerService *Timers = nullptr;             ///< Time.
-  HttpClient *Client = nullptr;               ///< Calls upstreams.
-  RouteFeed *Routes = nullptr;                ///< The configuration.
-  UpstreamFeed *Upstreams = nullptr;          ///< The list of upstreams.
-  MemberService *Members = nullptr;           ///< The other nodes.
-  BatchService *Batches = nullptr;            ///< Work to be done before.
-  std::unique_ptr<HttpServer> Server;         ///< Listens for clients.
-  std::map<std::string, Pool> Pools;          ///< Plain pools and engines.
-  std::map<std::string, RetryWindow> Retries; ///< By pool.
-  std::map<std::string, RouteTimes> Times;    ///< By route.
+  Kernel &Services;                   ///< Finds the others.
+  const GatewaySettings &Config;      ///< Bounds.
+  const WireFormat &Wire;             ///< Translates.
+  Random Rng;                         ///< Choices and spreads.
+  RouterPolicy Policy;                ///< Choice of upstreams.
+  TimerService *Timers = nullptr;     ///< Time.
+  HttpClient *Client = nullptr;       ///< Calls upstreams.
+  RouteFeed *Routes = nullptr;        ///< The configuration.
+  UpstreamFeed *Upstreams = nullptr;  ///< The list of upstreams.
+  MemberService *Members = nullptr;   ///< The other nodes.
+  BatchRelay *Batches = nullptr;      ///< Work to be done before.
+  BatchService *OwnPools = nullptr;   ///< Pools whose calls are formed here.
+  std::unique_ptr<HttpServer> Server; ///< Listens for clients.
+  std::map<std::string, Pool> Pools;  ///< Plain pools and engines.
+  std::map<std::string, RetryWindow> Retries;       ///< By pool.
+  std::map<std::string, RouteTimes> Times;          ///< By route.
   std::map<RequestSerial, ForwardRequest> Requests; ///< In progress.
   std::uint64_t LastSerial = 0;                     ///< Counts requests.
   std::uint32_t LastUpstream = 0;                   ///< Counts upstreams.
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <variant>
 
+#include "batch_type.h"
 #include "bundle_base.h"
 #include "ledger_type.h"
 #include "member_type.h"
@@ -30,7 +31,8 @@
 /// What a message is about.
 using PeerBody =
     std::variant<MemberMessage, LedgerEntry, LedgerResult, BundleFetch,
-                 BundleDelta, DemandReport, DemandTotal>;
+                 BundleDelta, DemandReport, DemandTotal, BatchAskMessage,
+                 BatchAnswerMessage, BatchReleaseMessage>;
 
 /// A message between nodes, with what every message says.
 struct PeerMessage {
--- a/src/policy_type.h
+++ b/src/policy_type.h
@@ -50,6 +50,7 @@
   double SlowRatio = 4.0;        ///< Latency over the pool's median: left out.
   double RemoteFactor = 1.2;   ///< Load of another failure domain counts more.
   double AffinityBound = 1.5;  ///< Load over the mean that ends affinity.
+  double AffinitySlack = 0;    ///< Calls above that bound that still keep it.
   double AdmissionSlack = 1.0; ///< Expected time times this must fit.
 };
 
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -102,7 +102,8 @@
   double Mean = Load / Eligible;
   // Without a bound, one popular prefix would crowd one engine while the
   // others are idle. A slow engine does not pay for its cache either.
-  if (U.InFlight + 1 > Policy.AffinityBound * (Mean + 1) ||
+  if (U.InFlight + 1 >
+          Policy.AffinityBound * (Mean + 1) + Policy.AffinitySlack ||
       U.LatencyRatio > Policy.LatencyTolerance)
     return std::nullopt;
   return Best;
