Sessions go to one engine by the last part that is shared

Cause: the last part of a prompt is the request's own where there are three; affinity by it spread each session over all engines (1,578 keys for 1,578 requests).

Change: with three parts or more the last but one chooses the engine.

--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -30,12 +30,18 @@
 /// Another try is only worth it if this much of the target's time is left.
 static constexpr Duration LeastRetryTime = std::chrono::milliseconds(30);
 
-/// \return What chooses a session's upstream: the last shared part of its
-/// prompt. Zero: nothing is shared.
+/// Parts of a prompt, from which on the last one is the request's own: those
+/// before it are what a group of requests and a session share.
+static constexpr std::size_t PartsWithOwn = 3;
+
+/// \return What chooses a session's upstream: the last part of its prompt that
+/// other requests share. Zero: nothing is shared.
 static std::uint64_t affinityOf(const ForwardRequest &R) {
-  if (!R.Route->Affinity || R.Ask.Prompt.empty())
+  const std::vector<PromptPart> &Parts = R.Ask.Prompt;
+  if (!R.Route->Affinity || Parts.empty())
     return 0;
-  return hash64(R.Ask.Prompt.back().Id);
+  std::size_t Back = Parts.size() >= PartsWithOwn ? 2 : 1;
+  return hash64(Parts[Parts.size() - Back].Id);
 }
 
 void GatewayService::sendAttempt(RequestSerial Serial) {
