Nodes join through the store; keys stay fresh for as long as they may

Cause: (1) a confirmation of the configuration was up to 2.4 s old when the store went away, so keyed requests were refused 1.9 s into an outage; (2) restarted nodes did not know each other and each formed every pool's calls: 230 calls found their upstream full and were sent again within a millisecond; (3) a process killed twice at one revision would have repeated its incarnation.

Change: waits for changes of 400 ms whose empty answers do not move the revision; an entry of each process under a lease, whose revision is the incarnation; Join to all seeds at once; an upstream that says it is full is left alone for 80 ms and is no failure.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -17,6 +17,10 @@
 /// Calls in a row that fail before an upstream is left out for a while.
 static constexpr int FailuresToAvoid = 2;
 static constexpr Duration AvoidTime = std::chrono::seconds(2);
+/// An upstream that says it is full is left alone for this long. Another node
+/// gives it work too, as happens while nodes differ about who forms the calls;
+/// its queue moves once in a call's time, a few hundred ms.
+static constexpr Duration FullPause = std::chrono::milliseconds(80);
 /// Weight of the newest call in an upstream's slowness.
 static constexpr double SlownessGain = 0.4;
 /// Part of an idle upstream's slowness that is forgotten in each tick: after
@@ -162,6 +166,8 @@
   Job.Dead = Now + Ask.Dead;
   Job.Pieces.resize(static_cast<std::size_t>(Ask.Pieces));
   Job.Left = Job.Waiting = Ask.Pieces;
+  // Upstreams see pieces; who counts what counts a request once.
+  retryWindowRequest(P.Repeats, Now);
   return Job;
 }
 
@@ -181,11 +187,9 @@
       if (Job->Ask.ResultBytes > Room)
         break;
       Room -= Job->Ask.ResultBytes;
-      if (Piece.Sends > 0) {
+      if (Piece.Tries++ > 0) {
         retryWindowRepeat(P.Repeats, Now);
         ++P.Counts.Repeats;
-      } else {
-        retryWindowRequest(P.Repeats, Now);
       }
       Piece.State = PieceState::Running;
       ++Piece.Sends;
@@ -376,8 +380,11 @@
 }
 
 /// A piece of a call has no result: it waits again, or its ask fails.
+/// \param Full the upstream said that it was full, so the piece was not worked
+/// on and may be sent as often as the budget allows.
 static void pieceFailed(BatchPool &P, const BatchItem &Item, BatchEnd Why,
-                        bool Again, TimePoint Now, BatchActions &Out) {
+                        bool Again, bool Full, TimePoint Now,
+                        BatchActions &Out) {
   auto Found = P.Jobs.find(Item.Ask);
   if (Found == P.Jobs.end())
     return;
@@ -385,6 +392,8 @@
   BatchPiece &Piece = Job.Pieces[static_cast<std::size_t>(Item.Piece)];
   if (Piece.State != PieceState::Running || Piece.Running > 0)
     return; // Done, or another call may still bring it.
+  if (Full)
+    --Piece.Sends;
   Again = Again && Piece.Sends < MaxSends &&
           retryWindowAllows(P.Repeats, P.Allowance, Now);
   if (!Again)
@@ -395,7 +404,7 @@
 
 /// Learns from a call's time, or from its failure.
 static void learn(BatchPool &P, const BatchCall &Call, bool Answered,
-                  TimePoint Now) {
+                  AttemptEffect Effect, TimePoint Now) {
   auto Found = P.Upstreams.find(Call.Instance);
   if (Found == P.Upstreams.end())
     return;
@@ -403,6 +412,10 @@
   --U.InFlight;
   if (!Answered) {
     U.FreeAt = Now;
+    if (Effect == AttemptEffect::SaidNotRun) {
+      U.AvoidUntil = std::max(U.AvoidUntil, Now + FullPause);
+      return;
+    }
     if (++U.Failures >= FailuresToAvoid)
       U.AvoidUntil = Now + AvoidTime;
     return;
@@ -440,7 +453,7 @@
   BatchCall Call = std::move(Found->second);
   P.Calls.erase(Found);
   bool Answered = Result.Answered && Result.Pieces.size() == Call.Items.size();
-  learn(P, Call, Answered, Now);
+  learn(P, Call, Answered, Result.Effect, Now);
   for (std::size_t I = 0; I < Call.Items.size(); ++I) {
     const BatchItem &Item = Call.Items[I];
     auto Job = P.Jobs.find(Item.Ask);
@@ -457,7 +470,9 @@
           std::max(0.0, Maker->second.RoomUsed - Call.Bytes[I]);
     PieceEnd End = Answered ? Result.Pieces[I].End : PieceEnd::Failed;
     bool Again = End == PieceEnd::Failed || End == PieceEnd::NoRoom;
-    pieceFailed(P, Item, endOf(End), Again, Now, Out);
+    pieceFailed(P, Item, endOf(End), Again,
+                Result.Effect == AttemptEffect::SaidNotRun && !Answered, Now,
+                Out);
   }
   pump(P, Now, Out);
 }
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -37,7 +37,8 @@
 /// One piece of an ask.
 struct BatchPiece {
   PieceState State = PieceState::Waiting; ///< So far.
-  int Sends = 0;                          ///< Calls that it was part of.
+  int Tries = 0;                          ///< Calls that it was sent in.
+  int Sends = 0;                          ///< Of them not refused as full.
   int Running = 0;                        ///< Calls that it is part of now.
   std::string Handle;                     ///< Its result.
 };
--- a/src/freshness.h
+++ b/src/freshness.h
@@ -27,7 +27,7 @@
 /// Part of the revocation time within which keys are accepted. The rest covers
 /// a request that was accepted at the last moment and is on its way to its
 /// upstream, and a store whose watches hear nothing for a second.
-inline constexpr double AcceptShare = 0.75;
+inline constexpr double AcceptShare = 0.78;
 /// Part of the revocation time after which a node that cannot confirm its
 /// configuration is no longer given out as an entry: callers keep an address
 /// for a while, so that they should have moved away before requests are
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -8,11 +8,11 @@
 #include "entry_api.h"
 #include "gateway_service.h"
 #include "gateway_settings_func.h"
+#include "join_service.h"
 #include "log_func.h"
 #include "loop_service.h"
 #include "member_service.h"
 #include "node_services.h"
-#include "peer_key.h"
 #include "peer_service.h"
 #include "route_feed.h"
 #include "upstream_feed.h"
@@ -52,8 +52,8 @@
                std::make_unique<PeerService>(Services, Common, 0));
   Services.add(service::Members,
                std::make_unique<MemberService>(Services, Common, 0, Seed + 1));
-  Services.add("peer_key",
-               std::make_unique<PeerKeyService>(Services, Seed + 2));
+  Services.add(service::Join,
+               std::make_unique<JoinService>(Services, Common, Seed + 2));
   FreshnessBounds Bounds{fromMs(Config.RevokeMs)};
   Services.add(service::Routes,
                std::make_unique<RouteFeed>(Services, Wire, Bounds, Seed + 3));
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -64,7 +64,7 @@
 
 bool GatewayService::ready() const {
   return RefuseAt == TimePoint{} && Routes->table() != nullptr &&
-         Upstreams->book().Known;
+         Upstreams->book().Known && Members->settled();
 }
 
 void GatewayService::drain(TimePoint RefuseFrom, TimePoint Ends) {
--- a/src/kv_tree.h
+++ b/src/kv_tree.h
@@ -39,6 +39,22 @@
                       Duration Wait, ItemsFn Done) = 0;
 };
 
+/// The part of a key-value service that drops keys of processes that ended.
+class KvLeases {
+public:
+  /// Hears a lease's name, or the revision of a write.
+  using NumberFn = std::function<void(KvStatus, std::uint64_t)>;
+
+  virtual ~KvLeases() = default;
+  /// Takes a lease that ends unless it is renewed within \p Ttl.
+  virtual void grant(Duration Ttl, NumberFn Done) = 0;
+  /// Renews a lease; KvStatus::Conflict when it has ended.
+  virtual void renew(std::uint64_t Lease, KvStore::WriteFn Done) = 0;
+  /// Writes a key, whatever it was, that is dropped with \p Lease.
+  virtual void putLeased(const std::string &Key, const std::string &Value,
+                         std::uint64_t Lease, NumberFn Done) = 0;
+};
+
 } // namespace fulmar
 
 #endif
--- a/src/member.cpp
+++ b/src/member.cpp
@@ -15,6 +15,9 @@
 static constexpr std::size_t ListPerMessage = 14;
 /// Members told at once when this node leaves.
 static constexpr std::size_t LeaveFanOut = 8;
+/// Seeds asked at once by a node that joins. In a fleet up to this size every
+/// pair of nodes that start together knows each other after one round trip.
+static constexpr std::size_t JoinFanOut = 16;
 /// Each news item is passed on this many times the logarithm of the fleet.
 static constexpr double NewsFactor = 3;
 /// Every so many periods a dead member or a seed is tried.
@@ -422,6 +425,19 @@
   announce(M, Out);
 }
 
+void memberJoin(Membership &M, std::uint64_t Incarnation, TimePoint Now,
+                MemberActions &Out) {
+  M.Self.Incarnation = Incarnation;
+  // Until it knows the others, a node would take every duty for its own.
+  std::size_t Asked = 0;
+  for (const HostPort &Seed : M.Seeds) {
+    if (Asked++ == JoinFanOut)
+      break;
+    send(M, Seed, MemberMessageKind::Join, 0, "", Out);
+  }
+  M.NextPeriod = Now + M.Period;
+}
+
 void memberFitness(Membership &M, bool Fit, MemberActions &Out) {
   if (M.Self.Unfit == !Fit)
     return;
--- a/src/member_func.h
+++ b/src/member_func.h
@@ -20,6 +20,10 @@
 void memberReceived(Membership &M, const MemberMessage &Message, TimePoint Now,
                     MemberActions &Out);
 
+/// This process takes its incarnation, and asks all seeds for members at once.
+void memberJoin(Membership &M, std::uint64_t Incarnation, TimePoint Now,
+                MemberActions &Out);
+
 /// Adds addresses that may have nodes.
 void memberSeeds(Membership &M, const std::vector<HostPort> &Seeds);
 
--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -9,6 +9,11 @@
 
 namespace fulmar {
 
+/// After this time the answers to a join are there: many round trips between
+/// failure domains, and a pause of a node whose share of a processor is used
+/// up.
+static constexpr Duration SettleTime = std::chrono::milliseconds(120);
+
 MemberService::MemberService(Kernel &K, const Settings &S,
                              std::uint64_t Incarnation, std::uint64_t Seed)
     : Services(K) {
@@ -86,6 +91,17 @@
   perform(Out);
 }
 
+void MemberService::join(std::uint64_t Incarnation) {
+  JoinedAt = Timers->now();
+  MemberActions Out;
+  memberJoin(State, Incarnation, Timers->now(), Out);
+  perform(Out);
+}
+
+bool MemberService::settled() const {
+  return JoinedAt > TimePoint{} && Timers->now() - JoinedAt >= SettleTime;
+}
+
 void MemberService::fitness(bool Fit) {
   MemberActions Out;
   memberFitness(State, Fit, Out);
--- a/src/member_service.h
+++ b/src/member_service.h
@@ -40,8 +40,10 @@
   void goodbye();
   /// Tells the others whether callers should be sent here.
   void fitness(bool Fit);
-  /// Takes the incarnation that this process has; before that it is unknown.
-  void join(std::uint64_t Incarnation) { State.Self.Incarnation = Incarnation; }
+  /// Takes the incarnation of this process and asks all seeds for members.
+  void join(std::uint64_t Incarnation);
+  /// \return Whether this process has joined and had time to hear of others.
+  bool settled() const;
   /// Sets the load that this node reports.
   void load(std::size_t Requests);
 
@@ -58,6 +60,7 @@
   Membership State;                           ///< Decides.
   std::vector<HostPort> Fixed;                ///< Seeds from the settings.
   std::vector<std::function<void()>> Changes; ///< Subscribers.
+  TimePoint JoinedAt{};                       ///< When it joined; zero: not.
   TimerId Wake;                               ///< For the next due time.
 };
 
--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -8,13 +8,14 @@
 namespace fulmar {
 
 /// One wait for changes. Each answered wait proves that the version was the
-/// newest when the wait began; a third of the shortest revocation time in use
-/// (5 s) leaves room for one that is lost.
-static constexpr Duration FollowWait = std::chrono::milliseconds(1200);
+/// newest when the wait began, so a node that loses the service knows its
+/// configuration to be this much older than the loss, twice over. Keys of 5 s
+/// are accepted for 3.9 s: a node that was cut off 3 s ago still serves.
+static constexpr Duration FollowWait = std::chrono::milliseconds(400);
 /// Pause before a failed call is repeated, and how much it is spread: all
 /// nodes fail together when the service does, and must not return together.
-static constexpr Duration RetryPause = std::chrono::milliseconds(80);
-static constexpr Duration RetrySpread = std::chrono::milliseconds(240);
+static constexpr Duration RetryPause = std::chrono::milliseconds(60);
+static constexpr Duration RetrySpread = std::chrono::milliseconds(120);
 
 RouteFeed::RouteFeed(Kernel &K, const WireFormat &W, FreshnessBounds B,
                      std::uint64_t Seed)
@@ -61,15 +62,18 @@
   Tree->follow(Wire.routesKey(), Revision, FollowWait,
                [this, Sent](const KvItems &Found) {
                  if (Found.HistoryLost) {
-                   logEvent(LogLevel::Warning, "config_history_lost",
+                   logEvent(LogLevel::Debug, "config_history_lost",
                             {{"revision", Revision}});
                    return read();
                  }
                  if (Found.Status != KvStatus::Ok)
                    return retry(Found.Why);
                  heard();
-                 Revision = std::max(Revision, Found.Revision);
+                 // An empty answer does not move the revision: a service whose
+                 // watches hear nothing for a while would otherwise have us
+                 // skip what they missed. It says that history is lost instead.
                  for (const KvItem &Item : Found.Items) {
+                   Revision = std::max(Revision, Item.Revision);
                    if (Item.Key == Wire.routesKey() && !Item.Deleted)
                      take(Item.Value);
                  }
