Work near its data; pools tell how long they take; hopeless work is refused at the door

Change: pieces with large results are made where the session's engine is, pieces with large inputs where those are, unless they cannot wait; each acknowledgement of an ask carries what the pool expects to take, and a request whose longest chain of stages does not fit is refused at the door; what waits too far back is given up at once.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -171,44 +171,74 @@
   return Job;
 }
 
-/// Takes the most urgent waiting pieces for one call.
-static std::vector<BatchItem> takePieces(BatchPool &P,
-                                         const std::vector<BatchJob *> &Order,
-                                         int Most, double Room, TimePoint Now,
-                                         std::vector<double> &Bytes) {
-  std::vector<BatchItem> Items;
-  for (BatchJob *Job : Order) {
-    for (std::size_t I = 0; I < Job->Pieces.size(); ++I) {
-      BatchPiece &Piece = Job->Pieces[I];
-      if (Piece.State != PieceState::Waiting)
-        continue;
-      if (static_cast<int>(Items.size()) >= Most)
-        return Items;
-      if (Job->Ask.ResultBytes > Room)
-        break;
-      Room -= Job->Ask.ResultBytes;
-      if (Piece.Tries++ > 0) {
-        retryWindowRepeat(P.Repeats, Now);
-        ++P.Counts.Repeats;
-      }
-      Piece.State = PieceState::Running;
-      ++Piece.Sends;
-      ++Piece.Running;
-      --Job->Waiting;
-      Job->Ran = true;
-      BatchItem Item;
-      Item.Ask = Job->Id;
-      Item.RequestId = Job->Ask.RequestId;
-      Item.Stage = Job->Ask.Stage;
-      Item.Piece = static_cast<int>(I);
-      Item.Key = Job->Ask.Key;
-      Item.Inputs = Job->Ask.Inputs;
-      Item.Left = Job->Dead - Now;
-      Items.push_back(std::move(Item));
-      Bytes.push_back(Job->Ask.ResultBytes);
+/// A call that is being put together.
+struct CallDraft {
+  std::vector<BatchItem> Items; ///< Its pieces.
+  std::vector<double> Bytes;    ///< Space for each result.
+  int Most = 0;                 ///< Pieces at most.
+  double Room = 0;              ///< Space that is left, bytes.
+};
+
+/// Moves the waiting pieces of a job into a call, while there is room.
+static void takePieces(BatchPool &P, BatchJob &Job, CallDraft &Call,
+                       TimePoint Now) {
+  for (std::size_t I = 0; I < Job.Pieces.size(); ++I) {
+    BatchPiece &Piece = Job.Pieces[I];
+    if (Piece.State != PieceState::Waiting)
+      continue;
+    if (static_cast<int>(Call.Items.size()) >= Call.Most ||
+        Job.Ask.ResultBytes > Call.Room)
+      return;
+    Call.Room -= Job.Ask.ResultBytes;
+    if (Piece.Tries++ > 0) {
+      retryWindowRepeat(P.Repeats, Now);
+      ++P.Counts.Repeats;
     }
+    Piece.State = PieceState::Running;
+    ++Piece.Sends;
+    ++Piece.Running;
+    --Job.Waiting;
+    Job.Ran = true;
+    BatchItem Item;
+    Item.Ask = Job.Id;
+    Item.RequestId = Job.Ask.RequestId;
+    Item.Stage = Job.Ask.Stage;
+    Item.Piece = static_cast<int>(I);
+    Item.Key = Job.Ask.Key;
+    Item.Inputs = Job.Ask.Inputs;
+    Item.Left = Job.Dead - Now;
+    Call.Items.push_back(std::move(Item));
+    Call.Bytes.push_back(Job.Ask.ResultBytes);
+  }
+}
+
+/// \return Whether a job may wait for an upstream of its own failure domain:
+/// there is one, and the job would still be on time after the next full call.
+static bool mayWaitForDomain(const BatchPool &P, const BatchJob &Job,
+                             TimePoint Now) {
+  if (Job.Due < Now + batchCallTime(P.Spec, P.Spec.MaxPieces) * 2)
+    return false;
+  for (const auto &[Instance, U] : P.Upstreams) {
+    if (usable(U, Now) && U.Entry.FailureDomain == Job.Ask.Domain)
+      return true;
+  }
+  return false;
+}
+
+/// Fills a call for \p U: first with what is best made in its failure domain or
+/// may be made anywhere, then with what cannot wait. Large results that cross
+/// domains cost the network much more than a short wait costs the request.
+static void fillCall(BatchPool &P, const std::vector<BatchJob *> &Order,
+                     const BatchUpstream &U, bool Crowded, CallDraft &Call,
+                     TimePoint Now) {
+  for (BatchJob *Job : Order) {
+    if (Job->Ask.Domain.empty() || Job->Ask.Domain == U.Entry.FailureDomain)
+      takePieces(P, *Job, Call, Now);
+  }
+  for (BatchJob *Job : Order) {
+    if (Crowded || !mayWaitForDomain(P, *Job, Now))
+      takePieces(P, *Job, Call, Now);
   }
-  return Items;
 }
 
 /// Sends pieces to an upstream.
@@ -309,13 +339,14 @@
         std::clamp(Share, std::max(1, P.Spec.MaxPieces / 2), P.Spec.MaxPieces);
     if (betterToWait(P, *U, std::min(Most, Waiting), Now))
       continue;
-    std::vector<double> Bytes;
-    std::vector<BatchItem> Items = takePieces(
-        P, Order, Most, P.Spec.RoomBytes * RoomShare - U->RoomUsed, Now, Bytes);
-    if (Items.empty())
+    CallDraft Call;
+    Call.Most = Most;
+    Call.Room = P.Spec.RoomBytes * RoomShare - U->RoomUsed;
+    fillCall(P, Order, *U, Waiting > P.Spec.MaxPieces, Call, Now);
+    if (Call.Items.empty())
       continue;
-    Waiting -= static_cast<int>(Items.size());
-    sendCall(P, *U, std::move(Items), std::move(Bytes), Now, Out);
+    Waiting -= static_cast<int>(Call.Items.size());
+    sendCall(P, *U, std::move(Call.Items), std::move(Call.Bytes), Now, Out);
   }
 }
 
@@ -501,18 +532,32 @@
   pump(P, Now, Out);
 }
 
-/// Gives up what is of no use any more.
+/// Gives up what is of no use any more, and what waits so far back that it
+/// will be of none when its turn comes: its client can come back meanwhile, and
+/// the work that its later stages would take goes to others.
 static void dropDead(BatchPool &P, TimePoint Now, BatchActions &Out) {
-  TimePoint Earliest = Now + P.Spec.CallTime;
-  for (auto It = P.Jobs.begin(); It != P.Jobs.end();) {
-    auto Next = std::next(It);
-    bool Dead = It->second.Waiting > 0 ? It->second.Dead < Earliest
-                                       : It->second.Dead < Now;
-    if (Dead) {
-      ++P.Counts.Dropped;
-      answer(P, It, BatchEnd::Hopeless, P.Spec.CallTime, Out);
-    }
-    It = Next;
+  BacklogView View = viewBacklog(P, TimePoint::max(), Now);
+  double Full = toMs(batchCallTime(P.Spec, P.Spec.MaxPieces));
+  double Ahead = 0;
+  std::vector<std::pair<BatchAskId, Duration>> Hopeless;
+  for (const BatchJob *Job : waitingJobs(P, Now)) {
+    Ahead += Job->Waiting;
+    double Calls = std::floor(Ahead / P.Spec.MaxPieces);
+    double Wait =
+        toMs(View.NextFree) + Calls * Full / std::max(1.0, View.Upstreams);
+    Duration Late = fromMs(Wait) + P.Spec.CallTime - (Job->Dead - Now);
+    if (Late <= Duration::zero())
+      continue;
+    Ahead -= Job->Waiting;
+    Hopeless.emplace_back(Job->Id, Late);
+  }
+  for (const auto &[Id, Job] : P.Jobs) {
+    if (Job.Waiting == 0 && Job.Dead < Now)
+      Hopeless.emplace_back(Id, P.Spec.CallTime);
+  }
+  for (const auto &[Id, Late] : Hopeless) {
+    ++P.Counts.Dropped;
+    answer(P, P.Jobs.find(Id), BatchEnd::Hopeless, Late, Out);
   }
 }
 
--- a/src/batch_relay.cpp
+++ b/src/batch_relay.cpp
@@ -23,6 +23,9 @@
 /// An acknowledged ask is asked about again after this time, in case its node
 /// ended or its result was lost.
 static constexpr Duration AskAgainAfter = std::chrono::milliseconds(300);
+/// What was said of a pool holds for this long; about one of its calls. After
+/// that a request is let in to find out.
+static constexpr Duration ViewLife = std::chrono::milliseconds(500);
 /// A silent node is not asked for this long.
 static constexpr Duration SilentTime = std::chrono::seconds(2);
 /// Results are kept for a node that did not acknowledge them.
@@ -88,6 +91,21 @@
       });
 }
 
+void BatchRelay::learn(const std::string &Pool, int Priority,
+                       Duration Expected) {
+  // An ask that is asked about again is told of pools with itself in them.
+  if (Expected > Duration::zero())
+    Views[{Pool, Priority}] = {Expected, Timers->now()};
+}
+
+std::optional<Duration> BatchRelay::expected(const std::string &Pool,
+                                             int Priority) const {
+  auto Found = Views.find({Pool, Priority});
+  if (Found == Views.end() || Timers->now() - Found->second.At > ViewLife)
+    return std::nullopt;
+  return Found->second.Expected;
+}
+
 void BatchRelay::send(BatchTicket Ticket, OwnAsk &Mine) {
   BatchAskMessage Message{Ticket.Value, Mine.Pool, Mine.Ask};
   Message.Ask.Due -= Timers->now() - Mine.Asked;
@@ -167,6 +185,7 @@
   if (!Message.Pending)
     return ended(Ticket, Message.Result);
   Found->second.Unanswered = 0;
+  learn(Found->second.Pool, Found->second.Ask.Priority, Message.Expected);
   Found->second.NextSend = Timers->now() + AskAgainAfter;
 }
 
@@ -176,7 +195,12 @@
   auto [Found, Fresh] = Served.try_emplace(Key);
   if (!Fresh && Found->second.Local.Value == 0)
     return sendResult(Key, Found->second);
-  Peers->sendTo(Node, BatchAnswerMessage{Message.Ticket, true, {}});
+  BatchAnswerMessage Known;
+  Known.Ticket = Message.Ticket;
+  Known.Pending = true;
+  Known.Expected =
+      Pools->expected(Message.Pool, Message.Ask).value_or(Duration::zero());
+  Peers->sendTo(Node, Known);
   if (!Fresh)
     return;
   ++Counts.Served;
@@ -196,7 +220,8 @@
 void BatchRelay::sendResult(const ServedKey &Key, ServedAsk &Ended) {
   ++Ended.Sends;
   Ended.NextSend = Timers->now() + ResendAfter;
-  Peers->sendTo(Key.first, BatchAnswerMessage{Key.second, false, Ended.Result});
+  Peers->sendTo(Key.first,
+                BatchAnswerMessage{Key.second, false, {}, Ended.Result});
 }
 
 void BatchRelay::released(const std::string &Node,
--- a/src/batch_relay.h
+++ b/src/batch_relay.h
@@ -34,6 +34,10 @@
   /// The results of \p Pool are not needed any more.
   void free(const std::string &Pool, const std::vector<std::string> &Handles);
 
+  /// \return How long pieces of a pool take now at this priority, as far as
+  /// the latest asks of this node told; nothing when that is long ago.
+  std::optional<Duration> expected(const std::string &Pool, int Priority) const;
+
   /// \return Counts so far.
   const RelayCounts &counts() const { return Counts; }
 
@@ -60,7 +64,14 @@
   };
   using ServedKey = std::pair<std::string, std::uint64_t>; ///< Node, ticket.
 
+  /// What an ask was told about its pool.
+  struct PoolView {
+    Duration Expected{}; ///< Time that pieces take.
+    TimePoint At{};      ///< When that was said.
+  };
+
   void place(BatchTicket Ticket);
+  void learn(const std::string &Pool, int Priority, Duration Expected);
   void send(BatchTicket Ticket, OwnAsk &Own);
   void ended(BatchTicket Ticket, const BatchResult &Result);
   void serve(const std::string &Node, const BatchAskMessage &Message);
@@ -82,7 +93,8 @@
   std::map<ServedKey, ServedAsk> Served;   ///< In progress or just ended.
   std::map<std::string, TimePoint> Silent; ///< Nodes left out until then.
   std::map<std::pair<std::string, std::string>, BatchReleaseMessage>
-      Releases;                 ///< To be sent, by node and pool.
+      Releases; ///< To be sent, by node and pool.
+  std::map<std::pair<std::string, int>, PoolView> Views; ///< By priority too.
   bool ReleasePlanned = false;  ///< flushReleases will run.
   std::uint64_t LastTicket = 0; ///< Counts asks.
   RelayCounts Counts;           ///< For operators.
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -27,6 +27,10 @@
 
   /// Asks for pieces. \p Done is called once, not before this returns.
   BatchTicket ask(const std::string &Pool, const BatchAsk &Ask, DoneFn Done);
+  /// Estimates how long pieces that are asked for now would take.
+  /// \return Nothing when no upstream is known.
+  std::optional<Duration> expected(const std::string &Pool,
+                                   const BatchAsk &Ask) const;
   /// Nobody waits for these pieces any more; \p Done is not called.
   void cancel(BatchTicket Ticket);
   /// The results of \p Pool are not needed any more.
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -26,6 +26,7 @@
   std::vector<std::string> Inputs; ///< Results that each piece needs.
   int Priority = 5;                ///< 0 is the most urgent.
   double ResultBytes = 0;          ///< Size of one result, about.
+  std::string Domain;              ///< Best made there; empty: anywhere.
   Duration Due{};  ///< From now: done by then, the request can be on time.
   Duration Dead{}; ///< From now: done later, it is of no use.
 };
@@ -62,6 +63,7 @@
 struct BatchAnswerMessage {
   std::uint64_t Ticket = 0; ///< As in the ask.
   bool Pending = false;     ///< The result comes later.
+  Duration Expected{};      ///< While Pending: how long it should take.
   BatchResult Result;       ///< Unless Pending.
 };
 
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -34,9 +34,7 @@
 /// before it are what a group of requests and a session share.
 static constexpr std::size_t PartsWithOwn = 3;
 
-/// \return What chooses a session's upstream: the last part of its prompt that
-/// other requests share. Zero: nothing is shared.
-static std::uint64_t affinityOf(const ForwardRequest &R) {
+std::uint64_t affinityOf(const ForwardRequest &R) {
   const std::vector<PromptPart> &Parts = R.Ask.Prompt;
   if (!R.Route->Affinity || Parts.empty())
     return 0;
--- a/src/gateway_door.cpp
+++ b/src/gateway_door.cpp
@@ -77,6 +77,12 @@
   R.Cursor.Last = R.Ask.LastEvent;
   if (RefuseAt > TimePoint{} && cannotEndInGrace(R))
     return ResultCode::Draining;
+  // The last stage may be the one that is full: work that its request cannot
+  // use would be taken from others.
+  Duration Path = expectedPath(R);
+  R.RetryIn = R.Arrived + Path - R.Deadline;
+  if (R.RetryIn > Duration::zero())
+    return ResultCode::StageHopeless;
   return ResultCode::Complete;
 }
 
@@ -102,9 +108,11 @@
             {"host", R.Ask.Host},
             {"path", R.Exchange->Path},
             {"organisation", R.Organisation},
+            {"retry_in_ms", toMs(R.RetryIn)},
             {"config", R.Table ? R.Table->Version : 0},
             {"config_age_ms", Age ? toMs(*Age) : -1}});
-  replyCode(*R.Exchange, Code, R.Ask.RequestId, Duration::zero());
+  replyCode(*R.Exchange, Code, R.Ask.RequestId,
+            std::max(R.RetryIn, Duration::zero()));
   gatewayCount(Metrics, R.Organisation, R.Route ? R.Route->Name : "", Code);
 }
 
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -75,8 +75,9 @@
   TimePoint FirstEvent{};                ///< When the client got the first one.
   std::string LastUpstream;              ///< For logs.
   std::string LastFailure;               ///< For logs.
-  TimerId DeadlineTimer;                 ///< Ends it.
-  TimerId SilenceTimer;                  ///< Looks after a silent stream.
+  Duration RetryIn{};    ///< When to come back, if it is refused.
+  TimerId DeadlineTimer; ///< Ends it.
+  TimerId SilenceTimer;  ///< Looks after a silent stream.
 };
 
 } // namespace fulmar
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -132,6 +132,9 @@
     if (!Spec.Batch)
       setPool(Spec);
   }
+  DomainOf.clear();
+  for (const auto &[Instance, Entry] : Upstreams->book().Entries)
+    DomainOf[Entry.Address] = Entry.FailureDomain;
   OwnPools->update(*Table, Upstreams->book().Entries, allowance());
 }
 
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -21,6 +21,10 @@
   Duration Whole{};             ///< From the send to the end.
 };
 
+/// \return What chooses a session's upstream: the last part of its prompt that
+/// other requests share. Zero: nothing is shared.
+std::uint64_t affinityOf(const ForwardRequest &R);
+
 /// Smooths one of a route's times; the first value counts whole.
 void smoothTime(Duration &Time, Duration Newest);
 
@@ -56,6 +60,9 @@
   void beginStages(ForwardRequest &R);
   void startReadyStages(RequestSerial Serial);
   void askStage(ForwardRequest &R, std::size_t Index);
+  Duration expectedPath(const ForwardRequest &R) const;
+  std::string bestDomain(const ForwardRequest &R, std::size_t Index);
+  std::string domainOfInputs(const ForwardRequest &R, std::size_t Index) const;
   void stageEnded(RequestSerial Serial, std::size_t Index,
                   const BatchResult &Result);
   void freeInputsOf(ForwardRequest &R, std::size_t Index);
@@ -112,8 +119,9 @@
   BatchService *OwnPools = nullptr;   ///< Pools whose calls are formed here.
   std::unique_ptr<HttpServer> Server; ///< Listens for clients.
   std::map<std::string, Pool> Pools;  ///< Plain pools and engines.
-  std::map<std::string, RetryWindow> Retries;       ///< By pool.
-  std::map<std::string, RouteTimes> Times;          ///< By route.
+  std::map<std::string, std::string> DomainOf; ///< Of upstreams, by address.
+  std::map<std::string, RetryWindow> Retries;  ///< By pool.
+  std::map<std::string, RouteTimes> Times;     ///< By route.
   std::map<RequestSerial, ForwardRequest> Requests; ///< In progress.
   std::uint64_t LastSerial = 0;                     ///< Counts requests.
   std::uint32_t LastUpstream = 0;                   ///< Counts upstreams.
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -4,6 +4,7 @@
 #include "gateway_service.h"
 #include "log_func.h"
 #include "route_func.h"
+#include "upstream_func.h"
 
 namespace fulmar {
 
@@ -13,6 +14,12 @@
 /// against what they usually take: hopeless is only what even a quick course
 /// could not save.
 static constexpr double QuickShare = 0.6;
+/// Results of this size, in bytes, are made in the failure domain of the engine
+/// that reads them; smaller ones cost less than the wait for an upstream there.
+static constexpr double LargeResult = 100e3;
+/// Inputs of this size draw the work to where they are. A stage has several of
+/// them, and where it is done costs nothing.
+static constexpr double LargeInput = 20e3;
 
 void smoothTime(Duration &Time, Duration Newest) {
   if (Time == Duration::zero())
@@ -21,12 +28,31 @@
     Time += fromMs(toMs(Newest - Time) * TimeGain);
 }
 
+/// \return How many pieces a request has of a stage.
+static int piecesOf(const ForwardRequest &R, std::size_t Index) {
+  return Index < R.Ask.Pieces.size() ? R.Ask.Pieces[Index] : 0;
+}
+
+/// \return What the longest chain of stages and the run itself should take, as
+/// things stand.
+Duration GatewayService::expectedPath(const ForwardRequest &R) const {
+  Duration Path{};
+  for (std::size_t I = 0; I < R.Route->Stages.size(); ++I) {
+    const RouteStage &Spec = R.Route->Stages[I];
+    if (!Spec.After.empty() || piecesOf(R, I) == 0)
+      continue;
+    Duration Own =
+        Batches->expected(Spec.Pool, R.Priority).value_or(Duration::zero());
+    Path = std::max(Path, Own + restAfter(R, I));
+  }
+  return Path;
+}
+
 void GatewayService::beginStages(ForwardRequest &R) {
   ++R.StageRounds;
   R.Stages.assign(R.Route->Stages.size(), StageProgress());
   for (std::size_t I = 0; I < R.Stages.size(); ++I) {
-    if (I < R.Ask.Pieces.size())
-      R.Stages[I].Pieces = R.Ask.Pieces[I];
+    R.Stages[I].Pieces = piecesOf(R, I);
   }
   startReadyStages(R.Serial);
 }
@@ -81,11 +107,15 @@
       continue;
     const ServiceSpec *Service = findService(*R.Table, R.Route->Stages[I].Pool);
     Duration Own = Service && Service->Batch
-                       ? batchCallTime(*Service->Batch, R.Stages[I].Pieces)
+                       ? batchCallTime(*Service->Batch, piecesOf(R, I))
                        : Duration::zero();
     if (Found != Times.end() && I < Found->second.Stages.size() &&
         Found->second.Stages[I] > Duration::zero())
       Own = Found->second.Stages[I];
+    // What the pool says of itself now is newer than what requests took that
+    // have ended.
+    if (auto Said = Batches->expected(R.Route->Stages[I].Pool, R.Priority))
+      Own = std::max(*Said, fromMs(toMs(Own) * QuickShare));
     Rest = std::max(Rest, Own + restAfter(R, I));
   }
   if (Rest == Duration::zero() && Found != Times.end())
@@ -93,6 +123,44 @@
   return Rest;
 }
 
+/// \return Where the results that a stage needs are kept, by most of them.
+std::string GatewayService::domainOfInputs(const ForwardRequest &R,
+                                           std::size_t Index) const {
+  std::map<std::string, int> Counts;
+  for (int Needed : R.Route->Stages[Index].After) {
+    auto Input = static_cast<std::size_t>(Needed);
+    if (R.Route->Stages[Input].ResultBytes < LargeInput)
+      continue;
+    for (const std::string &Handle : R.Stages[Input].Handles) {
+      auto Found = DomainOf.find(Wire.handleAddress(Handle));
+      if (Found != DomainOf.end())
+        ++Counts[Found->second];
+    }
+  }
+  std::string Best;
+  int Most = 0;
+  for (const auto &[Domain, Count] : Counts) {
+    if (Count <= Most)
+      continue;
+    Best = Domain;
+    Most = Count;
+  }
+  return Best;
+}
+
+/// \return The failure domain that a stage's pieces are best made in: where
+/// their large result is used, or where their large inputs are.
+std::string GatewayService::bestDomain(const ForwardRequest &R,
+                                       std::size_t Index) {
+  const RouteStage &Spec = R.Route->Stages[Index];
+  std::uint64_t Affinity = affinityOf(R);
+  if (!Spec.Final || Spec.ResultBytes < LargeResult || Affinity == 0)
+    return domainOfInputs(R, Index);
+  const Upstream *Consumer =
+      affineUpstream(Pools[R.PoolName], Policy, Affinity, Timers->now());
+  return Consumer ? Consumer->FailureDomain : std::string();
+}
+
 void GatewayService::askStage(ForwardRequest &R, std::size_t Index) {
   const RouteStage &Spec = R.Route->Stages[Index];
   StageProgress &Stage = R.Stages[Index];
@@ -105,6 +173,7 @@
   Ask.Pieces = Stage.Pieces;
   Ask.Priority = R.Priority;
   Ask.ResultBytes = Spec.ResultBytes;
+  Ask.Domain = bestDomain(R, Index);
   Ask.Due = R.Arrived + R.Route->Target - Rest - Timers->now();
   Ask.Dead = R.Deadline - fromMs(toMs(Rest) * QuickShare) - Timers->now();
   if (Spec.After.empty())
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -74,39 +74,51 @@
   return std::nullopt;
 }
 
-/// The upstream that is likely to hold the prefix, while it is not crowded.
-static std::optional<std::size_t> byAffinity(Pool &P,
-                                             const RouterPolicy &Policy,
-                                             const ChoiceHints &Hints,
-                                             TimePoint Now) {
-  std::size_t Best = P.Upstreams.size();
+const Upstream *affineUpstream(const Pool &P, const RouterPolicy &Policy,
+                               std::uint64_t Affinity, TimePoint Now) {
+  const Upstream *Best = nullptr;
   std::uint64_t BestWeight = 0;
+  for (const Upstream &U : P.Upstreams) {
+    if (!upstreamEligible(U, Policy, Now))
+      continue;
+    std::uint64_t Weight = rendezvousWeight(Affinity, U.Address);
+    if (Best && Weight < BestWeight)
+      continue;
+    Best = &U;
+    BestWeight = Weight;
+  }
+  return Best;
+}
+
+/// \return The mean of the calls in progress at the upstreams in use.
+static double meanInFlight(const Pool &P, const RouterPolicy &Policy,
+                           TimePoint Now) {
   double Load = 0;
   int Eligible = 0;
-  for (std::size_t I = 0; I < P.Upstreams.size(); ++I) {
-    const Upstream &U = P.Upstreams[I];
+  for (const Upstream &U : P.Upstreams) {
     if (!upstreamEligible(U, Policy, Now))
       continue;
     Load += U.InFlight;
     ++Eligible;
-    std::uint64_t Weight = rendezvousWeight(Hints.Affinity, U.Address);
-    if (Best < P.Upstreams.size() && Weight < BestWeight)
-      continue;
-    Best = I;
-    BestWeight = Weight;
   }
-  if (Best == P.Upstreams.size() ||
-      !usable(P.Upstreams[Best], Policy, Hints, Now))
+  return Load / std::max(1, Eligible);
+}
+
+/// The upstream that is likely to hold the prefix, while it is not crowded.
+static std::optional<std::size_t> byAffinity(Pool &P,
+                                             const RouterPolicy &Policy,
+                                             const ChoiceHints &Hints,
+                                             TimePoint Now) {
+  const Upstream *U = affineUpstream(P, Policy, Hints.Affinity, Now);
+  if (!U || !usable(*U, Policy, Hints, Now))
     return std::nullopt;
-  const Upstream &U = P.Upstreams[Best];
-  double Mean = Load / Eligible;
+  double Most = Policy.AffinityBound * (meanInFlight(P, Policy, Now) + 1) +
+                Policy.AffinitySlack;
   // Without a bound, one popular prefix would crowd one engine while the
   // others are idle. A slow engine does not pay for its cache either.
-  if (U.InFlight + 1 >
-          Policy.AffinityBound * (Mean + 1) + Policy.AffinitySlack ||
-      U.LatencyRatio > Policy.LatencyTolerance)
+  if (U->InFlight + 1 > Most || U->LatencyRatio > Policy.LatencyTolerance)
     return std::nullopt;
-  return Best;
+  return static_cast<std::size_t>(U - P.Upstreams.data());
 }
 
 static std::optional<std::size_t> bySampling(Pool &P,
--- a/src/upstream_func.h
+++ b/src/upstream_func.h
@@ -16,6 +16,11 @@
                                           const ChoiceHints &Hints, Random &Rng,
                                           TimePoint Now);
 
+/// \return The upstream that is likely to hold the prefix of this hash, room
+/// aside; nullptr when there is none.
+const Upstream *affineUpstream(const Pool &P, const RouterPolicy &Policy,
+                               std::uint64_t Affinity, TimePoint Now);
+
 /// \return Whether \p U may get new work at all, room aside.
 bool upstreamEligible(const Upstream &U, const RouterPolicy &Policy,
                       TimePoint Now);
