Space for results is given back when they have been read

Cause: ledger-sync ran at 13 of 24 pieces a call with 289 pieces waiting: its 2.6 MB for results were full, each result lying there until the next stage's call of 360 ms had ended; large results that a longer chain waits for lay at statement-ingest for a second.

Change: where space is scarce, the node that forms the next stage's calls tells when the inputs have been read (50 ms after the call went to an idle upstream), and they are freed then; a large final result is made as late as its request allows.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -37,6 +37,11 @@
 /// is full for a burst of six seconds turns away the least urgent first, but
 /// a request that has waited this long goes before a fresh urgent one.
 static constexpr Duration PriorityStep = std::chrono::milliseconds(150);
+/// An upstream that was idle reads a call's inputs before it works on it; their
+/// transfer takes a few ms. After this time they are taken to be read.
+static constexpr Duration ReadTime = std::chrono::milliseconds(50);
+/// Space for results counts as scarce in a pool above this part of it.
+static constexpr double TightShare = 0.55;
 /// Sizes of results are approximate; this part of an upstream's space is left
 /// for those that are larger.
 static constexpr double RoomShare = 0.92;
@@ -68,6 +73,15 @@
   return Job.Due + PriorityStep * Job.Ask.Priority;
 }
 
+/// \return Whether some upstream is short of space for results.
+static bool isTight(const BatchPool &P) {
+  for (const auto &[Instance, U] : P.Upstreams) {
+    if (U.RoomUsed > P.Spec.RoomBytes * TightShare)
+      return true;
+  }
+  return false;
+}
+
 /// Gives the final answer to an ask, and forgets it.
 static void answer(BatchPool &P, std::map<BatchAskId, BatchJob>::iterator It,
                    BatchEnd End, Duration RetryIn, BatchActions &Out) {
@@ -76,6 +90,7 @@
   Result.End = End;
   Result.Ran = Job.Ran;
   Result.RetryIn = RetryIn;
+  Result.Tight = isTight(P);
   for (const BatchPiece &Piece : Job.Pieces) {
     if (End == BatchEnd::Done)
       Result.Handles.push_back(Piece.Handle);
@@ -199,6 +214,7 @@
     ++Piece.Running;
     --Job.Waiting;
     Job.Ran = true;
+    Job.StartedAt = Now;
     BatchItem Item;
     Item.Ask = Job.Id;
     Item.RequestId = Job.Ask.RequestId;
@@ -578,7 +594,7 @@
     bool Any = false;
     for (const BatchItem &Item : Call.Items) {
       auto Job = P.Jobs.find(Item.Ask);
-      if (Job == P.Jobs.end() ||
+      if (Job == P.Jobs.end() || Job->second.InputsRead ||
           !retryWindowAllows(P.Repeats, P.Allowance, Now))
         continue;
       BatchPiece &Piece =
@@ -593,6 +609,19 @@
   }
 }
 
+/// Tells whose inputs have been read. Their space is scarce at their makers,
+/// and a call takes hundreds of ms after it has read them: with the space taken
+/// until its end, the pool before it ran at two thirds of its rate.
+static void tellRead(BatchPool &P, TimePoint Now, BatchActions &Out) {
+  for (auto &[Id, Job] : P.Jobs) {
+    if (!Job.Ask.TellRead || Job.InputsRead || Job.Waiting > 0 ||
+        Now - Job.StartedAt < ReadTime)
+      continue;
+    Job.InputsRead = true;
+    Out.push_back(InputsReadAction{Id});
+  }
+}
+
 void batchTick(BatchPool &P, TimePoint Now, BatchActions &Out) {
   std::vector<std::string> Expired;
   for (const auto &[Handle, Kept] : P.Kept) {
@@ -607,6 +636,7 @@
   }
   dropDead(P, Now, Out);
   hedge(P, Now);
+  tellRead(P, Now, Out);
   pump(P, Now, Out);
 }
 
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -54,6 +54,8 @@
   int Left = 0;                   ///< Pieces without a result.
   int Waiting = 0;                ///< Pieces that wait.
   bool Ran = false;               ///< Some piece ran or may have run.
+  TimePoint StartedAt{};          ///< When its last waiting piece was sent.
+  bool InputsRead = false;        ///< It was told that its inputs were read.
 };
 
 /// A call in progress.
@@ -115,14 +117,19 @@
   BatchResult Result; ///< What it came to.
 };
 
+/// Tell who asked that the inputs are not needed any more.
+struct InputsReadAction {
+  BatchAskId Ask; ///< Which ask.
+};
+
 /// Let an upstream drop results.
 struct FreeBatchAction {
   std::string Handle; ///< Names the result.
 };
 
 /// Anything that a pool asks its surroundings to do.
-using BatchAction =
-    std::variant<SendBatchAction, AnswerBatchAction, FreeBatchAction>;
+using BatchAction = std::variant<SendBatchAction, AnswerBatchAction,
+                                 InputsReadAction, FreeBatchAction>;
 using BatchActions = std::vector<BatchAction>;
 
 } // namespace fulmar
--- a/src/batch_relay.cpp
+++ b/src/batch_relay.cpp
@@ -54,13 +54,14 @@
 }
 
 BatchTicket BatchRelay::ask(const std::string &Pool, const BatchAsk &Ask,
-                            DoneFn Done) {
+                            DoneFn Done, ReadFn Read) {
   BatchTicket Ticket{++LastTicket};
   OwnAsk &Mine = Own[Ticket];
   Mine.Pool = Pool;
   Mine.Ask = Ask;
   Mine.Asked = Timers->now();
   Mine.Done = std::move(Done);
+  Mine.Read = std::move(Read);
   place(Ticket);
   return Ticket;
 }
@@ -85,10 +86,10 @@
   BatchAsk Ask = Mine.Ask;
   Ask.Due -= Timers->now() - Mine.Asked;
   Ask.Dead -= Timers->now() - Mine.Asked;
-  Mine.Local =
-      Pools->ask(Mine.Pool, Ask, [this, Ticket](const BatchResult &Result) {
-        ended(Ticket, Result);
-      });
+  Mine.Local = Pools->ask(
+      Mine.Pool, Ask,
+      [this, Ticket](const BatchResult &Result) { ended(Ticket, Result); },
+      [this, Ticket] { inputsRead(Ticket); });
 }
 
 void BatchRelay::learn(const std::string &Pool, int Priority,
@@ -124,6 +125,15 @@
   Done(Result);
 }
 
+void BatchRelay::inputsRead(BatchTicket Ticket) {
+  auto Found = Own.find(Ticket);
+  if (Found == Own.end() || !Found->second.Read)
+    return;
+  ReadFn Read = std::move(Found->second.Read);
+  Found->second.Read = nullptr;
+  Read();
+}
+
 void BatchRelay::cancel(BatchTicket Ticket) {
   auto Found = Own.find(Ticket);
   if (Found == Own.end())
@@ -185,6 +195,8 @@
   if (!Message.Pending)
     return ended(Ticket, Message.Result);
   Found->second.Unanswered = 0;
+  if (Message.InputsRead)
+    return inputsRead(Ticket);
   learn(Found->second.Pool, Found->second.Ask.Priority, Message.Expected);
   Found->second.NextSend = Timers->now() + AskAgainAfter;
 }
@@ -206,7 +218,8 @@
   ++Counts.Served;
   Found->second.Pool = Message.Pool;
   Found->second.Local = Pools->ask(
-      Message.Pool, Message.Ask, [this, Key](const BatchResult &Result) {
+      Message.Pool, Message.Ask,
+      [this, Key](const BatchResult &Result) {
         auto Ended = Served.find(Key);
         if (Ended == Served.end())
           return;
@@ -214,6 +227,14 @@
         Ended->second.Result = Result;
         Ended->second.ForgetAt = Timers->now() + ResultLife;
         sendResult(Key, Ended->second);
+      },
+      [this, Key] {
+        // Lost now and then: the inputs' space is free a call's time later.
+        BatchAnswerMessage Read;
+        Read.Ticket = Key.second;
+        Read.Pending = true;
+        Read.InputsRead = true;
+        Peers->sendTo(Key.first, Read);
       });
 }
 
@@ -221,7 +242,7 @@
   ++Ended.Sends;
   Ended.NextSend = Timers->now() + ResendAfter;
   Peers->sendTo(Key.first,
-                BatchAnswerMessage{Key.second, false, {}, Ended.Result});
+                BatchAnswerMessage{Key.second, false, {}, false, Ended.Result});
 }
 
 void BatchRelay::released(const std::string &Node,
--- a/src/batch_relay.h
+++ b/src/batch_relay.h
@@ -22,13 +22,16 @@
 class BatchRelay : public Service {
 public:
   using DoneFn = BatchService::DoneFn;
+  using ReadFn = BatchService::ReadFn;
 
   explicit BatchRelay(Kernel &K) : Services(K) {}
 
   void start() override;
 
   /// Asks for pieces. \p Done is called once, not before this returns.
-  BatchTicket ask(const std::string &Pool, const BatchAsk &Ask, DoneFn Done);
+  /// \param Read is called if the inputs are read before that.
+  BatchTicket ask(const std::string &Pool, const BatchAsk &Ask, DoneFn Done,
+                  ReadFn Read);
   /// Nobody waits for these pieces any more; \p Done is not called.
   void cancel(BatchTicket Ticket);
   /// The results of \p Pool are not needed any more.
@@ -48,6 +51,7 @@
     BatchAsk Ask;         ///< What is asked.
     TimePoint Asked{};    ///< When; its times count from then.
     DoneFn Done;          ///< Hears the result.
+    ReadFn Read;          ///< Hears that the inputs were read.
     std::string Home;     ///< The node asked; empty: this one.
     BatchTicket Local;    ///< Name at this node's own pools.
     TimePoint NextSend{}; ///< When to ask again.
@@ -74,6 +78,7 @@
   void learn(const std::string &Pool, int Priority, Duration Expected);
   void send(BatchTicket Ticket, OwnAsk &Own);
   void ended(BatchTicket Ticket, const BatchResult &Result);
+  void inputsRead(BatchTicket Ticket);
   void serve(const std::string &Node, const BatchAskMessage &Message);
   void sendResult(const ServedKey &Key, ServedAsk &Served);
   void answered(const std::string &Node, const BatchAnswerMessage &Message);
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -52,11 +52,11 @@
 }
 
 BatchTicket BatchService::ask(const std::string &Pool, const BatchAsk &Ask,
-                              DoneFn Done) {
+                              DoneFn Done, ReadFn Read) {
   BatchTicket Ticket{++LastTicket};
   auto Found = Pools.find(Pool);
   if (Found == Pools.end()) {
-    Waiters[Ticket] = {Pool, {}, std::move(Done)};
+    Waiters[Ticket] = {Pool, {}, std::move(Done), std::move(Read)};
     Services.find<LoopService>(service::Loop).Loop.defer([this, Ticket] {
       auto Waiting = Waiters.find(Ticket);
       if (Waiting == Waiters.end())
@@ -71,7 +71,7 @@
   }
   BatchActions Out;
   BatchAskId Id = batchAsk(Found->second, Ask, Timers->now(), Out);
-  Waiters[Ticket] = {Pool, Id, std::move(Done)};
+  Waiters[Ticket] = {Pool, Id, std::move(Done), std::move(Read)};
   Tickets[{Pool, Id}] = Ticket;
   perform(Found->second, Out);
   return Ticket;
@@ -121,6 +121,8 @@
       send(P, *Send);
     else if (const auto *Answer = std::get_if<AnswerBatchAction>(&Action))
       answer(P.Name, *Answer);
+    else if (const auto *Read = std::get_if<InputsReadAction>(&Action))
+      inputsRead(P.Name, Read->Ask);
     else
       queueFree(std::get<FreeBatchAction>(Action).Handle);
   }
@@ -129,6 +131,19 @@
 void BatchService::send(BatchPool &P, const SendBatchAction &Send) {
   // The call's results may need the space that these results take.
   sendFrees(Send.Address);
+  if (logEnabled(LogLevel::Debug)) {
+    int Waiting = 0;
+    for (const auto &[Id, Job] : P.Jobs)
+      Waiting += Job.Waiting;
+    logEvent(LogLevel::Debug, "batch_call_sent",
+             {{"pool", P.Name},
+              {"upstream", Send.Address},
+              {"call", Send.Call.Value},
+              {"pieces", Send.Items.size()},
+              {"waiting", Waiting},
+              {"jobs", P.Jobs.size()},
+              {"room_used", P.Upstreams[Send.Instance].RoomUsed}});
+  }
   HttpCall Call = Wire.writeBatch(Send.Items, Send.Instance);
   Call.Address = Send.Address;
   Call.Timeout = Send.Timeout;
@@ -137,6 +152,12 @@
                Size = Send.Items.size(),
                Started = Timers->now()](const HttpAnswer &Answer) {
     BatchCallResult Result = Wire.readBatch(Answer);
+    logEvent(LogLevel::Debug, "batch_call_ended",
+             {{"pool", Pool},
+              {"upstream", Address},
+              {"call", Id.Value},
+              {"pieces", Size},
+              {"took_ms", toMs(Timers->now() - Started)}});
     if (!Result.Answered)
       logEvent(LogLevel::Warning, "batch_call_failed",
                {{"pool", Pool},
@@ -171,6 +192,15 @@
       });
 }
 
+void BatchService::inputsRead(const std::string &Pool, BatchAskId Ask) {
+  auto Ticket = Tickets.find({Pool, Ask});
+  if (Ticket == Tickets.end())
+    return;
+  ReadFn Read = Waiters.at(Ticket->second).Read;
+  if (Read)
+    Read();
+}
+
 void BatchService::queueFree(const std::string &Handle) {
   Frees[Wire.handleAddress(Handle)].push_back(Handle);
   if (FlushPlanned)
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -20,13 +20,16 @@
 class BatchService : public Service {
 public:
   using DoneFn = std::function<void(const BatchResult &)>;
+  using ReadFn = std::function<void()>;
 
   BatchService(Kernel &K, const WireFormat &W);
 
   void start() override;
 
   /// Asks for pieces. \p Done is called once, not before this returns.
-  BatchTicket ask(const std::string &Pool, const BatchAsk &Ask, DoneFn Done);
+  /// \param Read is called if the inputs are read before that.
+  BatchTicket ask(const std::string &Pool, const BatchAsk &Ask, DoneFn Done,
+                  ReadFn Read);
   /// Estimates how long pieces that are asked for now would take.
   /// \return Nothing when no upstream is known.
   std::optional<Duration> expected(const std::string &Pool,
@@ -49,11 +52,13 @@
     std::string Pool; ///< Which pool.
     BatchAskId Ask;   ///< Its name there.
     DoneFn Done;      ///< Hears the result.
+    ReadFn Read;      ///< Hears that the inputs were read.
   };
 
   void perform(BatchPool &P, const BatchActions &Actions);
   void send(BatchPool &P, const SendBatchAction &Send);
   void answer(const std::string &Pool, const AnswerBatchAction &Answer);
+  void inputsRead(const std::string &Pool, BatchAskId Ask);
   void queueFree(const std::string &Handle);
   void flushFrees();
   void sendFrees(const std::string &Address);
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -27,6 +27,7 @@
   int Priority = 5;                ///< 0 is the most urgent.
   double ResultBytes = 0;          ///< Size of one result, about.
   std::string Domain;              ///< Best made there; empty: anywhere.
+  bool TellRead = false;           ///< Tell when the inputs have been read.
   Duration Due{};  ///< From now: done by then, the request can be on time.
   Duration Dead{}; ///< From now: done later, it is of no use.
 };
@@ -49,6 +50,7 @@
   BatchEnd End = BatchEnd::Invalid; ///< How it ended.
   std::vector<std::string> Handles; ///< By piece, when Done.
   bool Ran = false;                 ///< Some piece ran or may have run.
+  bool Tight = false;               ///< Space for results is scarce.
   Duration RetryIn{}; ///< When there may be room, if it was refused.
 };
 
@@ -64,6 +66,7 @@
   std::uint64_t Ticket = 0; ///< As in the ask.
   bool Pending = false;     ///< The result comes later.
   Duration Expected{};      ///< While Pending: how long it should take.
+  bool InputsRead = false;  ///< While Pending: no piece needs them any more.
   BatchResult Result;       ///< Unless Pending.
 };
 
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -29,7 +29,9 @@
   StageState State = StageState::Pending; ///< How far it is.
   int Pieces = 0;                         ///< How many it has.
   BatchTicket Ticket;                     ///< While Running.
-  TimePoint Asked{};                      ///< When its pieces were asked for.
+  bool InputsRead = false; ///< It does not need the results of others more.
+  bool Tight = false;      ///< Space for its results is scarce.
+  TimePoint Asked{};       ///< When its pieces were asked for.
   std::vector<std::string> Handles; ///< Its results, until they are freed.
 };
 
@@ -64,6 +66,7 @@
   TimePoint Deadline{};              ///< It is answered by then.
   TimePoint ClientEnd{};             ///< The client waits until then.
   std::vector<StageProgress> Stages; ///< Work to be done before.
+  TimerId StageTimer;                ///< Begins a stage that was held back.
   int StageRounds = 0;               ///< Times that all stages were begun.
   TimePoint StagesDone{};            ///< When the last one was done.
   std::optional<ForwardAttempt> Attempt; ///< In progress.
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -208,6 +208,7 @@
   R.Exchange->OnDrained = nullptr;
   Timers->cancel(R.DeadlineTimer);
   Timers->cancel(R.SilenceTimer);
+  Timers->cancel(R.StageTimer);
   cancelStages(R);
   TimePoint Useful = R.FirstEvent > TimePoint{} ? R.FirstEvent : Now;
   bool OnTime =
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -25,6 +25,13 @@
 /// other requests share. Zero: nothing is shared.
 std::uint64_t affinityOf(const ForwardRequest &R);
 
+/// \return What is left of \p Rest when everything goes quickly: hopeless is
+/// only what even that could not save.
+Duration quickRest(Duration Rest);
+
+/// \return How many pieces a request has of a stage.
+int piecesOf(const ForwardRequest &R, std::size_t Index);
+
 /// Smooths one of a route's times; the first value counts whole.
 void smoothTime(Duration &Time, Duration Newest);
 
@@ -59,7 +66,13 @@
   // gateway_stages.cpp: work to be done before.
   void beginStages(ForwardRequest &R);
   void startReadyStages(RequestSerial Serial);
+  void beginStage(ForwardRequest &R, std::size_t Index);
   void askStage(ForwardRequest &R, std::size_t Index);
+
+  // gateway_plan.cpp: what stages should take, when and where they are done.
+  Duration stageTime(const ForwardRequest &R, std::size_t Index) const;
+  Duration chainLeft(const ForwardRequest &R, std::size_t Index) const;
+  Duration holdBack(const ForwardRequest &R, std::size_t Index) const;
   Duration expectedPath(const ForwardRequest &R) const;
   std::string bestDomain(const ForwardRequest &R, std::size_t Index);
   std::string domainOfInputs(const ForwardRequest &R, std::size_t Index) const;
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -10,17 +10,6 @@
 
 /// Weight of the newest value in a route's smoothed times.
 static constexpr double TimeGain = 0.1;
-/// What the stages after one, and the run itself, need at the very least,
-/// against what they usually take: hopeless is only what even a quick course
-/// could not save.
-static constexpr double QuickShare = 0.6;
-/// Results of this size, in bytes, are made in the failure domain of the engine
-/// that reads them; smaller ones cost less than the wait for an upstream there.
-static constexpr double LargeResult = 100e3;
-/// Inputs of this size draw the work to where they are. A stage has several of
-/// them, and where it is done costs nothing.
-static constexpr double LargeInput = 20e3;
-
 void smoothTime(Duration &Time, Duration Newest) {
   if (Time == Duration::zero())
     Time = Newest;
@@ -28,26 +17,6 @@
     Time += fromMs(toMs(Newest - Time) * TimeGain);
 }
 
-/// \return How many pieces a request has of a stage.
-static int piecesOf(const ForwardRequest &R, std::size_t Index) {
-  return Index < R.Ask.Pieces.size() ? R.Ask.Pieces[Index] : 0;
-}
-
-/// \return What the longest chain of stages and the run itself should take, as
-/// things stand.
-Duration GatewayService::expectedPath(const ForwardRequest &R) const {
-  Duration Path{};
-  for (std::size_t I = 0; I < R.Route->Stages.size(); ++I) {
-    const RouteStage &Spec = R.Route->Stages[I];
-    if (!Spec.After.empty() || piecesOf(R, I) == 0)
-      continue;
-    Duration Own =
-        Batches->expected(Spec.Pool, R.Priority).value_or(Duration::zero());
-    Path = std::max(Path, Own + restAfter(R, I));
-  }
-  return Path;
-}
-
 void GatewayService::beginStages(ForwardRequest &R) {
   ++R.StageRounds;
   R.Stages.assign(R.Route->Stages.size(), StageProgress());
@@ -66,6 +35,18 @@
   return true;
 }
 
+/// Begins a stage that is ready, or plans its begin.
+void GatewayService::beginStage(ForwardRequest &R, std::size_t Index) {
+  Duration Hold = holdBack(R, Index);
+  if (Hold == Duration::zero())
+    return askStage(R, Index);
+  Timers->cancel(R.StageTimer);
+  R.StageTimer = Timers->after(Hold, [this, Serial = R.Serial] {
+    if (find(Serial))
+      startReadyStages(Serial);
+  });
+}
+
 void GatewayService::startReadyStages(RequestSerial Serial) {
   ForwardRequest *R = find(Serial);
   bool Again = true;
@@ -78,7 +59,7 @@
       if (Stage.State == StageState::Pending &&
           inputsDone(*R, R->Route->Stages[I])) {
         if (Stage.Pieces > 0) {
-          askStage(*R, I);
+          beginStage(*R, I);
         } else {
           // A stage without pieces has no results; others may go on.
           Stage.State = StageState::Done;
@@ -94,73 +75,6 @@
   sendAttempt(Serial);
 }
 
-/// \return What usually follows the stage at \p Index: the longest chain of
-/// stages after it, and the time to the first event.
-Duration GatewayService::restAfter(const ForwardRequest &R,
-                                   std::size_t Index) const {
-  auto Found = Times.find(R.Route->Name);
-  Duration Rest{};
-  for (std::size_t I = 0; I < R.Route->Stages.size(); ++I) {
-    const std::vector<int> &After = R.Route->Stages[I].After;
-    if (std::find(After.begin(), After.end(), static_cast<int>(Index)) ==
-        After.end())
-      continue;
-    const ServiceSpec *Service = findService(*R.Table, R.Route->Stages[I].Pool);
-    Duration Own = Service && Service->Batch
-                       ? batchCallTime(*Service->Batch, piecesOf(R, I))
-                       : Duration::zero();
-    if (Found != Times.end() && I < Found->second.Stages.size() &&
-        Found->second.Stages[I] > Duration::zero())
-      Own = Found->second.Stages[I];
-    // What the pool says of itself now is newer than what requests took that
-    // have ended.
-    if (auto Said = Batches->expected(R.Route->Stages[I].Pool, R.Priority))
-      Own = std::max(*Said, fromMs(toMs(Own) * QuickShare));
-    Rest = std::max(Rest, Own + restAfter(R, I));
-  }
-  if (Rest == Duration::zero() && Found != Times.end())
-    Rest = Found->second.FirstEvent;
-  return Rest;
-}
-
-/// \return Where the results that a stage needs are kept, by most of them.
-std::string GatewayService::domainOfInputs(const ForwardRequest &R,
-                                           std::size_t Index) const {
-  std::map<std::string, int> Counts;
-  for (int Needed : R.Route->Stages[Index].After) {
-    auto Input = static_cast<std::size_t>(Needed);
-    if (R.Route->Stages[Input].ResultBytes < LargeInput)
-      continue;
-    for (const std::string &Handle : R.Stages[Input].Handles) {
-      auto Found = DomainOf.find(Wire.handleAddress(Handle));
-      if (Found != DomainOf.end())
-        ++Counts[Found->second];
-    }
-  }
-  std::string Best;
-  int Most = 0;
-  for (const auto &[Domain, Count] : Counts) {
-    if (Count <= Most)
-      continue;
-    Best = Domain;
-    Most = Count;
-  }
-  return Best;
-}
-
-/// \return The failure domain that a stage's pieces are best made in: where
-/// their large result is used, or where their large inputs are.
-std::string GatewayService::bestDomain(const ForwardRequest &R,
-                                       std::size_t Index) {
-  const RouteStage &Spec = R.Route->Stages[Index];
-  std::uint64_t Affinity = affinityOf(R);
-  if (!Spec.Final || Spec.ResultBytes < LargeResult || Affinity == 0)
-    return domainOfInputs(R, Index);
-  const Upstream *Consumer =
-      affineUpstream(Pools[R.PoolName], Policy, Affinity, Timers->now());
-  return Consumer ? Consumer->FailureDomain : std::string();
-}
-
 void GatewayService::askStage(ForwardRequest &R, std::size_t Index) {
   const RouteStage &Spec = R.Route->Stages[Index];
   StageProgress &Stage = R.Stages[Index];
@@ -175,19 +89,27 @@
   Ask.ResultBytes = Spec.ResultBytes;
   Ask.Domain = bestDomain(R, Index);
   Ask.Due = R.Arrived + R.Route->Target - Rest - Timers->now();
-  Ask.Dead = R.Deadline - fromMs(toMs(Rest) * QuickShare) - Timers->now();
+  Ask.Dead = R.Deadline - quickRest(Rest) - Timers->now();
   if (Spec.After.empty())
     Ask.Key = R.Ask.PieceKey;
   for (int Needed : Spec.After) {
     const StageProgress &Input = R.Stages[static_cast<std::size_t>(Needed)];
     Ask.Inputs.insert(Ask.Inputs.end(), Input.Handles.begin(),
                       Input.Handles.end());
+    Ask.TellRead = Ask.TellRead || Input.Tight;
   }
-  Stage.Ticket =
-      Batches->ask(Spec.Pool, Ask,
-                   [this, Serial = R.Serial, Index](const BatchResult &Result) {
-                     stageEnded(Serial, Index, Result);
-                   });
+  Stage.Ticket = Batches->ask(
+      Spec.Pool, Ask,
+      [this, Serial = R.Serial, Index](const BatchResult &Result) {
+        stageEnded(Serial, Index, Result);
+      },
+      [this, Serial = R.Serial, Index] {
+        ForwardRequest *Reading = find(Serial);
+        if (!Reading)
+          return;
+        Reading->Stages[Index].InputsRead = true;
+        freeInputsOf(*Reading, Index);
+      });
 }
 
 /// \return The code that tells a client why a stage was not done.
@@ -221,6 +143,7 @@
   }
   Stage.State = StageState::Done;
   Stage.Handles = Result.Handles;
+  Stage.Tight = Result.Tight;
   RouteTimes &Route = timesOf(*R);
   smoothTime(Route.Stages[Index], Took);
   Metrics.StageTime.add(toMs(Took));
@@ -228,14 +151,17 @@
   startReadyStages(Serial);
 }
 
-/// Frees the results that only the stage at \p Index, now done, needed.
+/// Frees the results that only the stage at \p Index needed, which is done or
+/// has read them.
 void GatewayService::freeInputsOf(ForwardRequest &R, std::size_t Index) {
   for (int Needed : R.Route->Stages[Index].After) {
     bool Wanted = false;
     for (std::size_t I = 0; I < R.Stages.size(); ++I) {
       const std::vector<int> &After = R.Route->Stages[I].After;
       bool Uses = std::find(After.begin(), After.end(), Needed) != After.end();
-      Wanted = Wanted || (Uses && R.Stages[I].State != StageState::Done);
+      bool Read =
+          R.Stages[I].State == StageState::Done || R.Stages[I].InputsRead;
+      Wanted = Wanted || (Uses && !Read);
     }
     if (Wanted)
       continue;
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -40,6 +40,10 @@
 void logEvent(LogLevel Level, std::string_view Event,
               std::initializer_list<LogField> Fields);
 
+/// \return Whether events of this level are written, so that what only a
+/// dropped line would need is not worked out.
+bool logEnabled(LogLevel Level);
+
 /// Formats the pairs of one event; split off so that a test can read a line.
 std::string logLine(std::string_view Event,
                     std::initializer_list<LogField> Fields);
