A held back stage cannot send its request twice

Cause: the timer of a stage that was held back fired after another stage's end had begun it; with all stages done it sent the request once more.

Change: the stages of a request are looked at no more once they are all done; an assertion keeps one attempt at a time.

--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -1,5 +1,6 @@
 /// \file gateway_attempt.cpp Sends to upstreams, and what comes of them.
 #include <algorithm>
+#include <cassert>
 
 #include "core/hash.h"
 #include "gateway_service.h"
@@ -44,6 +45,7 @@
 
 void GatewayService::sendAttempt(RequestSerial Serial) {
   ForwardRequest *R = find(Serial);
+  assert(!R->Attempt && "a request has one attempt at a time");
   Pool &P = Pools[R->PoolName];
   ChoiceHints Hints;
   Hints.Affinity = affinityOf(*R);
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -19,6 +19,8 @@
 
 void GatewayService::beginStages(ForwardRequest &R) {
   ++R.StageRounds;
+  R.StagesDone = TimePoint{};
+  Timers->cancel(R.StageTimer);
   R.Stages.assign(R.Route->Stages.size(), StageProgress());
   for (std::size_t I = 0; I < R.Stages.size(); ++I) {
     R.Stages[I].Pieces = piecesOf(R, I);
@@ -49,6 +51,10 @@
 
 void GatewayService::startReadyStages(RequestSerial Serial) {
   ForwardRequest *R = find(Serial);
+  // A timer of a stage that was held back may come after the last stage ended:
+  // a request that is already being run must not be sent a second time.
+  if (R->StagesDone > TimePoint{})
+    return;
   bool Again = true;
   bool AllDone = true;
   while (Again) {
