Requests that have begun go first; streams wait as long as their clients

Cause: with 700 pieces waiting, payroll-feed was sent 8 of 22 pieces a call: its space was full of results of requests whose other pieces had been overtaken.

Change: jobs that have begun are sent first, then those that can be on time; the time for a first event bounds the waiting of stages and the door.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -285,22 +285,42 @@
   Out.push_back(std::move(Send));
 }
 
-/// \return Waiting jobs, the most urgent first. Those that can no longer be on
-/// time stand behind those that can: a pool that is behind would otherwise
-/// spend itself on requests that are late already, and make the next ones late.
+/// Where a job stands among those that wait; the lower, the earlier.
+enum class WaitRank {
+  Begun,   ///< Some of its results are there already.
+  OnTime,  ///< Its request can still be on time.
+  Late,    ///< Its request will be late.
+  Count,   ///< Number of ranks.
+  Invalid, ///< Not a rank.
+};
+
+/// A job whose first pieces are done keeps space for them until the last one
+/// is. If others go first, the space of a whole pool fills with parts of
+/// requests that cannot go on: calls shrink to a third while hundreds of pieces
+/// wait. And a pool that is behind must not spend itself on requests that are
+/// late already, or it makes the next ones late too.
+static WaitRank rankOf(const BatchJob &Job, TimePoint OnTime) {
+  if (Job.Left < Job.Ask.Pieces || Job.Waiting < Job.Left)
+    return WaitRank::Begun;
+  return Job.Due < OnTime ? WaitRank::Late : WaitRank::OnTime;
+}
+
+/// \return Waiting jobs in the order in which they are sent.
 static std::vector<BatchJob *> waitingJobs(BatchPool &P, TimePoint Now) {
   TimePoint OnTime = Now + batchCallTime(P.Spec, 1);
-  std::vector<BatchJob *> Order;
+  std::vector<std::pair<WaitRank, BatchJob *>> Ranked;
   for (auto &[Id, Job] : P.Jobs) {
     if (Job.Waiting > 0)
-      Order.push_back(&Job);
+      Ranked.emplace_back(rankOf(Job, OnTime), &Job);
   }
-  std::stable_sort(Order.begin(), Order.end(),
-                   [OnTime](const BatchJob *A, const BatchJob *B) {
-                     bool LateA = A->Due < OnTime;
-                     bool LateB = B->Due < OnTime;
-                     return LateA != LateB ? LateB : urgency(*A) < urgency(*B);
-                   });
+  std::stable_sort(
+      Ranked.begin(), Ranked.end(), [](const auto &A, const auto &B) {
+        return A.first != B.first ? A.first < B.first
+                                  : urgency(*A.second) < urgency(*B.second);
+      });
+  std::vector<BatchJob *> Order;
+  for (const auto &[Rank, Job] : Ranked)
+    Order.push_back(Job);
   return Order;
 }
 
--- a/src/gateway_door.cpp
+++ b/src/gateway_door.cpp
@@ -18,10 +18,24 @@
 static constexpr Duration AnswerMargin = std::chrono::milliseconds(10);
 /// Taken for a client that does not say how long it waits.
 static constexpr Duration DefaultLeft = std::chrono::seconds(30);
+/// A client leaves a stream without its first event after the longest of these:
+/// a time, a multiple of the route's target, and one of its longest pause.
+static constexpr Duration LeastFirstWait = std::chrono::seconds(2);
+static constexpr int FirstWaitTargets = 4;
+static constexpr int FirstWaitGaps = 8;
 /// A request is only taken in while draining if it should end this much before
 /// the process is ended.
 static constexpr Duration GraceMargin = std::chrono::milliseconds(800);
 
+/// \return How long a client waits for the first event of a stream, and for the
+/// whole answer otherwise. Clients leave a stream that stands still for longer.
+static Duration firstWait(const RouteSpec &Route) {
+  if (Route.Kind != RouteKind::Streaming)
+    return std::chrono::hours(1);
+  return std::max({LeastFirstWait, Route.Target * FirstWaitTargets,
+                   Route.GapTarget * FirstWaitGaps});
+}
+
 void GatewayService::accept(const HttpExchangePtr &Exchange) {
   RequestSerial Serial{++LastSerial};
   ForwardRequest &R = Requests[Serial];
@@ -73,6 +87,7 @@
   R.Deadline = R.ClientEnd - AnswerMargin;
   if (R.Route->Timeout > Duration::zero())
     R.Deadline = std::min(R.Deadline, R.Arrived + R.Route->Timeout);
+  R.FirstBy = std::min(R.Deadline, R.Arrived + firstWait(*R.Route));
   R.PoolName = chooseTarget(*R.Route, hash64(R.Ask.RequestId));
   R.Cursor.Last = R.Ask.LastEvent;
   if (RefuseAt > TimePoint{} && cannotEndInGrace(R))
@@ -80,9 +95,11 @@
   // The last stage may be the one that is full: work that its request cannot
   // use would be taken from others.
   Duration Path = expectedPath(R);
-  R.RetryIn = R.Arrived + Path - R.Deadline;
-  if (R.RetryIn > Duration::zero())
+  Duration Over = R.Arrived + Path - R.FirstBy;
+  if (Over > Duration::zero()) {
+    R.RetryIn = Over;
     return ResultCode::StageHopeless;
+  }
   return ResultCode::Complete;
 }
 
@@ -111,8 +128,7 @@
             {"retry_in_ms", toMs(R.RetryIn)},
             {"config", R.Table ? R.Table->Version : 0},
             {"config_age_ms", Age ? toMs(*Age) : -1}});
-  replyCode(*R.Exchange, Code, R.Ask.RequestId,
-            std::max(R.RetryIn, Duration::zero()));
+  replyCode(*R.Exchange, Code, R.Ask.RequestId, R.RetryIn);
   gatewayCount(Metrics, R.Organisation, R.Route ? R.Route->Name : "", Code);
 }
 
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -54,21 +54,22 @@
 
 /// A request in progress.
 struct ForwardRequest {
-  RequestSerial Serial;              ///< Its name on this node.
-  HttpExchangePtr Exchange;          ///< The client.
-  ForwardAsk Ask;                    ///< What the client says.
-  RouteTablePtr Table;               ///< The version it began under.
-  const RouteSpec *Route = nullptr;  ///< In that version.
-  std::string Organisation;          ///< Whose request; empty: public route.
-  int Priority = 5;                  ///< 0 is the most urgent.
-  std::string PoolName;              ///< Who runs it.
-  TimePoint Arrived{};               ///< When its first byte came.
-  TimePoint Deadline{};              ///< It is answered by then.
-  TimePoint ClientEnd{};             ///< The client waits until then.
-  std::vector<StageProgress> Stages; ///< Work to be done before.
-  TimerId StageTimer;                ///< Begins a stage that was held back.
-  int StageRounds = 0;               ///< Times that all stages were begun.
-  TimePoint StagesDone{};            ///< When the last one was done.
+  RequestSerial Serial;             ///< Its name on this node.
+  HttpExchangePtr Exchange;         ///< The client.
+  ForwardAsk Ask;                   ///< What the client says.
+  RouteTablePtr Table;              ///< The version it began under.
+  const RouteSpec *Route = nullptr; ///< In that version.
+  std::string Organisation;         ///< Whose request; empty: public route.
+  int Priority = 5;                 ///< 0 is the most urgent.
+  std::string PoolName;             ///< Who runs it.
+  TimePoint Arrived{};              ///< When its first byte came.
+  TimePoint Deadline{};             ///< It is answered by then.
+  TimePoint ClientEnd{};            ///< The client waits until then.
+  TimePoint FirstBy{};              ///< The client wants a first event by then.
+  std::vector<StageProgress> Stages;     ///< Work to be done before.
+  TimerId StageTimer;                    ///< Begins a stage that was held back.
+  int StageRounds = 0;                   ///< Times that all stages were begun.
+  TimePoint StagesDone{};                ///< When the last one was done.
   std::optional<ForwardAttempt> Attempt; ///< In progress.
   std::vector<UpstreamId> Tried;         ///< Upstreams that it was sent to.
   int Sends = 0;                         ///< Attempts that were sent.
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -95,7 +95,7 @@
   Ask.ResultBytes = Spec.ResultBytes;
   Ask.Domain = bestDomain(R, Index);
   Ask.Due = R.Arrived + R.Route->Target - Rest - Timers->now();
-  Ask.Dead = R.Deadline - quickRest(Rest) - Timers->now();
+  Ask.Dead = R.FirstBy - quickRest(Rest) - Timers->now();
   if (Spec.After.empty())
     Ask.Key = R.Ask.PieceKey;
   for (int Needed : Spec.After) {
