Logs of nodes go to standard output, bounded and without blocking

Cause: lines went to standard error through a blocking stream; the users read standard output, and a reader that stops would have stopped the node.

--- a/src/cli/cli_gateway.cpp
+++ b/src/cli/cli_gateway.cpp
@@ -19,7 +19,7 @@
 static void reloadSettings(const std::string &Path) {
   try {
     GatewaySettings Next = loadGatewaySettings(Path);
-    logInit(*logLevelByName(Next.LogLevelName));
+    logInit(*logLevelByName(Next.LogLevelName), LogTarget::StandardOutput);
     logEvent(LogLevel::Info, "settings_reloaded",
              {{"log_level", Next.LogLevelName}});
   } catch (const Error &E) {
@@ -43,7 +43,7 @@
   std::string Path = FLAGS_settings;
   Loop.onHangup([Path] { reloadSettings(Path); });
   GatewaySettings Config = loadGatewaySettings(Path);
-  logInit(*logLevelByName(Config.LogLevelName));
+  logInit(*logLevelByName(Config.LogLevelName), LogTarget::StandardOutput);
   platform::Wire Wire;
   std::string KvAddress = Config.KvAddress;
   GatewayNode Served(Loop, Timers, Config, Wire, [&](HttpClient &Client) {
--- a/src/cli/cli_serve.cpp
+++ b/src/cli/cli_serve.cpp
@@ -25,7 +25,7 @@
       Started->drain();
   });
   Settings Config = loadSettings(FLAGS_settings);
-  logInit(*logLevelByName(Config.LogLevelName));
+  logInit(*logLevelByName(Config.LogLevelName), LogTarget::StandardOutput);
   Node Served(Loop, Timers, Config);
   Started = &Served;
   if (StopAsked)
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -213,23 +213,27 @@
   TimePoint Useful = R.FirstEvent > TimePoint{} ? R.FirstEvent : Now;
   bool OnTime =
       Code == ResultCode::Complete && Useful - R.Arrived <= R.Route->Target;
-  logEvent(
-      LogLevel::Info, "request_done",
-      {{"id", R.Ask.RequestId},
-       {"route", R.Route->Name},
-       {"organisation", R.Organisation},
-       {"config", R.Table->Version},
-       {"code", resultInfo(Code).Name},
-       {"status", Status},
-       {"upstream", R.LastUpstream},
-       {"sends", R.Sends},
-       {"on_time", OnTime ? 1 : 0},
-       {"stages_ms",
-        R.StagesDone > TimePoint{} ? toMs(R.StagesDone - R.Arrived) : -1.0},
-       {"first_ms",
-        R.FirstEvent > TimePoint{} ? toMs(R.FirstEvent - R.Arrived) : -1.0},
-       {"took_ms", toMs(Now - R.Arrived)},
-       {"failure", R.LastFailure}});
+  std::initializer_list<LogField> Fields = {
+      {"id", R.Ask.RequestId},
+      {"route", R.Route->Name},
+      {"organisation", R.Organisation},
+      {"config", R.Table->Version},
+      {"code", resultInfo(Code).Name},
+      {"status", Status},
+      {"upstream", R.LastUpstream},
+      {"sends", R.Sends},
+      {"on_time", OnTime ? 1 : 0},
+      {"stages_ms",
+       R.StagesDone > TimePoint{} ? toMs(R.StagesDone - R.Arrived) : -1.0},
+      {"first_ms",
+       R.FirstEvent > TimePoint{} ? toMs(R.FirstEvent - R.Arrived) : -1.0},
+      {"took_ms", toMs(Now - R.Arrived)},
+      {"failure", R.LastFailure}};
+  // Of requests that ended well one may do without the line, of others not.
+  if (Code == ResultCode::Complete)
+    logRoutine("request_done", Fields);
+  else
+    logEvent(LogLevel::Info, "request_done", Fields);
   gatewayCount(Metrics, R.Organisation, R.Route->Name, Code);
   gatewayTime(Metrics, R.Organisation, R.Route->Name, toMs(Useful - R.Arrived),
               OnTime);
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -31,15 +31,28 @@
   LogField(std::string_view K, Int V) : Key(K), Value(std::to_string(V)) {}
 };
 
-/// Sets up logging to standard error and turns log files off.
+/// Where log lines go.
+enum class LogTarget {
+  StandardError,  ///< For commands, whose results go to standard output.
+  StandardOutput, ///< For nodes.
+  Count,          ///< Number of targets.
+  Invalid,        ///< Not a target.
+};
+
+/// Sets up logging and turns log files off.
 /// \param Lowest events below this level are dropped.
-void logInit(LogLevel Lowest);
+void logInit(LogLevel Lowest, LogTarget Target = LogTarget::StandardError);
 
 /// Writes one event.
 /// \param Event what happened, as a snake_case name that can be searched for.
 void logEvent(LogLevel Level, std::string_view Event,
               std::initializer_list<LogField> Fields);
 
+/// Writes one event of the usual course of things, which is left out first when
+/// there are too many lines. Those left out are counted, and the count is
+/// written.
+void logRoutine(std::string_view Event, std::initializer_list<LogField> Fields);
+
 /// \return Whether events of this level are written, so that what only a
 /// dropped line would need is not worked out.
 bool logEnabled(LogLevel Level);
--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -114,6 +114,7 @@
             {"previous", Table ? Table->Version : 0},
             {"routes", Next->Routes.size()},
             {"organisations", Next->Organisations.size()},
+            {"keys", Next->ByKey.size()},
             {"bytes", Value.size()}});
   Table = std::move(Next);
   for (const auto &Fn : Changes)
