Strong nodes form calls; pools with many upstreams have several homes

Cause: on the grown site one node of 75 formed all calls of a pool of 17 upstreams; on a link of 10 Mbit/s it was taken for silent 18,041 times in a minute, and several nodes filled the same upstreams.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -357,11 +357,13 @@
 
 /// Sends what waits to whoever is free.
 static void pump(BatchPool &P, TimePoint Now, BatchActions &Out) {
+  std::vector<BatchUpstream *> Idle = idleUpstreams(P, Now);
+  if (Idle.empty())
+    return;
   std::vector<BatchJob *> Order = waitingJobs(P, Now);
   int Waiting = 0;
   for (const BatchJob *Job : Order)
     Waiting += Job->Waiting;
-  std::vector<BatchUpstream *> Idle = idleUpstreams(P, Now);
   std::size_t Unused = Idle.size();
   for (BatchUpstream *U : Idle) {
     if (Waiting == 0)
--- a/src/batch_home.h
+++ b/src/batch_home.h
@@ -8,6 +8,24 @@
 
 namespace fulmar {
 
+/// Upstreams that one node forms calls for at most. A node with a quarter of a
+/// core takes in some 300 asks/s, about what eight upstreams can serve.
+inline constexpr std::size_t UpstreamsPerHome = 8;
+
+/// \return Into how many parts a pool of this many upstreams is divided, each
+/// with a home of its own.
+inline std::size_t batchParts(std::size_t Upstreams) {
+  return Upstreams <= UpstreamsPerHome
+             ? 1
+             : (Upstreams + UpstreamsPerHome - 1) / UpstreamsPerHome;
+}
+
+/// \return The name of one part of a pool.
+std::string batchPartName(const std::string &Pool, std::size_t Part);
+
+/// \return The part that serves a request.
+std::size_t batchPartOf(const std::string &RequestId, std::size_t Parts);
+
 /// Chooses the node that forms the calls for \p Pool.
 ///
 /// Upstreams take as long for one piece as for many, so calls have to be formed
--- a/src/batch_relay.cpp
+++ b/src/batch_relay.cpp
@@ -57,7 +57,8 @@
                             DoneFn Done, ReadFn Read) {
   BatchTicket Ticket{++LastTicket};
   OwnAsk &Mine = Own[Ticket];
-  Mine.Pool = Pool;
+  Mine.Service = Pool;
+  Mine.Pool = partFor(Pool, Ask.RequestId);
   Mine.Ask = Ask;
   Mine.Asked = Timers->now();
   Mine.Done = std::move(Done);
@@ -112,7 +113,7 @@
   Message.Ask.Due -= Timers->now() - Mine.Asked;
   Message.Ask.Dead -= Timers->now() - Mine.Asked;
   ++Mine.Unanswered;
-  Mine.NextSend = Timers->now() + ResendAfter;
+  Mine.NextSend = Timers->now() + ResendAfter * Mine.Unanswered;
   Peers->sendTo(Mine.Home, std::move(Message));
 }
 
@@ -145,10 +146,17 @@
   release(Gone.Home, "", {"", {}, {Ticket.Value}, {}});
 }
 
-void BatchRelay::free(const std::string &Pool,
+/// \return The part of a pool that serves a request.
+std::string BatchRelay::partFor(const std::string &Pool,
+                                const std::string &RequestId) const {
+  return batchPartName(Pool, batchPartOf(RequestId, Pools->parts(Pool)));
+}
+
+void BatchRelay::free(const std::string &Service, const std::string &RequestId,
                       const std::vector<std::string> &Handles) {
   if (Handles.empty())
     return;
+  std::string Pool = partFor(Service, RequestId);
   std::string Home = batchHome(Members->state(), Pool, {});
   if (Home == Members->state().Self.Id)
     return Pools->free(Pool, Handles);
@@ -197,7 +205,7 @@
   Found->second.Unanswered = 0;
   if (Message.InputsRead)
     return inputsRead(Ticket);
-  learn(Found->second.Pool, Found->second.Ask.Priority, Message.Expected);
+  learn(Found->second.Service, Found->second.Ask.Priority, Message.Expected);
   Found->second.NextSend = Timers->now() + AskAgainAfter;
 }
 
--- a/src/batch_relay.h
+++ b/src/batch_relay.h
@@ -34,8 +34,9 @@
                   ReadFn Read);
   /// Nobody waits for these pieces any more; \p Done is not called.
   void cancel(BatchTicket Ticket);
-  /// The results of \p Pool are not needed any more.
-  void free(const std::string &Pool, const std::vector<std::string> &Handles);
+  /// Results that \p Service made for a request are not needed any more.
+  void free(const std::string &Service, const std::string &RequestId,
+            const std::vector<std::string> &Handles);
 
   /// \return How long pieces of a pool take now at this priority, as far as
   /// the latest asks of this node told; nothing when that is long ago.
@@ -47,7 +48,8 @@
 private:
   /// An ask of this node.
   struct OwnAsk {
-    std::string Pool;     ///< Which pool.
+    std::string Service;  ///< Which pool.
+    std::string Pool;     ///< Which part of it.
     BatchAsk Ask;         ///< What is asked.
     TimePoint Asked{};    ///< When; its times count from then.
     DoneFn Done;          ///< Hears the result.
@@ -74,6 +76,8 @@
     TimePoint At{};      ///< When that was said.
   };
 
+  std::string partFor(const std::string &Pool,
+                      const std::string &RequestId) const;
   void place(BatchTicket Ticket);
   void learn(const std::string &Pool, int Priority, Duration Expected);
   void send(BatchTicket Ticket, OwnAsk &Own);
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -2,6 +2,7 @@
 /// batches.
 #include "batch_service.h"
 
+#include "batch_home.h"
 #include "log_func.h"
 #include "loop_service.h"
 #include "node_services.h"
@@ -41,14 +42,42 @@
   for (const ServiceSpec &Spec : Table.Services) {
     if (!Spec.Batch)
       continue;
-    BatchPool &P = Pools[Spec.Name];
-    P.Name = Spec.Name;
-    P.Spec = *Spec.Batch;
-    P.Allowance = Allowance;
-    BatchActions Out;
-    batchUpstreams(P, ByPool[Spec.Name], Timers->now(), Out);
-    perform(P, Out);
+    const std::vector<UpstreamEntry> &All = ByPool[Spec.Name];
+    // A pool that has shrunk keeps its parts: asks in progress are theirs.
+    std::size_t &Count = Parts[Spec.Name];
+    Count = batchParts(All.size());
+    for (std::size_t Part = 0; Part < Count; ++Part)
+      updatePart(Spec, All, Part, Count, Allowance);
+  }
+}
+
+/// Brings one part of a pool up to date. Parts take turns in the order of the
+/// upstreams' names, which is the same on every node, and apart within each
+/// failure domain, so that each part has upstreams in all of them.
+void BatchService::updatePart(const ServiceSpec &Spec,
+                              const std::vector<UpstreamEntry> &All,
+                              std::size_t Part, std::size_t Count,
+                              const RetryAllowance &Allowance) {
+  std::map<std::string, std::size_t> Turn;
+  std::vector<UpstreamEntry> Mine;
+  for (const UpstreamEntry &Entry : All) {
+    if (Turn[Entry.FailureDomain]++ % Count == Part)
+      Mine.push_back(Entry);
   }
+  std::string Name = batchPartName(Spec.Name, Part);
+  BatchPool &P = Pools[Name];
+  P.Name = Name;
+  P.Spec = *Spec.Batch;
+  P.Allowance = Allowance;
+  P.Allowance.Extra /= static_cast<double>(Count);
+  BatchActions Out;
+  batchUpstreams(P, Mine, Timers->now(), Out);
+  perform(P, Out);
+}
+
+std::size_t BatchService::parts(const std::string &Pool) const {
+  auto Found = Parts.find(Pool);
+  return Found == Parts.end() ? 1 : Found->second;
 }
 
 BatchTicket BatchService::ask(const std::string &Pool, const BatchAsk &Ask,
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -43,6 +43,9 @@
               const std::map<std::string, UpstreamEntry> &Listed,
               const RetryAllowance &Allowance);
 
+  /// \return Into how many parts a pool is divided.
+  std::size_t parts(const std::string &Pool) const;
+
   /// \return The pools, for status and metrics.
   const std::map<std::string, BatchPool> &pools() const { return Pools; }
 
@@ -55,6 +58,9 @@
     ReadFn Read;      ///< Hears that the inputs were read.
   };
 
+  void updatePart(const ServiceSpec &Spec,
+                  const std::vector<UpstreamEntry> &All, std::size_t Part,
+                  std::size_t Count, const RetryAllowance &Allowance);
   void perform(BatchPool &P, const BatchActions &Actions);
   void send(BatchPool &P, const SendBatchAction &Send);
   void answer(const std::string &Pool, const AnswerBatchAction &Answer);
@@ -64,12 +70,13 @@
   void sendFrees(const std::string &Address);
   void tick();
 
-  Kernel &Services;                       ///< Finds the others.
-  const WireFormat &Wire;                 ///< Writes calls.
-  TimerService *Timers = nullptr;         ///< Time.
-  HttpClient *Client = nullptr;           ///< Makes calls.
-  std::map<std::string, BatchPool> Pools; ///< By name.
-  std::map<BatchTicket, Waiter> Waiters;  ///< By ticket.
+  Kernel &Services;                         ///< Finds the others.
+  const WireFormat &Wire;                   ///< Writes calls.
+  TimerService *Timers = nullptr;           ///< Time.
+  HttpClient *Client = nullptr;             ///< Makes calls.
+  std::map<std::string, BatchPool> Pools;   ///< By name.
+  std::map<std::string, std::size_t> Parts; ///< Of each pool.
+  std::map<BatchTicket, Waiter> Waiters;    ///< By ticket.
   std::map<std::pair<std::string, BatchAskId>, BatchTicket> Tickets; ///< Back.
   std::map<std::string, std::vector<std::string>> Frees; ///< By address.
   bool FlushPlanned = false;    ///< flushFrees will run.
--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -21,7 +21,7 @@
 /// Draws an exponential rank: the lowest of several is each node's with a
 /// probability in proportion to its weight.
 static double drawRank(const MemberInfo &Info, Random &Rng) {
-  double Weight = 1 / (1 + Info.Load / HalvingLoad);
+  double Weight = Info.Strength / (1 + Info.Load / HalvingLoad);
   return -std::log(1 - randomUnit(Rng)) / Weight;
 }
 
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -1,6 +1,8 @@
 /// \file gateway_settings.cpp Reading a forwarding node's settings.
 #include "gateway_settings_func.h"
 
+#include <algorithm>
+
 #include "json_func.h"
 #include "result_type.h"
 #include "settings_func.h"
@@ -62,8 +64,23 @@
   return fieldsMarkdown<GatewaySettings>(GatewaySettingsTable);
 }
 
+/// A usual host has this much of a core and this link, in Mbit/s: what the
+/// nodes of a small fleet have, and what work for the whole fleet needs.
+static constexpr double UsualCpuShare = 0.25;
+static constexpr double UsualLinkMbps = 100;
+/// Nothing is done better by a node that is stronger than this many usual ones.
+static constexpr double MostStrength = 4;
+
+/// \return How much work a node's host can take, per cent of a usual one.
+static std::int64_t strengthOf(const GatewaySettings &S) {
+  double Least =
+      std::min(S.CpuShare / UsualCpuShare, S.LinkMbps / UsualLinkMbps);
+  return static_cast<std::int64_t>(100 * std::min(MostStrength, Least)) + 1;
+}
+
 Settings commonSettings(const GatewaySettings &S) {
   Settings Out;
+  Out.Strength = strengthOf(S);
   HostPort Caller = parseHostPort(S.CallerAddress).value_or(HostPort());
   HostPort Peer = parseHostPort(S.PeerAddress).value_or(HostPort());
   Out.NodeId = S.NodeId;
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -172,14 +172,16 @@
     if (Wanted)
       continue;
     auto Input = static_cast<std::size_t>(Needed);
-    Batches->free(R.Route->Stages[Input].Pool, R.Stages[Input].Handles);
+    Batches->free(R.Route->Stages[Input].Pool, R.Ask.RequestId,
+                  R.Stages[Input].Handles);
     R.Stages[Input].Handles.clear();
   }
 }
 
 void GatewayService::freeStages(ForwardRequest &R) {
   for (std::size_t I = 0; I < R.Stages.size(); ++I) {
-    Batches->free(R.Route->Stages[I].Pool, R.Stages[I].Handles);
+    Batches->free(R.Route->Stages[I].Pool, R.Ask.RequestId,
+                  R.Stages[I].Handles);
     R.Stages[I].Handles.clear();
   }
 }
--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -23,6 +23,7 @@
   State.Self.OperatorPort = static_cast<int>(S.OperatorPort);
   State.Self.PeerPort = static_cast<int>(S.PeerPort);
   State.Self.FailureDomain = S.FailureDomain;
+  State.Self.Strength = static_cast<std::uint32_t>(S.Strength);
   State.Self.Incarnation = Incarnation;
   State.Period = std::chrono::milliseconds(S.ProbePeriodMs);
   State.Timeout = std::chrono::milliseconds(S.ProbeTimeoutMs);
--- a/src/member_type.h
+++ b/src/member_type.h
@@ -29,8 +29,9 @@
   std::string FailureDomain;              ///< Where it runs.
   std::uint64_t Incarnation = 0;          ///< Raised only by the node itself.
   MemberState State = MemberState::Alive; ///< What is believed.
-  std::uint32_t Load = 0; ///< Requests in progress when it last spoke.
-  bool Unfit = false;     ///< Alive, but not to be given to callers.
+  std::uint32_t Load = 0;       ///< Requests in progress when it last spoke.
+  bool Unfit = false;           ///< Alive, but not to be given to callers.
+  std::uint32_t Strength = 100; ///< Of its host, per cent of a usual one.
 
   bool operator==(const MemberInfo &) const = default;
 };
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -35,8 +35,9 @@
   std::int64_t WatchersPerDomain = 2;   ///< Nodes watching the bundle.
   std::int64_t UpstreamSubset = 64;     ///< Upstreams used of each pool.
   std::int64_t DrainLimitMs = 60000;    ///< Longest graceful stop.
-  std::string LogLevelName = "info";    ///< Lowest level logged.
-  std::int64_t Seed = 0;                ///< Of random choices; 0: by the clock.
+  std::int64_t Strength = 100;       ///< Of its host, per cent of a usual one.
+  std::string LogLevelName = "info"; ///< Lowest level logged.
+  std::int64_t Seed = 0;             ///< Of random choices; 0: by the clock.
 };
 
 } // namespace fulmar
