One node of each failure domain reads the key-value service for the others

Change: nodes ask their domain's reader whether anything has changed (version, digest of the list, both with ages that count from the question); who hears of a change, or nothing for 650 ms, reads itself.

--- a/src/node_services.h
+++ b/src/node_services.h
@@ -21,6 +21,7 @@
 inline constexpr std::string_view Routes = "routes";
 inline constexpr std::string_view Upstreams = "upstreams";
 inline constexpr std::string_view Batches = "batches";
+inline constexpr std::string_view Vouch = "vouch";
 inline constexpr std::string_view Join = "join";
 inline constexpr std::string_view Relay = "relay";
 inline constexpr std::string_view Gateway = "gateway";
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -9,6 +9,7 @@
 #include "bundle_base.h"
 #include "ledger_type.h"
 #include "member_type.h"
+#include "vouch_type.h"
 
 namespace fulmar {
 
@@ -29,10 +30,10 @@
 };
 
 /// What a message is about.
-using PeerBody =
-    std::variant<MemberMessage, LedgerEntry, LedgerResult, BundleFetch,
-                 BundleDelta, DemandReport, DemandTotal, BatchAskMessage,
-                 BatchAnswerMessage, BatchReleaseMessage>;
+using PeerBody = std::variant<MemberMessage, LedgerEntry, LedgerResult,
+                              BundleFetch, BundleDelta, DemandReport,
+                              DemandTotal, BatchAskMessage, BatchAnswerMessage,
+                              BatchReleaseMessage, VouchAsk, VouchAnswer>;
 
 /// A message between nodes, with what every message says.
 struct PeerMessage {
--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -12,6 +12,12 @@
 /// configuration to be this much older than the loss, twice over. Keys of 5 s
 /// are accepted for 3.9 s: a node that was cut off 3 s ago still serves.
 static constexpr Duration FollowWait = std::chrono::milliseconds(400);
+/// Without word from a reader for this long, a node reads itself: two questions
+/// were lost, or the reader is gone.
+static constexpr Duration VouchPatience = std::chrono::milliseconds(650);
+/// A reader that has not confirmed its own version for this long has lost the
+/// service; who asks it looks for itself.
+static constexpr Duration MostVouchedAge = std::chrono::milliseconds(1100);
 /// Pause before a failed call is repeated, and how much it is spread: all
 /// nodes fail together when the service does, and must not return together.
 static constexpr Duration RetryPause = std::chrono::milliseconds(60);
@@ -24,6 +30,8 @@
 void RouteFeed::start() {
   Timers = &Services.find<TimerService>(service::Timers);
   Tree = &Services.find<KvTree>(service::Kv);
+  Readers = &Services.find<VouchService>(service::Vouch);
+  Readers->onVouch([this](const Vouch &Heard) { vouched(Heard); });
   read();
 }
 
@@ -53,10 +61,40 @@
     if (!Table)
       return retry("no configuration yet");
     freshnessConfirm(Fresh, Sent);
-    follow();
+    next();
   });
 }
 
+/// Goes on following, by the service itself or by a node that reads it.
+void RouteFeed::next() {
+  if (Readers->reads())
+    return follow();
+  Timers->cancel(Fallback);
+  Fallback = Timers->after(VouchPatience, [this] {
+    Fallback = TimerId{};
+    read();
+  });
+}
+
+/// Takes in what a reader knows. While it tells that nothing has changed, this
+/// node does not ask the service itself.
+void RouteFeed::vouched(const Vouch &Heard) {
+  // A read of our own is under way, or we follow the service ourselves.
+  if (Fallback == TimerId{} || !Table)
+    return;
+  if (Heard.Answer.ConfigAge > MostVouchedAge)
+    return;
+  if (Heard.Answer.ConfigVersion < Table->Version)
+    return;
+  if (Heard.Answer.ConfigVersion == Table->Version) {
+    freshnessConfirm(Fresh, Heard.AskedBoot - Heard.Answer.ConfigAge);
+    return next();
+  }
+  Timers->cancel(Fallback);
+  Fallback = TimerId{};
+  read();
+}
+
 void RouteFeed::follow() {
   Duration Sent = EventLoop::bootClock();
   Tree->follow(Wire.routesKey(), Revision, FollowWait,
@@ -78,7 +116,7 @@
                      take(Item.Value);
                  }
                  freshnessConfirm(Fresh, Sent);
-                 follow();
+                 next();
                });
 }
 
--- a/src/route_feed.h
+++ b/src/route_feed.h
@@ -9,6 +9,7 @@
 #include "kernel.h"
 #include "kv_tree.h"
 #include "timer_base.h"
+#include "vouch_service.h"
 #include "wire_format.h"
 
 namespace fulmar {
@@ -36,6 +37,8 @@
 private:
   void read();
   void follow();
+  void next();
+  void vouched(const Vouch &Heard);
   void retry(const std::string &Why);
   void heard();
   void take(const std::string &Value);
@@ -49,6 +52,8 @@
   RouteTablePtr Table;                        ///< In force.
   Freshness Fresh;                            ///< Its age.
   std::uint64_t Revision = 0;                 ///< Changes up to it are known.
+  VouchService *Readers = nullptr;            ///< Tells what others read.
+  TimerId Fallback;                           ///< Reads when nobody tells.
   int Failures = 0;                           ///< Calls in a row that failed.
   std::vector<std::function<void()>> Changes; ///< Subscribers.
 };
--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -3,12 +3,15 @@
 
 #include "log_func.h"
 #include "node_services.h"
+#include "vouch_func.h"
 
 namespace fulmar {
 
 /// Between two reads. An upstream that leaves must get nothing new 2 s after
 /// its entry says so; the rest is for a read that is slow.
 static constexpr Duration ReadPeriod = std::chrono::milliseconds(900);
+/// A reader whose list is older than this has lost the service.
+static constexpr Duration MostVouchedAge = std::chrono::milliseconds(1300);
 /// Before a failed read is repeated.
 static constexpr Duration RetryPause = std::chrono::milliseconds(150);
 /// Each pause varies by this part, so that nodes do not read together.
@@ -20,6 +23,8 @@
 void UpstreamFeed::start() {
   Timers = &Services.find<TimerService>(service::Timers);
   Tree = &Services.find<KvTree>(service::Kv);
+  Readers = &Services.find<VouchService>(service::Vouch);
+  Readers->onVouch([this](const Vouch &Heard) { vouched(Heard); });
   read();
 }
 
@@ -31,12 +36,31 @@
     else if (Failures++ == 0)
       logEvent(LogLevel::Warning, "upstream_list_lost",
                {{"why", Found.Why}, {"listed", Book.Entries.size()}});
-    double Factor = 1 - Spread / 2 + Spread * randomUnit(Rng);
-    Duration Pause = Good ? ReadPeriod : RetryPause;
-    Timers->after(fromMs(toMs(Pause) * Factor), [this] { read(); });
+    readAfter(Good ? ReadPeriod : RetryPause);
   });
 }
 
+void UpstreamFeed::readAfter(Duration Pause) {
+  double Factor = 1 - Spread / 2 + Spread * randomUnit(Rng);
+  Timers->cancel(NextRead);
+  NextRead = Timers->after(fromMs(toMs(Pause) * Factor), [this] {
+    NextRead = TimerId{};
+    read();
+  });
+}
+
+/// Takes in what a reader knows. While its list is ours, and it was read
+/// lately, this node need not read it.
+void UpstreamFeed::vouched(const Vouch &Heard) {
+  if (NextRead == TimerId{} || !Book.Known ||
+      Heard.Answer.ListAge > MostVouchedAge)
+    return;
+  if (Heard.Answer.ListDigest != bookDigest(Book))
+    return readAfter(Duration::zero());
+  Book.ReadAt = std::max(Book.ReadAt, Heard.AskedAt - Heard.Answer.ListAge);
+  readAfter(ReadPeriod);
+}
+
 void UpstreamFeed::answered(const KvItems &Found) {
   if (Failures > 0)
     logEvent(LogLevel::Info, "upstream_list_regained",
--- a/src/upstream_feed.h
+++ b/src/upstream_feed.h
@@ -9,6 +9,7 @@
 #include "kv_tree.h"
 #include "timer_base.h"
 #include "upstream_book.h"
+#include "vouch_service.h"
 #include "wire_format.h"
 
 namespace fulmar {
@@ -28,16 +29,20 @@
 
 private:
   void read();
+  void readAfter(Duration Pause);
+  void vouched(const Vouch &Heard);
   void answered(const KvItems &Found);
   void logChanges(const std::map<std::string, UpstreamEntry> &Before) const;
 
-  Kernel &Services;                           ///< Finds the others.
-  const WireFormat &Wire;                     ///< Reads entries.
-  Random Rng;                                 ///< Spreads reads.
-  TimerService *Timers = nullptr;             ///< Time.
-  KvTree *Tree = nullptr;                     ///< The key-value service.
-  UpstreamBook Book;                          ///< What is listed.
-  int Failures = 0;                           ///< Reads in a row that failed.
+  Kernel &Services;                ///< Finds the others.
+  const WireFormat &Wire;          ///< Reads entries.
+  Random Rng;                      ///< Spreads reads.
+  TimerService *Timers = nullptr;  ///< Time.
+  KvTree *Tree = nullptr;          ///< The key-value service.
+  UpstreamBook Book;               ///< What is listed.
+  VouchService *Readers = nullptr; ///< Tells what others read.
+  TimerId NextRead;                ///< Of our own; none: one is under way.
+  int Failures = 0;                ///< Reads in a row that failed.
   std::vector<std::function<void()>> Changes; ///< Subscribers.
 };
 
--- /dev/null
+++ b/src/vouch.cpp
@@ -0,0 +1,50 @@
+/// \file vouch.cpp Which nodes read the key-value service for the others.
+#include <algorithm>
+
+#include "core/hash.h"
+#include "member_func.h"
+#include "vouch_func.h"
+
+namespace fulmar {
+
+/// Chooses the same readers on every node of a failure domain.
+static constexpr std::uint64_t ReaderKey = 0x7265616465722e31;
+
+std::string chooseReader(const Membership &M) {
+  std::vector<std::pair<std::uint64_t, std::string>> Nodes;
+  auto Consider = [&](const MemberInfo &Info) {
+    if (memberServes(Info.State) && !Info.Unfit &&
+        Info.FailureDomain == M.Self.FailureDomain)
+      Nodes.emplace_back(rendezvousWeight(ReaderKey, Info.Id), Info.Id);
+  };
+  Consider(M.Self);
+  for (const auto &[Id, Other] : M.Members)
+    Consider(Other.Info);
+  std::sort(Nodes.rbegin(), Nodes.rend());
+  std::size_t Readers = 1 + Nodes.size() / NodesPerReader;
+  if (Nodes.size() > Readers)
+    Nodes.resize(Readers);
+  std::string Best = M.Self.Id;
+  std::uint64_t BestWeight = 0;
+  for (const auto &[Rank, Id] : Nodes) {
+    if (Id == M.Self.Id)
+      return Id;
+    std::uint64_t Weight = rendezvousWeight(hash64(M.Self.Id), Id);
+    if (Weight < BestWeight)
+      continue;
+    BestWeight = Weight;
+    Best = Id;
+  }
+  return Best;
+}
+
+std::uint64_t bookDigest(const UpstreamBook &Book) {
+  std::string Text;
+  for (const auto &[Instance, Entry] : Book.Entries) {
+    Text += Instance + '\n' + Entry.Pool + '\n' + Entry.Address + '\n' +
+            Entry.FailureDomain + (Entry.Leaving ? "\n1\n" : "\n0\n");
+  }
+  return hash64(Text);
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/vouch_service.cpp
@@ -0,0 +1,67 @@
+/// \file vouch_service.cpp Asks another node whether anything has changed.
+#include "vouch_service.h"
+
+#include "event_loop.h"
+#include "member_service.h"
+#include "node_services.h"
+#include "peer_service.h"
+#include "route_feed.h"
+#include "upstream_feed.h"
+#include "vouch_func.h"
+
+namespace fulmar {
+
+/// Between two questions. With the reader's own pause of 900 ms between reads,
+/// a change is known everywhere after 1.3 s at most.
+static constexpr Duration AskPeriod = std::chrono::milliseconds(300);
+
+void VouchService::start() {
+  Timers = &Services.find<TimerService>(service::Timers);
+  Members = &Services.find<MemberService>(service::Members);
+  Peers = &Services.find<PeerService>(service::Peers);
+  Routes = &Services.find<RouteFeed>(service::Routes);
+  Upstreams = &Services.find<UpstreamFeed>(service::Upstreams);
+  Peers->on<VouchAsk>([this](const PeerMessage &From, const VouchAsk &Asked) {
+    Peers->sendTo(From.Sender, ownAnswer(Asked.Nonce));
+  });
+  Peers->on<VouchAnswer>(
+      [this](const PeerMessage &, const VouchAnswer &Answer) {
+        if (Answer.Nonce != Nonce)
+          return; // The answer to an earlier question is too old to use.
+        for (const VouchFn &Fn : Hear)
+          Fn(Vouch{AskedBoot, AskedAt, Answer});
+      });
+  Timers->every(AskPeriod, [this] { ask(); });
+}
+
+bool VouchService::reads() const {
+  return !Members->settled() ||
+         chooseReader(Members->state()) == Members->state().Self.Id;
+}
+
+void VouchService::ask() {
+  if (!Members->settled())
+    return;
+  std::string Reader = chooseReader(Members->state());
+  if (Reader == Members->state().Self.Id)
+    return;
+  ++Nonce;
+  AskedBoot = EventLoop::bootClock();
+  AskedAt = Timers->now();
+  Peers->sendTo(Reader, VouchAsk{Nonce});
+}
+
+VouchAnswer VouchService::ownAnswer(std::uint64_t Asked) const {
+  constexpr Duration Never = std::chrono::hours(1);
+  VouchAnswer Out;
+  Out.Nonce = Asked;
+  if (Routes->table())
+    Out.ConfigVersion = Routes->table()->Version;
+  Out.ConfigAge = Routes->age().value_or(Never);
+  const UpstreamBook &Book = Upstreams->book();
+  Out.ListDigest = bookDigest(Book);
+  Out.ListAge = Book.Known ? Timers->now() - Book.ReadAt : Never;
+  return Out;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/vouch_service.h
@@ -0,0 +1,59 @@
+/// \file vouch_service.h Asks another node whether anything has changed.
+#ifndef FULMARSTEP_VOUCH_SERVICE_H
+#define FULMARSTEP_VOUCH_SERVICE_H
+
+#include <functional>
+
+#include "kernel.h"
+#include "timer_base.h"
+#include "vouch_type.h"
+
+namespace fulmar {
+
+class MemberService;
+class PeerService;
+class RouteFeed;
+class UpstreamFeed;
+
+/// An answer, with when it was asked for.
+struct Vouch {
+  Duration AskedBoot{}; ///< Boot-time clock, when the question was sent.
+  TimePoint AskedAt{};  ///< The same on the monotonic clock.
+  VouchAnswer Answer;   ///< What the reader knows. Its ages count from when it
+                        ///< answered, which is later: taken from the question
+                        ///< on, they are never too small.
+};
+
+/// Lets most nodes follow the key-value service through one that reads it.
+class VouchService : public Service {
+public:
+  using VouchFn = std::function<void(const Vouch &)>;
+
+  explicit VouchService(Kernel &K) : Services(K) {}
+
+  void start() override;
+
+  /// Calls \p Fn with each answer.
+  void onVouch(VouchFn Fn) { Hear.push_back(std::move(Fn)); }
+  /// \return Whether this node reads for itself.
+  bool reads() const;
+
+private:
+  void ask();
+  VouchAnswer ownAnswer(std::uint64_t Nonce) const;
+
+  Kernel &Services;                  ///< Finds the others.
+  TimerService *Timers = nullptr;    ///< Time.
+  MemberService *Members = nullptr;  ///< Knows the readers.
+  PeerService *Peers = nullptr;      ///< Carries messages.
+  RouteFeed *Routes = nullptr;       ///< What this node knows.
+  UpstreamFeed *Upstreams = nullptr; ///< What this node knows.
+  std::uint64_t Nonce = 0;           ///< Of the latest question.
+  Duration AskedBoot{};              ///< When it was sent.
+  TimePoint AskedAt{};               ///< When it was sent.
+  std::vector<VouchFn> Hear;         ///< Subscribers.
+};
+
+} // namespace fulmar
+
+#endif
--- /dev/null
+++ b/src/vouch_type.h
@@ -0,0 +1,27 @@
+/// \file vouch_type.h What one node can tell another of the key-value service.
+#ifndef FULMARSTEP_VOUCH_TYPE_H
+#define FULMARSTEP_VOUCH_TYPE_H
+
+#include <cstdint>
+
+#include "core/time_type.h"
+
+namespace fulmar {
+
+/// Ask a node what it knows.
+struct VouchAsk {
+  std::uint64_t Nonce = 0; ///< Comes back in the answer.
+};
+
+/// What it knows.
+struct VouchAnswer {
+  std::uint64_t Nonce = 0;         ///< As in the question.
+  std::uint64_t ConfigVersion = 0; ///< In force there; 0: none.
+  Duration ConfigAge{};            ///< Since it was sure to be the newest.
+  std::uint64_t ListDigest = 0;    ///< Of the listed upstreams.
+  Duration ListAge{};              ///< Since they were read.
+};
+
+} // namespace fulmar
+
+#endif
