Parts of a pool have like shares of upstreams and of requests

Cause: 15 upstreams were dealt out 9 to 6, requests half and half; the smaller part had 1,714 pieces waiting.

Change: upstreams are dealt out in one order, requests in proportion.

--- a/src/batch_home.cpp
+++ b/src/batch_home.cpp
@@ -24,8 +24,11 @@
   return Part == 0 ? Pool : Pool + "#" + std::to_string(Part);
 }
 
-std::size_t batchPartOf(const std::string &RequestId, std::size_t Parts) {
-  return Parts <= 1 ? 0 : hash64(RequestId) % Parts;
+std::size_t batchPartOf(const std::string &RequestId, std::size_t Upstreams) {
+  std::size_t Parts = batchParts(Upstreams);
+  // Upstreams are dealt to the parts in turn, the one at an index to the part
+  // of that index modulo the number of parts.
+  return Parts <= 1 ? 0 : hash64(RequestId) % Upstreams % Parts;
 }
 
 std::string batchHome(const Membership &M, const std::string &Pool,
--- a/src/batch_home.h
+++ b/src/batch_home.h
@@ -23,8 +23,9 @@
 /// \return The name of one part of a pool.
 std::string batchPartName(const std::string &Pool, std::size_t Part);
 
-/// \return The part that serves a request.
-std::size_t batchPartOf(const std::string &RequestId, std::size_t Parts);
+/// \return The part of a pool of \p Upstreams that serves a request; parts get
+/// requests in proportion to their upstreams.
+std::size_t batchPartOf(const std::string &RequestId, std::size_t Upstreams);
 
 /// Chooses the node that forms the calls for \p Pool.
 ///
--- a/src/batch_relay.cpp
+++ b/src/batch_relay.cpp
@@ -149,7 +149,7 @@
 /// \return The part of a pool that serves a request.
 std::string BatchRelay::partFor(const std::string &Pool,
                                 const std::string &RequestId) const {
-  return batchPartName(Pool, batchPartOf(RequestId, Pools->parts(Pool)));
+  return batchPartName(Pool, batchPartOf(RequestId, Pools->size(Pool)));
 }
 
 void BatchRelay::free(const std::string &Service, const std::string &RequestId,
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -2,6 +2,9 @@
 /// batches.
 #include "batch_service.h"
 
+#include <algorithm>
+#include <tuple>
+
 #include "batch_home.h"
 #include "log_func.h"
 #include "loop_service.h"
@@ -42,28 +45,30 @@
   for (const ServiceSpec &Spec : Table.Services) {
     if (!Spec.Batch)
       continue;
-    const std::vector<UpstreamEntry> &All = ByPool[Spec.Name];
+    std::vector<UpstreamEntry> &All = ByPool[Spec.Name];
+    std::sort(All.begin(), All.end(),
+              [](const UpstreamEntry &A, const UpstreamEntry &B) {
+                return std::tie(A.FailureDomain, A.Instance) <
+                       std::tie(B.FailureDomain, B.Instance);
+              });
     // A pool that has shrunk keeps its parts: asks in progress are theirs.
-    std::size_t &Count = Parts[Spec.Name];
-    Count = batchParts(All.size());
+    std::size_t Count = batchParts(All.size());
+    Sizes[Spec.Name] = All.size();
     for (std::size_t Part = 0; Part < Count; ++Part)
       updatePart(Spec, All, Part, Count, Allowance);
   }
 }
 
 /// Brings one part of a pool up to date. Parts take turns in the order of the
-/// upstreams' names, which is the same on every node, and apart within each
-/// failure domain, so that each part has upstreams in all of them.
+/// upstreams' failure domains and names, which is the same on every node: each
+/// has upstreams in all domains, and none has two more than another.
 void BatchService::updatePart(const ServiceSpec &Spec,
                               const std::vector<UpstreamEntry> &All,
                               std::size_t Part, std::size_t Count,
                               const RetryAllowance &Allowance) {
-  std::map<std::string, std::size_t> Turn;
   std::vector<UpstreamEntry> Mine;
-  for (const UpstreamEntry &Entry : All) {
-    if (Turn[Entry.FailureDomain]++ % Count == Part)
-      Mine.push_back(Entry);
-  }
+  for (std::size_t I = Part; I < All.size(); I += Count)
+    Mine.push_back(All[I]);
   std::string Name = batchPartName(Spec.Name, Part);
   BatchPool &P = Pools[Name];
   P.Name = Name;
@@ -75,9 +80,9 @@
   perform(P, Out);
 }
 
-std::size_t BatchService::parts(const std::string &Pool) const {
-  auto Found = Parts.find(Pool);
-  return Found == Parts.end() ? 1 : Found->second;
+std::size_t BatchService::size(const std::string &Pool) const {
+  auto Found = Sizes.find(Pool);
+  return Found == Sizes.end() ? 0 : Found->second;
 }
 
 BatchTicket BatchService::ask(const std::string &Pool, const BatchAsk &Ask,
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -43,8 +43,8 @@
               const std::map<std::string, UpstreamEntry> &Listed,
               const RetryAllowance &Allowance);
 
-  /// \return Into how many parts a pool is divided.
-  std::size_t parts(const std::string &Pool) const;
+  /// \return How many upstreams a pool has.
+  std::size_t size(const std::string &Pool) const;
 
   /// \return The pools, for status and metrics.
   const std::map<std::string, BatchPool> &pools() const { return Pools; }
@@ -75,7 +75,7 @@
   TimerService *Timers = nullptr;           ///< Time.
   HttpClient *Client = nullptr;             ///< Makes calls.
   std::map<std::string, BatchPool> Pools;   ///< By name.
-  std::map<std::string, std::size_t> Parts; ///< Of each pool.
+  std::map<std::string, std::size_t> Sizes; ///< Of each pool.
   std::map<BatchTicket, Waiter> Waiters;    ///< By ticket.
   std::map<std::pair<std::string, BatchAskId>, BatchTicket> Tickets; ///< Back.
   std::map<std::string, std::vector<std::string>> Frees; ///< By address.
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -340,3 +340,25 @@
     CHECK(batchHome(M, "pool", {}) != Home);
   }
 }
+
+SCENARIO("a pool with many upstreams is divided") {
+  // Symptom: one part of a pool has 1,700 pieces waiting, another none.
+  // Sequence: 15 upstreams in three failure domains are dealt out anew in each
+  // domain; nine go to the first part, six to the second; requests go to both
+  // alike.
+  // Cause: parts of unlike size with like shares of the requests.
+  CHECK(batchParts(5) == 1);
+  CHECK(batchParts(15) == 2);
+  CHECK(batchParts(17) == 3);
+  for (std::size_t Upstreams : {9, 15, 17}) {
+    std::vector<int> Requests(batchParts(Upstreams));
+    std::vector<int> Members(batchParts(Upstreams));
+    for (std::size_t I = 0; I < Upstreams; ++I)
+      ++Members[I % Members.size()];
+    for (int I = 0; I < 10000; ++I)
+      ++Requests[batchPartOf("r" + std::to_string(I), Upstreams)];
+    for (std::size_t Part = 0; Part < Members.size(); ++Part)
+      CHECK(Requests[Part] / static_cast<double>(Members[Part]) ==
+            Approx(10000.0 / static_cast<double>(Upstreams)).epsilon(0.06));
+  }
+}
