--- a/src/cli/cli_type.h
+++ b/src/cli/cli_type.h
@@ -37,6 +37,7 @@
 ExitCode runDemoCommand(const Words &);
 ExitCode runStandin(const Words &);
 ExitCode runBench(const Words &);
+ExitCode runExplain(const Words &);
 ExitCode runHelp(const Words &);
 
 } // namespace fulmar
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -59,6 +59,11 @@
       "svg",      "leave_share", "nodes",       "token",  "kv",    "key",
       "signer",   "changes",     "interval_ms", "poll_ms"},
      runBench},
+    {"explain",
+     "REQUEST_ID < LOGS",
+     "Print what the logs of all nodes say about one request, in order.",
+     {},
+     runExplain},
     {"help", "[settings|bundle|codes]", "Print reference pages.", {}, runHelp},
 };
 
--- a/src/gateway_plan.cpp
+++ b/src/gateway_plan.cpp
@@ -19,6 +19,9 @@
 /// back for less than the second.
 static constexpr Duration HoldMargin = std::chrono::milliseconds(120);
 static constexpr Duration HoldLeast = std::chrono::milliseconds(40);
+/// Results are used this much before their time is over; a call that waits at
+/// its upstream for a moment, and the way there.
+static constexpr Duration LifeMargin = std::chrono::milliseconds(300);
 /// Inputs of this size draw the work to where they are. A stage has several of
 /// them, and where it is done costs nothing.
 static constexpr double LargeInput = 20e3;
@@ -30,6 +33,30 @@
   return Index < R.Ask.Pieces.size() ? R.Ask.Pieces[Index] : 0;
 }
 
+/// \return How long results of a pool are kept.
+Duration GatewayService::resultLife(const ForwardRequest &R,
+                                    const std::string &Pool) const {
+  const ServiceSpec *Service = findService(*R.Table, Pool);
+  if (!Service || !Service->Batch || Service->Batch->ResultLife <= LifeMargin)
+    return std::chrono::hours(1);
+  return Service->Batch->ResultLife - LifeMargin;
+}
+
+/// \return Until when a stage's inputs can be read. Work that begins later
+/// finds them gone, and everything before it was for nothing.
+TimePoint GatewayService::inputsLast(const ForwardRequest &R,
+                                     std::size_t Index) const {
+  TimePoint Last = TimePoint::max();
+  for (int Needed : R.Route->Stages[Index].After) {
+    auto Input = static_cast<std::size_t>(Needed);
+    if (R.Stages[Input].Handles.empty())
+      continue;
+    Last = std::min(Last, R.Stages[Input].DoneAt +
+                              resultLife(R, R.Route->Stages[Input].Pool));
+  }
+  return Last;
+}
+
 /// \return What a stage should take, its waiting included.
 Duration GatewayService::stageTime(const ForwardRequest &R,
                                    std::size_t Index) const {
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -32,6 +32,7 @@
   bool InputsRead = false; ///< It does not need the results of others more.
   bool Tight = false;      ///< Space for its results is scarce.
   TimePoint Asked{};       ///< When its pieces were asked for.
+  TimePoint DoneAt{};      ///< When its results came.
   std::vector<std::string> Handles; ///< Its results, until they are freed.
 };
 
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -70,6 +70,8 @@
   void askStage(ForwardRequest &R, std::size_t Index);
 
   // gateway_plan.cpp: what stages should take, when and where they are done.
+  Duration resultLife(const ForwardRequest &R, const std::string &Pool) const;
+  TimePoint inputsLast(const ForwardRequest &R, std::size_t Index) const;
   Duration stageTime(const ForwardRequest &R, std::size_t Index) const;
   Duration chainLeft(const ForwardRequest &R, std::size_t Index) const;
   Duration holdBack(const ForwardRequest &R, std::size_t Index) const;
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -104,6 +104,7 @@
                       Input.Handles.end());
     Ask.TellRead = Ask.TellRead || Input.Tight;
   }
+  Ask.Dead = std::min(Ask.Dead, inputsLast(R, Index) - Timers->now());
   Stage.Ticket = Batches->ask(
       Spec.Pool, Ask,
       [this, Serial = R.Serial, Index](const BatchResult &Result) {
@@ -149,6 +150,7 @@
   }
   Stage.State = StageState::Done;
   Stage.Handles = Result.Handles;
+  Stage.DoneAt = Timers->now();
   Stage.Tight = Result.Tight;
   RouteTimes &Route = timesOf(*R);
   smoothTime(Route.Stages[Index], Took);
--- a/tests/test_decisions.cpp
+++ b/tests/test_decisions.cpp
@@ -3,6 +3,8 @@
 
 #include "event_stream.h"
 #include "freshness.h"
+#include "log_func.h"
+#include "log_parse.h"
 #include "retry_window.h"
 #include "route_func.h"
 #include "upstream_book.h"
@@ -190,3 +192,30 @@
     CHECK(Second == Approx(100).margin(15));
   }
 }
+
+SCENARIO("a request is explained from the logs of all nodes") {
+  auto Line = [](const char *Node, const char *Time, const std::string &Text) {
+    return std::string(Node) + " time=" + Time + " level=INFO " + Text;
+  };
+  std::vector<std::string> Lines = {
+      Line("n2", "10:00:03",
+           logLine("request_done", {{"id", "r1"},
+                                    {"config", 7},
+                                    {"upstream", "1.2.3.4:5"},
+                                    {"failure", "a \"b\" c"}})),
+      "what is this",
+      Line("n2", "10:00:01", logLine("config_in_force", {{"version", 7}})),
+      Line("n1", "10:00:01", logLine("config_in_force", {{"version", 7}})),
+      Line("n2", "10:00:01", logLine("config_in_force", {{"version", 6}})),
+      Line("n2", "10:00:02", logLine("attempt_failed", {{"id", "r1"}})),
+      Line("n2", "10:00:02",
+           logLine("upstream_changed", {{"address", "1.2.3.4:5"}})),
+      Line("n2", "10:00:02", logLine("request_done", {{"id", "r2"}}))};
+  Explanation Found = explainRequest(Lines, "r1");
+  REQUIRE(Found.Own.size() == 2);
+  CHECK(Found.Own[0].value("event") == "attempt_failed");
+  CHECK(Found.Own[1].value("failure") == "a \"b\" c");
+  CHECK(Found.Own[1].Source == "n2");
+  CHECK(Found.Context.size() == 2);
+  CHECK(Found.Unreadable == std::vector<int>{2});
+}
