A second try of all stages where inputs would be gone; repeats by fleet size; adapter tests

Change: all stages once more while the client waits for longer than they should take; a node that has a reader waits the longer the larger the fleet is.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -319,6 +319,7 @@
                                   : urgency(*A.second) < urgency(*B.second);
       });
   std::vector<BatchJob *> Order;
+  Order.reserve(Ranked.size());
   for (const auto &[Rank, Job] : Ranked)
     Order.push_back(Job);
   return Order;
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -78,6 +78,7 @@
   Duration expectedPath(const ForwardRequest &R) const;
   std::string bestDomain(const ForwardRequest &R, std::size_t Index);
   std::string domainOfInputs(const ForwardRequest &R, std::size_t Index) const;
+  bool mayRedo(const ForwardRequest &R, std::size_t Index, BatchEnd End) const;
   void stageEnded(RequestSerial Serial, std::size_t Index,
                   const BatchResult &Result);
   void freeInputsOf(ForwardRequest &R, std::size_t Index);
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -126,6 +126,19 @@
              : ResultCode::StageUnavailable;
 }
 
+/// \return Whether a stage that failed is a reason to begin all of them again:
+/// its inputs are gone, or would have been before its turn, and the client
+/// still waits for longer than the whole should take. Once only.
+bool GatewayService::mayRedo(const ForwardRequest &R, std::size_t Index,
+                             BatchEnd End) const {
+  if (R.StageRounds > 1 || R.Route->Stages[Index].After.empty())
+    return false;
+  if (End == BatchEnd::InputsGone)
+    return true;
+  return End == BatchEnd::Hopeless &&
+         Timers->now() + expectedPath(R) < R.FirstBy;
+}
+
 void GatewayService::stageEnded(RequestSerial Serial, std::size_t Index,
                                 const BatchResult &Result) {
   ForwardRequest *R = find(Serial);
@@ -144,7 +157,7 @@
               {"retry_in_ms", toMs(Result.RetryIn)}});
     Stage.State = StageState::Done;
     R->LastFailure = batchEndName(Result.End);
-    if (Result.End == BatchEnd::InputsGone && R->StageRounds == 1)
+    if (mayRedo(*R, Index, Result.End))
       return redoStages(*R);
     return finish(*R, stageCode(Result.End), Result.RetryIn);
   }
--- a/src/join_service.cpp
+++ b/src/join_service.cpp
@@ -1,6 +1,8 @@
 /// \file join_service.cpp Lets a process join its fleet.
 #include "join_service.h"
 
+#include <algorithm>
+
 #include "log_func.h"
 #include "member_service.h"
 #include "node_services.h"
@@ -21,6 +23,12 @@
 static constexpr Duration RetryPause = std::chrono::milliseconds(60);
 static constexpr Duration RetrySpread = std::chrono::milliseconds(120);
 
+/// After each so many failures in a row the pause is longer by one, up to the
+/// most: a short outage ends with all nodes back at once, a long one is not
+/// made longer by them.
+static constexpr int FailuresPerPause = 8;
+static constexpr int MostPauses = 4;
+
 void JoinService::start() {
   Timers = &Services.find<TimerService>(service::Timers);
   Tree = &Services.find<KvTree>(service::Kv);
@@ -35,7 +43,9 @@
   if (Failures++ == 0)
     logEvent(LogLevel::Warning, "join_delayed",
              {{"unknown", Why == KvStatus::Unknown ? 1 : 0}});
-  Duration Pause = RetryPause + fromMs(toMs(RetrySpread) * randomUnit(Rng));
+  int Factor = std::min(MostPauses, 1 + Failures / FailuresPerPause);
+  Duration Pause =
+      (RetryPause + fromMs(toMs(RetrySpread) * randomUnit(Rng))) * Factor;
   Timers->after(Pause, [this, Step] { (this->*Step)(); });
 }
 
--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -18,10 +18,9 @@
 /// A reader that has not confirmed its own version for this long has lost the
 /// service; who asks it looks for itself.
 static constexpr Duration MostVouchedAge = std::chrono::milliseconds(1100);
-/// Pause before a failed call is repeated, and how much it is spread: all
+/// Pause before a failed call is repeated, spread over twice as much again: all
 /// nodes fail together when the service does, and must not return together.
 static constexpr Duration RetryPause = std::chrono::milliseconds(60);
-static constexpr Duration RetrySpread = std::chrono::milliseconds(120);
 
 RouteFeed::RouteFeed(Kernel &K, const WireFormat &W, FreshnessBounds B,
                      std::uint64_t Seed)
@@ -133,8 +132,13 @@
              {{"why", Why},
               {"version", Table ? Table->Version : 0},
               {"age_ms", age() ? toMs(*age()) : -1}});
-  Duration Pause = RetryPause + fromMs(toMs(RetrySpread) * randomUnit(Rng));
-  Timers->after(Pause, [this] { read(); });
+  Duration Pause = RetryPause * Readers->retryFactor();
+  Duration Spread = fromMs(toMs(Pause) * 2 * randomUnit(Rng));
+  Timers->cancel(Fallback);
+  Fallback = Timers->after(Pause + Spread, [this] {
+    Fallback = TimerId{};
+    read();
+  });
 }
 
 void RouteFeed::take(const std::string &Value) {
--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -36,7 +36,7 @@
     else if (Failures++ == 0)
       logEvent(LogLevel::Warning, "upstream_list_lost",
                {{"why", Found.Why}, {"listed", Book.Entries.size()}});
-    readAfter(Good ? ReadPeriod : RetryPause);
+    readAfter(Good ? ReadPeriod : RetryPause * Readers->retryFactor());
   });
 }
 
--- a/src/vouch_service.cpp
+++ b/src/vouch_service.cpp
@@ -1,6 +1,8 @@
 /// \file vouch_service.cpp Asks another node whether anything has changed.
 #include "vouch_service.h"
 
+#include <algorithm>
+
 #include "event_loop.h"
 #include "member_service.h"
 #include "node_services.h"
@@ -15,6 +17,11 @@
 /// a change is known everywhere after 1.3 s at most.
 static constexpr Duration AskPeriod = std::chrono::milliseconds(300);
 
+/// A fleet waits once longer for so many nodes, up to the most: about two
+/// seconds between two calls of a node.
+static constexpr int NodesPerFactor = 10;
+static constexpr int MostFactor = 12;
+
 void VouchService::start() {
   Timers = &Services.find<TimerService>(service::Timers);
   Members = &Services.find<MemberService>(service::Members);
@@ -39,6 +46,13 @@
          chooseReader(Members->state()) == Members->state().Self.Id;
 }
 
+int VouchService::retryFactor() const {
+  if (reads())
+    return 1;
+  auto Nodes = static_cast<int>(Members->ids().size());
+  return std::clamp(Nodes / NodesPerFactor, 1, MostFactor);
+}
+
 void VouchService::ask() {
   if (!Members->settled())
     return;
--- a/src/vouch_service.h
+++ b/src/vouch_service.h
@@ -37,6 +37,11 @@
   void onVouch(VouchFn Fn) { Hear.push_back(std::move(Fn)); }
   /// \return Whether this node reads for itself.
   bool reads() const;
+  /// \return How many times longer than alone this node waits before it repeats
+  /// a failed call. Who has a reader hears from it when the service is back;
+  /// all nodes of a large fleet that keep trying would be an outage of their
+  /// own.
+  int retryFactor() const;
 
 private:
   void ask();
--- /dev/null
+++ b/tests/test_platform.cpp
@@ -0,0 +1,256 @@
+/// \file test_platform.cpp The adapter to the users' platform.
+#include <catch2/catch.hpp>
+
+#include "gateway_settings_func.h"
+#include "gateway_world.h"
+#include "log_budget.h"
+#include "member_func.h"
+#include "route_func.h"
+#include "vouch_func.h"
+
+using namespace fulmar;
+using platform::StoreMode;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A store and a client before it.
+struct StoreWorld {
+  TimerService Timers;
+  EventLoop Loop{Timers};
+  platform::StandinStore Store{Loop, Timers, "127.0.0.1", 0};
+  HttpClient Http{Loop};
+  platform::Store Client{Http, Store.address()};
+
+  KvItems range(const std::string &Prefix) {
+    std::optional<KvItems> Got;
+    Client.range(Prefix, [&](const KvItems &Found) { Got = Found; });
+    runUntil(Loop, [&] { return Got.has_value(); });
+    return Got.value_or(KvItems());
+  }
+
+  KvStatus cas(const std::string &Key, const std::string &Value,
+               std::uint64_t Index) {
+    std::optional<KvStatus> Got;
+    Client.cas(Key, Value, Index, [&](KvStatus Status) { Got = Status; });
+    runUntil(Loop, [&] { return Got.has_value(); });
+    return Got.value_or(KvStatus::Invalid);
+  }
+
+  KvItems follow(const std::string &Prefix, std::uint64_t Revision,
+                 Duration Wait) {
+    std::optional<KvItems> Got;
+    Client.follow(Prefix, Revision, Wait,
+                  [&](const KvItems &Found) { Got = Found; });
+    runUntil(Loop, [&] { return Got.has_value(); });
+    return Got.value_or(KvItems());
+  }
+};
+
+/// An exchange with headers and nothing else.
+struct HeadOnly : HttpExchange {
+  void reply(int, std::string_view, const HttpHeaders &) override {}
+  void startStream(int, const HttpHeaders &,
+                   std::optional<std::uint64_t>) override {}
+  void sendChunk(std::string_view) override {}
+  void endStream() override {}
+  void abort() override {}
+  bool closed() const override { return false; }
+  std::size_t unsent() const override { return 0; }
+};
+
+} // namespace
+
+SCENARIO("the store's calls") {
+  StoreWorld W;
+  GIVEN("more keys than fit a page") {
+    for (int I = 0; I < 50; ++I)
+      W.Store.put("a/" + std::to_string(I), "v" + std::to_string(I));
+    W.Store.put("b/1", "other");
+    KvItems Found = W.range("a/");
+    CHECK(Found.Status == KvStatus::Ok);
+    CHECK(Found.Items.size() == 50);
+    CHECK(Found.Revision == 51);
+  }
+  GIVEN("conditions") {
+    CHECK(W.cas("k", "one", 0) == KvStatus::Ok);
+    CHECK(W.cas("k", "two", 0) == KvStatus::Conflict);
+    CHECK(W.cas("k", "two", 1) == KvStatus::Ok);
+    CHECK(W.Store.value("k") == "two");
+  }
+  GIVEN("a write whose answer is lost") {
+    W.Store.Mode = StoreMode::Losing;
+    THEN("nobody says that it was not done") {
+      CHECK(W.cas("k", "one", 0) == KvStatus::Unknown);
+      CHECK(W.Store.value("k") == "one");
+    }
+  }
+  GIVEN("a store that refuses") {
+    W.Store.Mode = StoreMode::Refusing;
+    CHECK(W.cas("k", "one", 0) == KvStatus::Unavailable);
+    CHECK(W.range("k").Status == KvStatus::Unavailable);
+  }
+  GIVEN("changes to wait for") {
+    W.Store.put("op/x", "one");
+    CHECK(W.follow("op/", 0, seconds(1)).Items.size() == 1);
+    CHECK(W.follow("op/", 1, milliseconds(30)).Items.empty());
+    W.Timers.after(milliseconds(30), [&] { W.Store.put("op/x", "two"); });
+    KvItems Found = W.follow("op/", 1, seconds(1));
+    REQUIRE(Found.Items.size() == 1);
+    CHECK(Found.Items[0].Value == "two");
+    W.Store.dropHistory();
+    CHECK(W.follow("op/", 1, seconds(1)).HistoryLost);
+  }
+  GIVEN("a lease") {
+    std::uint64_t Lease = 0;
+    W.Client.grant(milliseconds(80),
+                   [&](KvStatus, std::uint64_t Number) { Lease = Number; });
+    runUntil(W.Loop, [&] { return Lease != 0; });
+    std::uint64_t Revision = 0;
+    W.Client.putLeased("n", "me", Lease, [&](KvStatus, std::uint64_t Number) {
+      Revision = Number;
+    });
+    runUntil(W.Loop, [&] { return Revision != 0; });
+    CHECK(W.Store.value("n") == "me");
+    CHECK(runUntil(W.Loop, [&] { return W.Store.value("n").empty(); }));
+    std::optional<KvStatus> Renewed;
+    W.Client.renew(Lease, [&](KvStatus Status) { Renewed = Status; });
+    runUntil(W.Loop, [&] { return Renewed.has_value(); });
+    CHECK(Renewed == KvStatus::Conflict);
+  }
+}
+
+SCENARIO("the platform's messages are read into our types") {
+  platform::Wire Wire;
+  std::string Why;
+  GIVEN("a configuration") {
+    auto Table = Wire.readRoutes(
+        R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/a/",
+        "kind":"streaming","timeout_ms":12000,"target_latency_ms":1900,
+        "traffic_split":[{"service":"p","weight":9},{"service":"q",
+        "weight":1}],"attempts":2,"stages":[{"service":"s","after":[],
+        "bytes":8},{"service":"t","after":[0],"bytes":6}],
+        "session_affinity":true,"stream_resumption":true}],"services":[
+        {"name":"s","connection_limit":5,"pieces":{"batch":10,"call_ms":240.5,
+        "headroom_mb":1.5,"handle_s":4}}],"tenants":[{"name":"o","api_keys":
+        ["k"],"priority":3}],"unheard_of":1})",
+        Why);
+    REQUIRE(Table);
+    CHECK(Table->Version == 7);
+    const RouteSpec &Route = Table->Routes.at(0);
+    CHECK(Route.Targets.size() == 2);
+    CHECK_FALSE(Route.Stages[0].Final);
+    CHECK(Route.Stages[1].Final);
+    CHECK(Route.repeatable());
+    CHECK(findService(*Table, "s")->Batch->RoomBytes == 1.5e6);
+    CHECK(findOrganisation(*Table, "k")->Priority == 3);
+  }
+  GIVEN("configurations that make no sense") {
+    CHECK_FALSE(Wire.readRoutes("{", Why));
+    CHECK_FALSE(Wire.readRoutes(
+        R"({"routes":[{"name":"r","kind":"magic","service":"p"}]})", Why));
+    CHECK_FALSE(Wire.readRoutes(
+        R"({"routes":[{"name":"r","kind":"streaming","service":"p",
+        "stages":[{"service":"s","after":[4]}]}]})",
+        Why));
+    CHECK_FALSE(Why.empty());
+  }
+  GIVEN("a client's headers") {
+    HeadOnly Exchange;
+    Exchange.Headers = {{"host", "h:80"},
+                        {"x-request-id", "r1"},
+                        {"X-Deadline-Remaining-Milliseconds", "1500"},
+                        {"X-Token-Counts", "1460,80"},
+                        {"X-Prompt-Prefix", "a:800, b:410,c:250"},
+                        {"X-Pieces", "0,3"},
+                        {"Authorization", "Bearer key"},
+                        {"Last-Event-Id", "12"}};
+    ForwardAsk Ask = Wire.readAsk(Exchange);
+    CHECK(Ask.Host == "h");
+    CHECK(Ask.RequestId == "r1");
+    CHECK(Ask.Left == Duration(milliseconds(1500)));
+    CHECK(Ask.Prompt.size() == 3);
+    CHECK(Ask.Prompt[1].Tokens == 410);
+    CHECK(Ask.Pieces == std::vector<int>{0, 3});
+    CHECK(Ask.Key == "key");
+    CHECK(Ask.LastEvent == 12);
+  }
+  GIVEN("the answer to a call for pieces") {
+    HttpAnswer Answer;
+    Answer.Status = 200;
+    Answer.MaySent = true;
+    Answer.Body = R"({"items":[{"handle":"1.2.3.4:5/ab"},{"reason":"gone"},
+      {"reason":"room"},{"reason":"late"},{"reason":"error"}]})";
+    BatchCallResult Result = Wire.readBatch(Answer);
+    REQUIRE(Result.Pieces.size() == 5);
+    CHECK(Result.Pieces[0].End == PieceEnd::Done);
+    CHECK(Wire.handleAddress(Result.Pieces[0].Handle) == "1.2.3.4:5");
+    CHECK(Result.Pieces[1].End == PieceEnd::InputsGone);
+    CHECK(Result.Pieces[2].End == PieceEnd::NoRoom);
+    CHECK(Result.Pieces[3].End == PieceEnd::Late);
+    CHECK(Result.Pieces[4].End == PieceEnd::Failed);
+    Answer.Status = 503;
+    CHECK(Wire.readBatch(Answer).Effect == AttemptEffect::MayHaveRun);
+    Answer.Headers = {{"x-not-executed", "1"}};
+    CHECK(Wire.readBatch(Answer).Effect == AttemptEffect::SaidNotRun);
+  }
+}
+
+SCENARIO("an operator writes a forwarding node's settings") {
+  Diagnostics Wrong;
+  parseGatewaySettings(R"({"node_id": "n", "caller_address": "nowhere at all",
+    "grace": 3})",
+                       Wrong);
+  std::string All = formatDiagnostics("f", Wrong);
+  CHECK(All.find("caller_address") != std::string::npos);
+  CHECK(All.find("kv_address") != std::string::npos);
+  CHECK(All.find("grace_s") != std::string::npos);
+}
+
+SCENARIO("one node of a failure domain reads for the others") {
+  Membership M;
+  M.Self.Id = "n0";
+  M.Self.FailureDomain = "z0";
+  for (int I = 1; I < 12; ++I) {
+    std::string Id = "n" + std::to_string(I);
+    M.Members[Id].Info.Id = Id;
+    M.Members[Id].Info.FailureDomain = "z" + std::to_string(I % 3);
+  }
+  std::string Reader = chooseReader(M);
+  THEN("it is in the own domain, and all of them choose the same") {
+    std::string Domain =
+        Reader == "n0" ? "z0" : M.Members[Reader].Info.FailureDomain;
+    CHECK(Domain == "z0");
+    Membership Other = M;
+    Other.Self = M.Members["n3"].Info;
+    Other.Members.erase("n3");
+    Other.Members["n0"].Info = M.Self;
+    CHECK(chooseReader(Other) == Reader);
+  }
+  THEN("one that cannot read the service is not chosen") {
+    if (Reader == "n0")
+      M.Self.Unfit = true;
+    else
+      M.Members[Reader].Info.Unfit = true;
+    std::string Next = chooseReader(M);
+    CHECK((Next != Reader || Next == "n0"));
+  }
+  THEN("lists differ by what matters") {
+    UpstreamBook A;
+    A.Entries["i"] = {"i", "p", "1.2.3.4:5", "z0"};
+    UpstreamBook B = A;
+    CHECK(bookDigest(A) == bookDigest(B));
+    B.Entries["i"].Leaving = true;
+    CHECK(bookDigest(A) != bookDigest(B));
+  }
+}
+
+SCENARIO("the log is bounded") {
+  LogBudget B{10, 20, 20, TimePoint{seconds(1)}, 0};
+  int Written = 0;
+  for (int I = 0; I < 1000; ++I)
+    Written += logBudgetTake(B, TimePoint{seconds(1)} + milliseconds(I));
+  CHECK(Written <= 30);
+  CHECK(B.LeftOut == static_cast<std::uint64_t>(1000 - Written));
+}
