--- a/src/cli/cli_bench.cpp
+++ b/src/cli/cli_bench.cpp
@@ -128,11 +128,9 @@
 
 ExitCode runBench(const Words &Rest) {
   static const std::vector<std::pair<std::string, ExitCode (*)()>> Parts = {
-      {"load", benchLoad},
-      {"policy", benchPolicy},
-      {"rollout", benchRollout},
-      {"fleet", benchFleet},
-      {"overhead", benchOverhead}};
+      {"load", benchLoad},         {"policy", benchPolicy},
+      {"rollout", benchRollout},   {"fleet", benchFleet},
+      {"overhead", benchOverhead}, {"soak", runSoak}};
   for (const auto &[Name, Run] : Parts) {
     if (Rest.size() == 1 && Rest[0] == Name)
       return Run();
--- a/src/cli/cli_bench.h
+++ b/src/cli/cli_bench.h
@@ -22,6 +22,9 @@
 /// Reads running nodes' metrics twice and prints rates.
 ExitCode benchFleet();
 
+/// Runs the platform's side of a soak of real nodes, and checks what it saw.
+ExitCode runSoak();
+
 } // namespace fulmar
 
 #endif
--- /dev/null
+++ b/src/cli/cli_soak.cpp
@@ -0,0 +1,41 @@
+/// \file cli_soak.cpp `bench soak`: the platform's side of a soak.
+#include <iostream>
+
+#include <gflags/gflags.h>
+
+#include "cli/cli_bench.h"
+#include "cli/cli_blocking.h"
+#include "platform/standin/soak.h"
+#include "result_type.h"
+
+DECLARE_string(nodes);
+DECLARE_double(seconds);
+DECLARE_double(rate);
+DECLARE_uint64(seed);
+DECLARE_int32(kv_port);
+
+namespace fulmar {
+
+ExitCode runSoak() {
+  TimerService Timers;
+  EventLoop Loop(Timers);
+  platform::SoakPlan Plan;
+  Plan.Nodes = splitList(FLAGS_nodes);
+  Plan.ProxyPort = FLAGS_kv_port;
+  Plan.Seconds = FLAGS_seconds;
+  Plan.Rate = FLAGS_rate;
+  Plan.Seed = FLAGS_seed;
+  platform::Soak Run(Loop, Timers, Plan);
+  platform::SoakReport Report = Run.run();
+  std::cout << "seed " << Plan.Seed << ": sent " << Report.Sent << ", whole "
+            << Report.Whole << ", refused " << Report.Refused << ", lost "
+            << Report.Lost << ", faults " << Report.Faults << ", broken "
+            << Report.Broken.size() << "\n";
+  for (const std::string &Line : Report.Broken)
+    std::cout << "BROKEN " << Line << "\n";
+  if (!Report.Broken.empty())
+    throw Error(ResultCode::InvariantBroken, "a promise was broken");
+  return ExitCode::Good;
+}
+
+} // namespace fulmar
