Clean-up: batch in three files, one list splitter, one stop latch

Three copies of splitting a list at its commas became core/text.h, two copies of the handling of an early SIGTERM became cli_stop.h.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -1,5 +1,5 @@
 /// \file batch.cpp Forming calls out of the pieces of many requests.
-#include "batch_func.h"
+#include "batch_internal.h"
 
 #include <algorithm>
 #include <cassert>
@@ -26,27 +26,14 @@
 /// Part of an idle upstream's slowness that is forgotten in each tick: after
 /// some seconds it is worth another try, and would otherwise never get one.
 static constexpr double SlownessForgotten = 0.02;
-/// A call is given up at this many times the expected time, and not before
-/// the least: an upstream that is slow by a factor of eight still answers.
-static constexpr double GiveUpFactor = 8;
-static constexpr Duration GiveUpLeast = std::chrono::milliseconds(1500);
 /// A call that takes this many times its expected time has its pieces sent to
 /// another upstream too. Ordinary calls vary by a few per cent.
 static constexpr double HedgeFactor = 1.8;
-/// Each step of priority counts like this much later a due time. A pool that
-/// is full for a burst of six seconds turns away the least urgent first, but
-/// a request that has waited this long goes before a fresh urgent one.
-static constexpr Duration PriorityStep = std::chrono::milliseconds(150);
 /// An upstream that was idle reads a call's inputs before it works on it; their
 /// transfer takes a few ms. After this time they are taken to be read.
 static constexpr Duration ReadTime = std::chrono::milliseconds(50);
 /// Space for results counts as scarce in a pool above this part of it.
 static constexpr double TightShare = 0.55;
-/// Sizes of results are approximate; this part of an upstream's space is left
-/// for those that are larger.
-static constexpr double RoomShare = 0.92;
-/// Time for a call's way to the upstream and back.
-static constexpr Duration CallOverhead = std::chrono::milliseconds(5);
 
 static constexpr EnumNames<BatchEnd> EndNames = {
     "done",        "hopeless", "full",       "no_upstream",
@@ -54,25 +41,6 @@
 
 std::string_view batchEndName(BatchEnd End) { return nameIn(EndNames, End); }
 
-Duration batchCallTime(const BatchSpec &Spec, int Pieces) {
-  return Spec.CallTime + Spec.PieceTime * Pieces;
-}
-
-static bool usable(const BatchUpstream &U, TimePoint Now) {
-  return U.Listed && !U.Entry.Leaving && U.AvoidUntil <= Now;
-}
-
-static Duration expectedAt(const BatchPool &P, const BatchUpstream &U,
-                           int Pieces) {
-  return fromMs(toMs(batchCallTime(P.Spec, Pieces)) * U.Slowness) +
-         CallOverhead;
-}
-
-/// \return Where a job stands in the order of urgency; the lower, the earlier.
-static TimePoint urgency(const BatchJob &Job) {
-  return Job.Due + PriorityStep * Job.Ask.Priority;
-}
-
 /// \return Whether some upstream is short of space for results.
 static bool isTight(const BatchPool &P) {
   for (const auto &[Instance, U] : P.Upstreams) {
@@ -114,50 +82,6 @@
   P.Kept.erase(Found);
 }
 
-/// Work that goes before a job of this urgency, and how fast it is done.
-struct BacklogView {
-  double PiecesAhead = 0; ///< Waiting pieces that are more urgent.
-  double Upstreams = 0;   ///< Upstreams in use, slow ones counting less.
-  Duration NextFree{};    ///< Until the first of them is free.
-};
-
-static BacklogView viewBacklog(const BatchPool &P, TimePoint Urgency,
-                               TimePoint Now) {
-  BacklogView View;
-  for (const auto &[Id, Job] : P.Jobs) {
-    if (urgency(Job) <= Urgency)
-      View.PiecesAhead += Job.Waiting;
-  }
-  bool Any = false;
-  for (const auto &[Instance, U] : P.Upstreams) {
-    if (!usable(U, Now))
-      continue;
-    View.Upstreams += 1 / std::max(1.0, U.Slowness);
-    Duration Free = U.InFlight < P.Spec.Slots
-                        ? Duration::zero()
-                        : std::max(Duration::zero(), U.FreeAt - Now);
-    View.NextFree = Any ? std::min(View.NextFree, Free) : Free;
-    Any = true;
-  }
-  return View;
-}
-
-Duration batchExpected(const BatchPool &P, int Pieces, int Priority,
-                       TimePoint Due, TimePoint Now) {
-  BacklogView View = viewBacklog(P, Due + PriorityStep * Priority, Now);
-  if (View.Upstreams == 0)
-    return Duration::max();
-  // Calls go out full while pieces wait; the pool then ends one of them each
-  // full call's time over the number of upstreams.
-  double Full = toMs(batchCallTime(P.Spec, P.Spec.MaxPieces));
-  double CallsAhead = std::floor(View.PiecesAhead / P.Spec.MaxPieces);
-  double WaitMs = toMs(View.NextFree) + CallsAhead * Full / View.Upstreams;
-  int Mine =
-      std::min(P.Spec.MaxPieces,
-               Pieces + static_cast<int>(View.PiecesAhead) % P.Spec.MaxPieces);
-  return fromMs(WaitMs) + batchCallTime(P.Spec, Mine) + CallOverhead;
-}
-
 /// Refuses an ask at the door.
 static BatchAskId refuse(BatchPool &P, BatchEnd End, Duration RetryIn,
                          BatchActions &Out) {
@@ -186,209 +110,6 @@
   return Job;
 }
 
-/// A call that is being put together.
-struct CallDraft {
-  std::vector<BatchItem> Items; ///< Its pieces.
-  std::vector<double> Bytes;    ///< Space for each result.
-  int Most = 0;                 ///< Pieces at most.
-  double Room = 0;              ///< Space that is left, bytes.
-};
-
-/// Moves the waiting pieces of a job into a call, while there is room.
-static void takePieces(BatchPool &P, BatchJob &Job, CallDraft &Call,
-                       TimePoint Now) {
-  for (std::size_t I = 0; I < Job.Pieces.size(); ++I) {
-    BatchPiece &Piece = Job.Pieces[I];
-    if (Piece.State != PieceState::Waiting)
-      continue;
-    if (static_cast<int>(Call.Items.size()) >= Call.Most ||
-        Job.Ask.ResultBytes > Call.Room)
-      return;
-    Call.Room -= Job.Ask.ResultBytes;
-    if (Piece.Tries++ > 0) {
-      retryWindowRepeat(P.Repeats, Now);
-      ++P.Counts.Repeats;
-    }
-    Piece.State = PieceState::Running;
-    ++Piece.Sends;
-    ++Piece.Running;
-    --Job.Waiting;
-    Job.Ran = true;
-    Job.StartedAt = Now;
-    BatchItem Item;
-    Item.Ask = Job.Id;
-    Item.RequestId = Job.Ask.RequestId;
-    Item.Stage = Job.Ask.Stage;
-    Item.Piece = static_cast<int>(I);
-    Item.Key = Job.Ask.Key;
-    Item.Inputs = Job.Ask.Inputs;
-    Item.Left = Job.Dead - Now;
-    Call.Items.push_back(std::move(Item));
-    Call.Bytes.push_back(Job.Ask.ResultBytes);
-  }
-}
-
-/// \return Whether a job may wait for an upstream of its own failure domain:
-/// there is one, and the job would still be on time after the next full call.
-static bool mayWaitForDomain(const BatchPool &P, const BatchJob &Job,
-                             TimePoint Now) {
-  if (Job.Due < Now + batchCallTime(P.Spec, P.Spec.MaxPieces) * 2)
-    return false;
-  for (const auto &[Instance, U] : P.Upstreams) {
-    if (usable(U, Now) && U.Entry.FailureDomain == Job.Ask.Domain)
-      return true;
-  }
-  return false;
-}
-
-/// Fills a call for \p U: first with what is best made in its failure domain or
-/// may be made anywhere, then with what cannot wait. Large results that cross
-/// domains cost the network much more than a short wait costs the request.
-static void fillCall(BatchPool &P, const std::vector<BatchJob *> &Order,
-                     const BatchUpstream &U, bool Crowded, CallDraft &Call,
-                     TimePoint Now) {
-  for (BatchJob *Job : Order) {
-    if (Job->Ask.Domain.empty() || Job->Ask.Domain == U.Entry.FailureDomain)
-      takePieces(P, *Job, Call, Now);
-  }
-  for (BatchJob *Job : Order) {
-    if (Crowded || !mayWaitForDomain(P, *Job, Now))
-      takePieces(P, *Job, Call, Now);
-  }
-}
-
-/// Sends pieces to an upstream.
-static void sendCall(BatchPool &P, BatchUpstream &U,
-                     std::vector<BatchItem> Items, std::vector<double> Bytes,
-                     TimePoint Now, BatchActions &Out) {
-  BatchCallId Id{++P.LastCall};
-  BatchCall &Call = P.Calls[Id];
-  Call.Instance = U.Entry.Instance;
-  Call.Sent = Now;
-  int Size = static_cast<int>(Items.size());
-  Call.Expected = expectedAt(P, U, Size);
-  ++U.InFlight;
-  U.FreeAt = Now + Call.Expected;
-  for (double B : Bytes)
-    U.RoomUsed += B;
-  ++P.Counts.Calls;
-  P.Counts.Pieces += Items.size();
-  Call.Items = Items;
-  Call.Bytes = std::move(Bytes);
-  SendBatchAction Send;
-  Send.Call = Id;
-  Send.Address = U.Entry.Address;
-  Send.Instance = U.Entry.Instance;
-  Send.Items = std::move(Items);
-  Send.Timeout = std::max(
-      GiveUpLeast, fromMs(toMs(batchCallTime(P.Spec, Size)) * GiveUpFactor));
-  Out.push_back(std::move(Send));
-}
-
-/// Where a job stands among those that wait; the lower, the earlier.
-enum class WaitRank {
-  Begun,   ///< Some of its results are there already.
-  OnTime,  ///< Its request can still be on time.
-  Late,    ///< Its request will be late.
-  Count,   ///< Number of ranks.
-  Invalid, ///< Not a rank.
-};
-
-/// A job whose first pieces are done keeps space for them until the last one
-/// is. If others go first, the space of a whole pool fills with parts of
-/// requests that cannot go on: calls shrink to a third while hundreds of pieces
-/// wait. And a pool that is behind must not spend itself on requests that are
-/// late already, or it makes the next ones late too.
-static WaitRank rankOf(const BatchJob &Job, TimePoint OnTime) {
-  if (Job.Left < Job.Ask.Pieces || Job.Waiting < Job.Left)
-    return WaitRank::Begun;
-  return Job.Due < OnTime ? WaitRank::Late : WaitRank::OnTime;
-}
-
-/// \return Waiting jobs in the order in which they are sent.
-static std::vector<BatchJob *> waitingJobs(BatchPool &P, TimePoint Now) {
-  TimePoint OnTime = Now + batchCallTime(P.Spec, 1);
-  std::vector<std::pair<WaitRank, BatchJob *>> Ranked;
-  for (auto &[Id, Job] : P.Jobs) {
-    if (Job.Waiting > 0)
-      Ranked.emplace_back(rankOf(Job, OnTime), &Job);
-  }
-  std::stable_sort(
-      Ranked.begin(), Ranked.end(), [](const auto &A, const auto &B) {
-        return A.first != B.first ? A.first < B.first
-                                  : urgency(*A.second) < urgency(*B.second);
-      });
-  std::vector<BatchJob *> Order;
-  Order.reserve(Ranked.size());
-  for (const auto &[Rank, Job] : Ranked)
-    Order.push_back(Job);
-  return Order;
-}
-
-/// \return Whether pieces would rather wait for a busy upstream than go to
-/// \p U now: it is so slow that another ends them earlier.
-static bool betterToWait(const BatchPool &P, const BatchUpstream &U, int Pieces,
-                         TimePoint Now) {
-  TimePoint Here = Now + expectedAt(P, U, Pieces);
-  for (const auto &[Instance, Other] : P.Upstreams) {
-    if (&Other == &U || !usable(Other, Now))
-      continue;
-    TimePoint Start = std::max(Now, Other.FreeAt);
-    if (Other.InFlight < P.Spec.Slots)
-      Start = Now;
-    if (Start + expectedAt(P, Other, Pieces) < Here)
-      return Other.InFlight >= P.Spec.Slots;
-  }
-  return false;
-}
-
-/// \return Idle upstreams, the quickest first.
-static std::vector<BatchUpstream *> idleUpstreams(BatchPool &P, TimePoint Now) {
-  std::vector<BatchUpstream *> Idle;
-  for (auto &[Instance, U] : P.Upstreams) {
-    if (usable(U, Now) && U.InFlight < P.Spec.Slots)
-      Idle.push_back(&U);
-  }
-  std::stable_sort(Idle.begin(), Idle.end(),
-                   [](const BatchUpstream *A, const BatchUpstream *B) {
-                     return A->Slowness < B->Slowness;
-                   });
-  return Idle;
-}
-
-/// Sends what waits to whoever is free.
-static void pump(BatchPool &P, TimePoint Now, BatchActions &Out) {
-  std::vector<BatchUpstream *> Idle = idleUpstreams(P, Now);
-  if (Idle.empty())
-    return;
-  std::vector<BatchJob *> Order = waitingJobs(P, Now);
-  int Waiting = 0;
-  for (const BatchJob *Job : Order)
-    Waiting += Job->Waiting;
-  std::size_t Unused = Idle.size();
-  for (BatchUpstream *U : Idle) {
-    if (Waiting == 0)
-      return;
-    // A call costs as much as many pieces: with upstreams to spare, pieces are
-    // spread over them, but never into calls of less than half.
-    int Share = static_cast<int>(
-        (static_cast<std::size_t>(Waiting) + Unused - 1) / Unused);
-    --Unused;
-    int Most =
-        std::clamp(Share, std::max(1, P.Spec.MaxPieces / 2), P.Spec.MaxPieces);
-    if (betterToWait(P, *U, std::min(Most, Waiting), Now))
-      continue;
-    CallDraft Call;
-    Call.Most = Most;
-    Call.Room = P.Spec.RoomBytes * RoomShare - U->RoomUsed;
-    fillCall(P, Order, *U, Waiting > P.Spec.MaxPieces, Call, Now);
-    if (Call.Items.empty())
-      continue;
-    Waiting -= static_cast<int>(Call.Items.size());
-    sendCall(P, *U, std::move(Call.Items), std::move(Call.Bytes), Now, Out);
-  }
-}
-
 BatchAskId batchAsk(BatchPool &P, const BatchAsk &Ask, TimePoint Now,
                     BatchActions &Out) {
   assert(Ask.Pieces > 0);
@@ -402,7 +123,7 @@
   if (Expected > Ask.Dead)
     return refuse(P, BatchEnd::Hopeless, Expected - Ask.Dead, Out);
   BatchAskId Id = addJob(P, Ask, Now).Id;
-  pump(P, Now, Out);
+  batchPump(P, Now, Out);
   return Id;
 }
 
@@ -419,7 +140,7 @@
     ++P.Counts.Wasted;
   }
   P.Jobs.erase(Found);
-  pump(P, Now, Out);
+  batchPump(P, Now, Out);
 }
 
 /// Takes one result in.
@@ -544,7 +265,7 @@
                 Result.Effect == AttemptEffect::SaidNotRun && !Answered, Now,
                 Out);
   }
-  pump(P, Now, Out);
+  batchPump(P, Now, Out);
 }
 
 void batchFree(BatchPool &P, std::span<const std::string> Handles,
@@ -553,7 +274,7 @@
     releaseRoom(P, Handle);
     Out.push_back(FreeBatchAction{Handle});
   }
-  pump(P, Now, Out);
+  batchPump(P, Now, Out);
 }
 
 void batchUpstreams(BatchPool &P, std::span<const UpstreamEntry> Listed,
@@ -568,18 +289,18 @@
   std::erase_if(P.Upstreams, [](const auto &Item) {
     return !Item.second.Listed && Item.second.InFlight == 0;
   });
-  pump(P, Now, Out);
+  batchPump(P, Now, Out);
 }
 
 /// Gives up what is of no use any more, and what waits so far back that it
 /// will be of none when its turn comes: its client can come back meanwhile, and
 /// the work that its later stages would take goes to others.
 static void dropDead(BatchPool &P, TimePoint Now, BatchActions &Out) {
-  BacklogView View = viewBacklog(P, TimePoint::max(), Now);
+  BacklogView View = batchBacklog(P, TimePoint::max(), Now);
   double Full = toMs(batchCallTime(P.Spec, P.Spec.MaxPieces));
   double Ahead = 0;
   std::vector<std::pair<BatchAskId, Duration>> Hopeless;
-  for (const BatchJob *Job : waitingJobs(P, Now)) {
+  for (const BatchJob *Job : batchWaiting(P, Now)) {
     Ahead += Job->Waiting;
     double Calls = std::floor(Ahead / P.Spec.MaxPieces);
     double Wait =
@@ -660,7 +381,7 @@
   dropDead(P, Now, Out);
   hedge(P, Now);
   tellRead(P, Now, Out);
-  pump(P, Now, Out);
+  batchPump(P, Now, Out);
 }
 
 } // namespace fulmar
--- /dev/null
+++ b/src/batch_send.cpp
@@ -0,0 +1,179 @@
+/// \file batch_send.cpp Putting calls together and giving them to upstreams.
+#include "batch_internal.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fulmar {
+
+/// A call is given up at this many times the expected time, and not before
+/// the least: an upstream that is slow by a factor of eight still answers.
+static constexpr double GiveUpFactor = 8;
+static constexpr Duration GiveUpLeast = std::chrono::milliseconds(1500);
+/// Sizes of results are approximate; this part of an upstream's space is left
+/// for those that are larger.
+static constexpr double RoomShare = 0.92;
+
+/// A call that is being put together.
+struct CallDraft {
+  std::vector<BatchItem> Items; ///< Its pieces.
+  std::vector<double> Bytes;    ///< Space for each result.
+  int Most = 0;                 ///< Pieces at most.
+  double Room = 0;              ///< Space that is left, bytes.
+};
+
+/// Moves the waiting pieces of a job into a call, while there is room.
+static void takePieces(BatchPool &P, BatchJob &Job, CallDraft &Call,
+                       TimePoint Now) {
+  for (std::size_t I = 0; I < Job.Pieces.size(); ++I) {
+    BatchPiece &Piece = Job.Pieces[I];
+    if (Piece.State != PieceState::Waiting)
+      continue;
+    if (static_cast<int>(Call.Items.size()) >= Call.Most ||
+        Job.Ask.ResultBytes > Call.Room)
+      return;
+    Call.Room -= Job.Ask.ResultBytes;
+    if (Piece.Tries++ > 0) {
+      retryWindowRepeat(P.Repeats, Now);
+      ++P.Counts.Repeats;
+    }
+    Piece.State = PieceState::Running;
+    ++Piece.Sends;
+    ++Piece.Running;
+    --Job.Waiting;
+    Job.Ran = true;
+    Job.StartedAt = Now;
+    BatchItem Item;
+    Item.Ask = Job.Id;
+    Item.RequestId = Job.Ask.RequestId;
+    Item.Stage = Job.Ask.Stage;
+    Item.Piece = static_cast<int>(I);
+    Item.Key = Job.Ask.Key;
+    Item.Inputs = Job.Ask.Inputs;
+    Item.Left = Job.Dead - Now;
+    Call.Items.push_back(std::move(Item));
+    Call.Bytes.push_back(Job.Ask.ResultBytes);
+  }
+}
+
+/// \return Whether a job may wait for an upstream of its own failure domain:
+/// there is one, and the job would still be on time after the next full call.
+static bool mayWaitForDomain(const BatchPool &P, const BatchJob &Job,
+                             TimePoint Now) {
+  if (Job.Due < Now + batchCallTime(P.Spec, P.Spec.MaxPieces) * 2)
+    return false;
+  for (const auto &[Instance, U] : P.Upstreams) {
+    if (batchUsable(U, Now) && U.Entry.FailureDomain == Job.Ask.Domain)
+      return true;
+  }
+  return false;
+}
+
+/// Fills a call for \p U: first with what is best made in its failure domain or
+/// may be made anywhere, then with what cannot wait. Large results that cross
+/// domains cost the network much more than a short wait costs the request.
+static void fillCall(BatchPool &P, const std::vector<BatchJob *> &Order,
+                     const BatchUpstream &U, bool Crowded, CallDraft &Call,
+                     TimePoint Now) {
+  for (BatchJob *Job : Order) {
+    if (Job->Ask.Domain.empty() || Job->Ask.Domain == U.Entry.FailureDomain)
+      takePieces(P, *Job, Call, Now);
+  }
+  for (BatchJob *Job : Order) {
+    if (Crowded || !mayWaitForDomain(P, *Job, Now))
+      takePieces(P, *Job, Call, Now);
+  }
+}
+
+/// Sends pieces to an upstream.
+static void sendCall(BatchPool &P, BatchUpstream &U,
+                     std::vector<BatchItem> Items, std::vector<double> Bytes,
+                     TimePoint Now, BatchActions &Out) {
+  BatchCallId Id{++P.LastCall};
+  BatchCall &Call = P.Calls[Id];
+  Call.Instance = U.Entry.Instance;
+  Call.Sent = Now;
+  int Size = static_cast<int>(Items.size());
+  Call.Expected = batchExpectedAt(P, U, Size);
+  ++U.InFlight;
+  U.FreeAt = Now + Call.Expected;
+  for (double B : Bytes)
+    U.RoomUsed += B;
+  ++P.Counts.Calls;
+  P.Counts.Pieces += Items.size();
+  Call.Items = Items;
+  Call.Bytes = std::move(Bytes);
+  SendBatchAction Send;
+  Send.Call = Id;
+  Send.Address = U.Entry.Address;
+  Send.Instance = U.Entry.Instance;
+  Send.Items = std::move(Items);
+  Send.Timeout = std::max(
+      GiveUpLeast, fromMs(toMs(batchCallTime(P.Spec, Size)) * GiveUpFactor));
+  Out.push_back(std::move(Send));
+}
+
+/// \return Whether pieces would rather wait for a busy upstream than go to
+/// \p U now: it is so slow that another ends them earlier.
+static bool betterToWait(const BatchPool &P, const BatchUpstream &U, int Pieces,
+                         TimePoint Now) {
+  TimePoint Here = Now + batchExpectedAt(P, U, Pieces);
+  for (const auto &[Instance, Other] : P.Upstreams) {
+    if (&Other == &U || !batchUsable(Other, Now))
+      continue;
+    TimePoint Start = std::max(Now, Other.FreeAt);
+    if (Other.InFlight < P.Spec.Slots)
+      Start = Now;
+    if (Start + batchExpectedAt(P, Other, Pieces) < Here)
+      return Other.InFlight >= P.Spec.Slots;
+  }
+  return false;
+}
+
+/// \return Idle upstreams, the quickest first.
+static std::vector<BatchUpstream *> idleUpstreams(BatchPool &P, TimePoint Now) {
+  std::vector<BatchUpstream *> Idle;
+  for (auto &[Instance, U] : P.Upstreams) {
+    if (batchUsable(U, Now) && U.InFlight < P.Spec.Slots)
+      Idle.push_back(&U);
+  }
+  std::stable_sort(Idle.begin(), Idle.end(),
+                   [](const BatchUpstream *A, const BatchUpstream *B) {
+                     return A->Slowness < B->Slowness;
+                   });
+  return Idle;
+}
+
+void batchPump(BatchPool &P, TimePoint Now, BatchActions &Out) {
+  std::vector<BatchUpstream *> Idle = idleUpstreams(P, Now);
+  if (Idle.empty())
+    return;
+  std::vector<BatchJob *> Order = batchWaiting(P, Now);
+  int Waiting = 0;
+  for (const BatchJob *Job : Order)
+    Waiting += Job->Waiting;
+  std::size_t Unused = Idle.size();
+  for (BatchUpstream *U : Idle) {
+    if (Waiting == 0)
+      return;
+    // A call costs as much as many pieces: with upstreams to spare, pieces are
+    // spread over them, but never into calls of less than half.
+    int Share = static_cast<int>(
+        (static_cast<std::size_t>(Waiting) + Unused - 1) / Unused);
+    --Unused;
+    int Most =
+        std::clamp(Share, std::max(1, P.Spec.MaxPieces / 2), P.Spec.MaxPieces);
+    if (betterToWait(P, *U, std::min(Most, Waiting), Now))
+      continue;
+    CallDraft Call;
+    Call.Most = Most;
+    Call.Room = P.Spec.RoomBytes * RoomShare - U->RoomUsed;
+    fillCall(P, Order, *U, Waiting > P.Spec.MaxPieces, Call, Now);
+    if (Call.Items.empty())
+      continue;
+    Waiting -= static_cast<int>(Call.Items.size());
+    sendCall(P, *U, std::move(Call.Items), std::move(Call.Bytes), Now, Out);
+  }
+}
+
+} // namespace fulmar
--- a/src/cli/cli_blocking.cpp
+++ b/src/cli/cli_blocking.cpp
@@ -1,6 +1,7 @@
 /// \file cli_blocking.cpp Calls of commands, which wait for each answer.
 #include "cli/cli_blocking.h"
 
+#include "core/text.h"
 #include "kv_consul.h"
 
 namespace fulmar {
@@ -55,15 +56,8 @@
 }
 
 std::vector<std::string> splitList(const std::string &Text) {
-  std::vector<std::string> Out;
-  std::size_t From = 0;
-  while (From < Text.size()) {
-    std::size_t End = std::min(Text.find(',', From), Text.size());
-    if (End > From)
-      Out.push_back(Text.substr(From, End - From));
-    From = End + 1;
-  }
-  return Out;
+  std::vector<std::string_view> Items = splitCommas(Text);
+  return {Items.begin(), Items.end()};
 }
 
 } // namespace fulmar
--- a/src/cli/cli_gateway.cpp
+++ b/src/cli/cli_gateway.cpp
@@ -1,6 +1,7 @@
 /// \file cli_gateway.cpp The subcommand `gateway`.
 #include <gflags/gflags.h>
 
+#include "cli/cli_stop.h"
 #include "cli/cli_type.h"
 #include "gateway_node.h"
 #include "gateway_settings_func.h"
@@ -32,14 +33,7 @@
     throw Error(ResultCode::UsageError, "gateway needs --settings FILE");
   TimerService Timers;
   EventLoop Loop(Timers);
-  // Before anything else: a stop that comes during start is a stop too.
-  GatewayNode *Started = nullptr;
-  bool StopAsked = false;
-  Loop.onSignal([&] {
-    StopAsked = true;
-    if (Started)
-      Started->drain();
-  });
+  StopLatch Stop(Loop);
   std::string Path = FLAGS_settings;
   Loop.onHangup([Path] { reloadSettings(Path); });
   GatewaySettings Config = loadGatewaySettings(Path);
@@ -49,9 +43,7 @@
   GatewayNode Served(Loop, Timers, Config, Wire, [&](HttpClient &Client) {
     return std::make_unique<platform::Store>(Client, KvAddress);
   });
-  Started = &Served;
-  if (StopAsked)
-    Served.drain();
+  Stop.arm([&Served] { Served.drain(); });
   Loop.run();
   return ExitCode::Good;
 }
--- a/src/cli/cli_serve.cpp
+++ b/src/cli/cli_serve.cpp
@@ -1,6 +1,7 @@
 /// \file cli_serve.cpp The subcommand `serve`.
 #include <gflags/gflags.h>
 
+#include "cli/cli_stop.h"
 #include "cli/cli_type.h"
 #include "log_func.h"
 #include "node.h"
@@ -16,20 +17,11 @@
     throw Error(ResultCode::UsageError, "serve needs --settings FILE");
   TimerService Timers;
   EventLoop Loop(Timers);
-  // Before anything else: a stop that comes during start is a stop too.
-  Node *Started = nullptr;
-  bool StopAsked = false;
-  Loop.onSignal([&] {
-    StopAsked = true;
-    if (Started)
-      Started->drain();
-  });
+  StopLatch Stop(Loop);
   Settings Config = loadSettings(FLAGS_settings);
   logInit(*logLevelByName(Config.LogLevelName), LogTarget::StandardOutput);
   Node Served(Loop, Timers, Config);
-  Started = &Served;
-  if (StopAsked)
-    Served.drain();
+  Stop.arm([&Served] { Served.drain(); });
   Loop.run();
   return ExitCode::Good;
 }
--- a/src/http_type.cpp
+++ b/src/http_type.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cctype>
 
+#include "core/text.h"
+
 namespace fulmar {
 
 static bool sameName(std::string_view A, std::string_view B) {
@@ -28,22 +30,6 @@
   return Found ? Found->Value : std::string();
 }
 
-/// \return Whether \p Name stands in the comma-separated \p List.
-static bool listHas(std::string_view List, std::string_view Name) {
-  while (!List.empty()) {
-    std::size_t End = std::min(List.find(','), List.size());
-    std::string_view Item = List.substr(0, End);
-    List.remove_prefix(std::min(End + 1, List.size()));
-    while (!Item.empty() && Item.front() == ' ')
-      Item.remove_prefix(1);
-    while (!Item.empty() && Item.back() == ' ')
-      Item.remove_suffix(1);
-    if (sameName(Item, Name))
-      return true;
-  }
-  return false;
-}
-
 bool isHopHeader(const HttpHeaders &Headers, std::string_view Name) {
   static constexpr std::string_view Hops[] = {
       "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
@@ -52,7 +38,12 @@
     if (sameName(Hop, Name))
       return true;
   }
-  return listHas(headerValue(Headers, "Connection"), Name);
+  std::string Listed = headerValue(Headers, "Connection");
+  for (std::string_view Item : splitCommas(Listed)) {
+    if (sameName(Item, Name))
+      return true;
+  }
+  return false;
 }
 
 std::string_view statusPhrase(int Status) {
