--- a/src/batch_relay.cpp
+++ b/src/batch_relay.cpp
@@ -23,9 +23,10 @@
 /// An acknowledged ask is asked about again after this time, in case its node
 /// ended or its result was lost.
 static constexpr Duration AskAgainAfter = std::chrono::milliseconds(300);
-/// What was said of a pool holds for this long; about one of its calls. After
-/// that a request is let in to find out.
-static constexpr Duration ViewLife = std::chrono::milliseconds(500);
+/// What was said of a pool holds for this long: a node of a large fleet asks
+/// each pool about once a second, and older news beats what ended requests
+/// took. After that a request is let in to find out.
+static constexpr Duration ViewLife = std::chrono::milliseconds(1500);
 /// A silent node is not asked for this long.
 static constexpr Duration SilentTime = std::chrono::seconds(2);
 /// Results are kept for a node that did not acknowledge them.
