Times to come back are spread

Cause: clients refused together were all told the same time and returned together.

Change: a refusal's Retry-After is longer by up to 0.4 of itself, at random.

--- a/src/gateway_door.cpp
+++ b/src/gateway_door.cpp
@@ -128,7 +128,7 @@
             {"retry_in_ms", toMs(R.RetryIn)},
             {"config", R.Table ? R.Table->Version : 0},
             {"config_age_ms", Age ? toMs(*Age) : -1}});
-  replyCode(*R.Exchange, Code, R.Ask.RequestId, R.RetryIn);
+  replyCode(*R.Exchange, Code, R.Ask.RequestId, comeBackIn(Code, R.RetryIn));
   gatewayCount(Metrics, R.Organisation, R.Route ? R.Route->Name : "", Code);
 }
 
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -16,6 +16,8 @@
 
 /// Between two looks at slow upstreams and at pools with expired ejections.
 static constexpr Duration SweepPeriod = std::chrono::milliseconds(500);
+/// Part by which times to come back are longer at most.
+static constexpr double ComeBackSpread = 0.4;
 /// Part of an upstream's connections that all nodes together use; it counts
 /// those that are being closed, and other callers may exist.
 static constexpr double ConnectionShare = 0.8;
@@ -171,6 +173,15 @@
   conclude(*R, ResultCode::CallerLeftRunning, 0);
 }
 
+/// \return When a client that is refused should come back: the time asked for,
+/// or the code's own, spread. Clients that were refused together, as a burst
+/// is, would otherwise return together and be refused again.
+Duration GatewayService::comeBackIn(ResultCode Code, Duration RetryIn) {
+  if (RetryIn <= Duration::zero())
+    RetryIn = std::chrono::milliseconds(resultInfo(Code).RetryAfterMs);
+  return fromMs(toMs(RetryIn) * (1 + ComeBackSpread * randomUnit(Rng)));
+}
+
 void GatewayService::finish(ForwardRequest &R, ResultCode Code,
                             Duration RetryIn) {
   HttpExchangePtr Exchange = R.Exchange;
@@ -180,7 +191,7 @@
   if (Begun)
     Exchange->abort();
   else
-    replyCode(*Exchange, Code, Id, RetryIn);
+    replyCode(*Exchange, Code, Id, comeBackIn(Code, RetryIn));
 }
 
 void GatewayService::finishWith(ForwardRequest &R, const HttpAnswer &Answer) {
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -113,6 +113,7 @@
   void sweep();
   void deadline(RequestSerial Serial);
   void clientLeft(RequestSerial Serial);
+  Duration comeBackIn(ResultCode Code, Duration RetryIn);
   void finish(ForwardRequest &R, ResultCode Code, Duration RetryIn = {});
   void finishWith(ForwardRequest &R, const HttpAnswer &Answer);
   void finishStream(ForwardRequest &R);
