A planned stop answers everyone

Change: a stop waits for unsent answers, and a server that ends sends what is in its buffers; what cannot be run before the end is refused as not run 0.7 s before it; three entry times after SIGTERM streams are refused.

Tests: 'a node stops while requests wait for their stages', 'the server ends in the round of the loop in which it answers'.

--- a/src/gateway_door.cpp
+++ b/src/gateway_door.cpp
@@ -23,6 +23,8 @@
 static constexpr Duration LeastFirstWait = std::chrono::seconds(2);
 static constexpr int FirstWaitTargets = 4;
 static constexpr int FirstWaitGaps = 8;
+/// While draining, a request counts as taking this many times its usual time.
+static constexpr int DrainCaution = 2;
 /// A request is only taken in while draining if it should end this much before
 /// the process is ended.
 static constexpr Duration GraceMargin = std::chrono::milliseconds(800);
@@ -107,14 +109,13 @@
   TimePoint Now = Timers->now();
   if (Now < RefuseAt)
     return false;
+  // How long a stream lasts shows at its end only; the longest take several
+  // times the usual. By now callers have had the time to turn elsewhere.
+  if (R.Route->Kind == RouteKind::Streaming)
+    return true;
   auto Found = Times.find(R.Route->Name);
-  Duration Usual = R.Route->Target;
-  if (Found != Times.end()) {
-    Usual = Found->second.Whole;
-    for (Duration Stage : Found->second.Stages)
-      Usual += Stage;
-  }
-  return Now + Usual + GraceMargin > EndsAt;
+  Duration Usual = Found == Times.end() ? R.Route->Target : Found->second.Whole;
+  return Now + Usual * DrainCaution + GraceMargin > EndsAt;
 }
 
 void GatewayService::refuseAtDoor(const ForwardRequest &R, ResultCode Code) {
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -96,11 +96,12 @@
 }
 
 void GatewayNode::checkDrain() {
+  gateway().refuseBeforeEnd();
   DrainView View;
   View.Since = DrainSince;
   View.EntryTtl = std::chrono::milliseconds(Config.EntryTtlMs) * KeptFactor;
   View.Limit = fromMs(Config.GraceS * 1e3) - KillMargin;
-  View.Requests = gateway().requests();
+  View.Requests = gateway().requests() + gateway().unsentAnswers();
   if (drainPhase(View, Timers.now()) != DrainPhase::Done)
     return;
   Services.find<MemberService>(service::Members).goodbye();
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -16,6 +16,9 @@
 
 /// Between two looks at slow upstreams and at pools with expired ejections.
 static constexpr Duration SweepPeriod = std::chrono::milliseconds(500);
+/// Final answers of a stopping node leave this much before the process is
+/// ended; the process ends by itself 300 ms before.
+static constexpr Duration EndMargin = std::chrono::milliseconds(700);
 /// Part by which times to come back are longer at most.
 static constexpr double ComeBackSpread = 0.4;
 /// Part of an upstream's connections that all nodes together use; it counts
@@ -75,6 +78,31 @@
   Server->closeAfterAnswers(true);
 }
 
+/// Refuses what waits for its stages and cannot be run to its end any more. A
+/// process that ends with such a request closes its connection without a word,
+/// and the client of a non-idempotent one cannot know that it has not run.
+void GatewayService::refuseBeforeEnd() {
+  std::vector<RequestSerial> Waiting;
+  for (const auto &[Serial, R] : Requests) {
+    auto Found = Times.find(R.Route->Name);
+    Duration Run =
+        Found == Times.end() ? Duration::zero() : Found->second.Whole;
+    if (!R.Attempt && Timers->now() + Run + EndMargin > EndsAt)
+      Waiting.push_back(Serial);
+  }
+  for (RequestSerial Serial : Waiting)
+    finish(*find(Serial), ResultCode::Draining);
+  if (Timers->now() + EndMargin < EndsAt)
+    return;
+  std::vector<RequestSerial> Running;
+  for (const auto &[Serial, R] : Requests) {
+    if (!R.HeadSent)
+      Running.push_back(Serial);
+  }
+  for (RequestSerial Serial : Running)
+    deadline(Serial);
+}
+
 ForwardRequest *GatewayService::find(RequestSerial Serial) {
   auto Found = Requests.find(Serial);
   return Found == Requests.end() ? nullptr : &Found->second;
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -47,8 +47,13 @@
   /// The node stops: connections end after their answers, and from \p RefuseAt
   /// on nothing is taken in that could not end before \p EndsAt.
   void drain(TimePoint RefuseAt, TimePoint EndsAt);
+  /// Gives final answers to what cannot be run before the process ends; to be
+  /// called again and again while draining.
+  void refuseBeforeEnd();
   /// \return Whether requests can be served at all.
   bool ready() const;
+  /// \return Clients that wait for bytes of answers that were written.
+  std::size_t unsentAnswers() const { return Server->unsent(); }
   /// \return Requests in progress.
   std::size_t requests() const { return Requests.size(); }
   /// \return What is counted, for the metrics.
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -87,6 +87,9 @@
   /// From now on, or no longer, each answer tells its client to open another
   /// connection, and this one is closed after it.
   void closeAfterAnswers(bool Close);
+  /// \return Connections with answers, or parts of them, that were not sent
+  /// yet.
+  std::size_t unsent() const;
   /// \return Open connections.
   std::size_t connections() const;
 
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -134,8 +134,9 @@
     Call.Path = Path;
     Call.Body = "body";
     Call.Headers = {{"Host", "h"},
-                    {"X-Request-Id", "r" + std::to_string(++LastId)},
-                    {"X-Deadline-Remaining-Milliseconds", "2000"}};
+                    {"X-Request-Id", "r" + std::to_string(++LastId)}};
+    if (!findHeader(More, "X-Deadline-Remaining-Milliseconds"))
+      Call.Headers.push_back({"X-Deadline-Remaining-Milliseconds", "2000"});
     if (!findHeader(More, "Authorization"))
       Call.Headers.push_back({"Authorization", "Bearer key-a"});
     Call.Headers.insert(Call.Headers.end(), More.begin(), More.end());
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -8,6 +8,7 @@
 using platform::RunnerShape;
 using platform::StoreMode;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -347,3 +348,27 @@
     CHECK(Running->Stream == wholeStream(20));
   }
 }
+
+SCENARIO("a node stops while requests wait for their stages") {
+  // Symptom: around a planned stop a client's connection closes without an
+  // answer, although nothing of its request has run.
+  // Sequence: a request comes two seconds after SIGTERM; its stage is slow, and
+  // the process ends first.
+  // Cause: only requests in progress were waited for, none was refused.
+  GatewayWorld W;
+  W.addRunner("engine", {"i-e", milliseconds(5), 3});
+  W.addRunner("batch", {"i-s"}).Mode = RunnerMode::Full;
+  W.TimeoutMs = 8000;
+  W.configure();
+  GatewayNode &Node = W.addNode();
+  Node.drain();
+  auto Got =
+      W.send("/staged/x", {{"X-Pieces", "0,1,0"},
+                           {"X-Piece-Key", "k"},
+                           {"X-Deadline-Remaining-Milliseconds", "8000"}});
+  runUntil(
+      W.Loop, [&] { return Got->Ended; }, seconds(4));
+  CHECK(Got->Answer.Status == 503);
+  CHECK_FALSE(Got->Answer.header("Retry-After").empty());
+  CHECK(W.runsOfLast() == 0);
+}
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -186,6 +186,28 @@
       CHECK(Client.Got.find("0\r\n\r\n") == std::string::npos);
     }
   }
+  WHEN("the server ends in the round of the loop in which it answers") {
+    // Symptom: the last clients of a planned stop get no answer.
+    // Sequence: the last request is answered; nothing is in progress any more,
+    // so the process ends before the loop has sent the answer.
+    // Cause: an answer counted as given once it was written to a buffer.
+    auto Short = std::make_unique<HttpServer>(
+        Loop, "127.0.0.1", 0, Limits,
+        [&](const HttpExchangePtr &E) { Held.push_back(E); });
+    RawClient Last(Short->port());
+    Last.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(runUntil(Loop, [&] { return !Held.empty(); }));
+    Held[0]->reply(HttpOk, "one", {});
+    CHECK(Short->unsent() == 1);
+    Short.reset();
+    THEN("the answer arrives all the same") {
+      runUntil(Loop, [&] {
+        Last.take();
+        return Last.Ended;
+      });
+      CHECK(Last.Got.find("one") != std::string::npos);
+    }
+  }
   WHEN("the server is about to stop") {
     Server.closeAfterAnswers(true);
     Client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
