--- a/src/tcp_proxy.h
+++ b/src/tcp_proxy.h
@@ -25,7 +25,7 @@
 public:
   /// \throws Error ListenFailed.
   TcpProxy(EventLoop &Loop, const std::string &Host, int Port,
-           std::string Target);
+           const std::string &Target);
   ~TcpProxy();
   TcpProxy(const TcpProxy &) = delete;
   TcpProxy &operator=(const TcpProxy &) = delete;
