--- a/src/http_client.h
+++ b/src/http_client.h
@@ -106,8 +106,6 @@
   void pause(HttpCallId Id);
   /// Goes on reading.
   void resume(HttpCallId Id);
-  /// Closes the idle connections to an address that is not used any more.
-  void forget(const std::string &Address);
 
   /// \return Counts so far.
   const HttpClientCounts &counts() const;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -90,8 +90,6 @@
   /// \return Connections with answers, or parts of them, that were not sent
   /// yet.
   std::size_t unsent() const;
-  /// \return Open connections.
-  std::size_t connections() const;
 
   struct Impl; ///< Defined in the adapter.
 
