--- a/src/cli/cli_demo.cpp
+++ b/src/cli/cli_demo.cpp
@@ -12,10 +12,13 @@
 DEFINE_double(seconds, 8, "length of the load, in seconds");
 DEFINE_double(rate, 150, "requests a second over all organisations");
 DEFINE_uint64(seed, 1, "seed of arrivals, inputs and faults");
+DEFINE_bool(platform, false, "demo: nodes before a stand-in of the platform");
 
 namespace fulmar {
 
 ExitCode runDemoCommand(const Words &) {
+  if (FLAGS_platform)
+    return runPlatformDemo();
   DemoPlan Plan;
   Plan.BundlePath = FLAGS_bundle;
   Plan.Length = fromMs(FLAGS_seconds * 1e3);
--- a/src/cli/cli_type.h
+++ b/src/cli/cli_type.h
@@ -35,6 +35,7 @@
 ExitCode runStatus(const Words &);
 ExitCode runRequest(const Words &);
 ExitCode runDemoCommand(const Words &);
+ExitCode runPlatformDemo();
 ExitCode runStandin(const Words &);
 ExitCode runBench(const Words &);
 ExitCode runExplain(const Words &);
--- a/tests/cli.sh
+++ b/tests/cli.sh
@@ -34,6 +34,13 @@
 check 1 "error 5009 NodeUnreachable" status --nodes 127.0.0.1:1 --token x
 check 1 "error 5009 NodeUnreachable" request --entry 127.0.0.1:1 --organisation o --pipeline p x
 check 2 "bundle needs one step" bundle
+check 2 "gateway needs --settings FILE" gateway
+check 1 "bad.json:1: caller_address: is missing" gateway --settings "$dir/bad.json"
+check 2 "explain needs one request id" explain
+check 1 "error 5014 NotFound: no line of the request r1" explain r1 </dev/null
+# Nodes before the stand-in of the platform: the whole path.
+check 0 "" demo --platform --seconds 1
+grep -q "promises broken 0" "$dir/stdout" || { echo "demo --platform: $(cat "$dir/stdout")"; failed=1; }
 check 2 "bench needs one of" bench nothing
 check 0 "" --version
 check 0 "" bundle check --file examples/avstamning-bundle.json
@@ -41,7 +48,7 @@
 "$program" bundle keygen --out "$dir/key" >"$dir/pub" || failed=1
 check 0 "" bundle sign --file examples/avstamning-bundle.json --version_number 1 --key "$dir/key" --signer op --note n --out "$dir/b"
 check 1 "error 5007 SignatureInvalid" bundle accept --file "$dir/b" --operator_keys "op:$(printf '0%.0s' $(seq 64))" --kv 127.0.0.1:1
-for sub in serve bundle status request demo standin bench help; do
+for sub in serve gateway bundle status request explain demo standin bench help; do
   "$program" $sub --help | grep -q usage || { echo "$sub --help says nothing"; failed=1; }
 done
 [ $failed = 0 ] && echo "command line: good"
