--- a/src/cli/cli_demo_platform.cpp
+++ b/src/cli/cli_demo_platform.cpp
@@ -50,6 +50,7 @@
   Plan.Seed = FLAGS_seed;
   Plan.MakeFaults = false;
   std::vector<GatewaySettings> Settings;
+  Settings.reserve(DemoNodes);
   for (std::size_t I = 0; I < DemoNodes; ++I) {
     Settings.push_back(demoSettings(I, Ports));
     Plan.Nodes.push_back(Settings.back().CallerAddress);
@@ -57,6 +58,7 @@
   platform::Soak Platform(Loop, Timers, Plan);
   platform::Wire Wire;
   std::vector<std::unique_ptr<GatewayNode>> Nodes;
+  Nodes.reserve(DemoNodes);
   for (const GatewaySettings &S : Settings)
     Nodes.push_back(std::make_unique<GatewayNode>(
         Loop, Timers, S, Wire, [&S](HttpClient &Client) {
