--- a/src/batch_home.cpp
+++ b/src/batch_home.cpp
@@ -12,13 +12,13 @@
 /// strongest one. A pool's pieces and results all pass through its home: on a
 /// link of 10 Mbit/s they wait until the nodes that asked take it for dead.
 static constexpr double StrengthShare = 0.7;
-
-/// \return Whether \p Info may form calls, its strength aside. A node that
-/// cannot read the list of upstreams, or is about to stop, would form them for
-/// upstreams that are gone.
-static bool mayBeHome(const MemberInfo &Info) {
-  return memberServes(Info.State) && !Info.Unfit;
-}
+/// While this part of the strong nodes is fit, only those that are fit form
+/// calls: one that cannot read the list of upstreams would form them for
+/// upstreams that are gone. When most are unfit, the key-value service is away
+/// for everyone, and all strong nodes stay. Without that, each node of a fleet
+/// whose last fit node went would take itself for the home, and 75 of them send
+/// calls of one or two pieces to the same few upstreams, which refuse them.
+static constexpr double FitShare = 0.5;
 
 std::string batchPartName(const std::string &Pool, std::size_t Part) {
   return Part == 0 ? Pool : Pool + "#" + std::to_string(Part);
@@ -31,27 +31,40 @@
   return Parts <= 1 ? 0 : hash64(RequestId) % Upstreams % Parts;
 }
 
-std::string batchHome(const Membership &M, const std::string &Pool,
-                      const std::set<std::string> &Silent) {
-  std::vector<const MemberInfo *> Able;
-  std::uint32_t Strongest = 0;
-  auto Consider = [&](const MemberInfo &Info) {
-    if (!mayBeHome(Info))
-      return;
-    Able.push_back(&Info);
-    Strongest = std::max(Strongest, Info.Strength);
-  };
-  Consider(M.Self);
+/// \return Nodes whose hosts are strong enough to form calls.
+static std::vector<const MemberInfo *>
+strongNodes(const Membership &M, const std::set<std::string> &Silent) {
+  std::vector<const MemberInfo *> Serving;
+  if (memberServes(M.Self.State))
+    Serving.push_back(&M.Self);
   for (const auto &[Id, Other] : M.Members) {
-    if (!Silent.count(Id))
-      Consider(Other.Info);
+    if (memberServes(Other.Info.State) && !Silent.count(Id))
+      Serving.push_back(&Other.Info);
   }
+  std::uint32_t Strongest = 0;
+  for (const MemberInfo *Info : Serving)
+    Strongest = std::max(Strongest, Info->Strength);
+  std::erase_if(Serving, [&](const MemberInfo *Info) {
+    return Info->Strength < StrengthShare * Strongest;
+  });
+  return Serving;
+}
+
+std::string batchHome(const Membership &M, const std::string &Pool,
+                      const std::set<std::string> &Silent) {
+  std::vector<const MemberInfo *> Able = strongNodes(M, Silent);
+  auto Unfit = [](const MemberInfo *Info) { return Info->Unfit; };
+  auto Fit =
+      static_cast<double>(Able.size()) -
+      static_cast<double>(std::count_if(Able.begin(), Able.end(), Unfit));
+  if (Fit >= FitShare * static_cast<double>(Able.size()))
+    std::erase_if(Able, Unfit);
   std::uint64_t Key = hash64(Pool);
   std::string Best = M.Self.Id;
   std::uint64_t BestWeight = 0;
   for (const MemberInfo *Info : Able) {
     std::uint64_t Weight = rendezvousWeight(Key, Info->Id);
-    if (Info->Strength < StrengthShare * Strongest || Weight < BestWeight)
+    if (Weight < BestWeight)
       continue;
     BestWeight = Weight;
     Best = Info->Id;
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -339,6 +339,26 @@
       M.Self.Unfit = true;
     CHECK(batchHome(M, "pool", {}) != Home);
   }
+  THEN("an outage of the key-value service moves it nowhere") {
+    // Symptom: for ten seconds after an outage 300 requests a second fail with
+    // StageUnavailable; upstreams refuse call after call as full.
+    // Sequence: the service is away; one node after the other says that it is
+    // unfit; when the last one has, each node forms every pool's calls itself.
+    // Cause: a home had to be fit even when no node was.
+    M.Self.Unfit = true;
+    for (auto &[Id, Other] : M.Members)
+      Other.Info.Unfit = true;
+    CHECK(batchHome(M, "pool", {}) == Home);
+  }
+  THEN("a weak host forms none, however few of the strong ones are fit") {
+    for (auto &[Id, Other] : M.Members) {
+      Other.Info.Strength = 20;
+      Other.Info.Unfit = false;
+    }
+    M.Self.Strength = 100;
+    M.Self.Unfit = true;
+    CHECK(batchHome(M, "pool", {}) == M.Self.Id);
+  }
 }
 
 SCENARIO("a pool with many upstreams is divided") {
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -236,6 +236,12 @@
     std::string Next = chooseReader(M);
     CHECK((Next != Reader || Next == "n0"));
   }
+  THEN("when none can, the same one goes on trying for all") {
+    M.Self.Unfit = true;
+    for (auto &[Id, Other] : M.Members)
+      Other.Info.Unfit = true;
+    CHECK(chooseReader(M) == Reader);
+  }
   THEN("lists differ by what matters") {
     UpstreamBook A;
     A.Entries["i"] = {"i", "p", "1.2.3.4:5", "z0"};
