Jobs that wait: by priority; on time only if a full call and a half still fit

Cause: a job counted as on time while the smallest call would end it in time. Change: rank, then strict priority, then due time; on time means 1.5 full calls.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -296,7 +296,7 @@
 /// will be of none when its turn comes: its client can come back meanwhile, and
 /// the work that its later stages would take goes to others.
 static void dropDead(BatchPool &P, TimePoint Now, BatchActions &Out) {
-  BacklogView View = batchBacklog(P, TimePoint::max(), Now);
+  BacklogView View = batchBacklog(P, WaitOrder{}, Now);
   double Full = toMs(batchCallTime(P.Spec, P.Spec.MaxPieces));
   double Ahead = 0;
   std::vector<std::pair<BatchAskId, Duration>> Hopeless;
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -2,6 +2,8 @@
 #ifndef FULMARSTEP_BATCH_INTERNAL_H
 #define FULMARSTEP_BATCH_INTERNAL_H
 
+#include <compare>
+
 #include "batch_func.h"
 
 namespace fulmar {
@@ -9,6 +11,28 @@
 /// Time for a call's way to the upstream and back.
 inline constexpr Duration CallOverhead = std::chrono::milliseconds(5);
 
+/// Where a job stands among those that wait; the lower, the earlier.
+enum class WaitRank {
+  Begun,   ///< Some of its results are there already.
+  OnTime,  ///< Its request can still be on time.
+  Late,    ///< Its request will be late.
+  Count,   ///< Number of ranks.
+  Invalid, ///< Not a rank.
+};
+
+/// The order in which jobs are sent: by rank, then the more urgent priority,
+/// then the earlier due time.
+struct WaitOrder {
+  WaitRank Rank = WaitRank::OnTime; ///< Whether it can be on time.
+  int Priority = 0;                 ///< 0 is the most urgent.
+  TimePoint Due{};                  ///< Done by then, it can be on time.
+
+  auto operator<=>(const WaitOrder &) const = default;
+};
+
+/// \return Where a job stands.
+WaitOrder batchOrder(const BatchPool &P, const BatchJob &Job, TimePoint Now);
+
 /// Work that goes before a job of this urgency, and how fast it is done.
 struct BacklogView {
   double PiecesAhead = 0; ///< Waiting pieces that are more urgent.
@@ -23,8 +47,9 @@
 Duration batchExpectedAt(const BatchPool &P, const BatchUpstream &U,
                          int Pieces);
 
-/// \return What goes before a job of this urgency.
-BacklogView batchBacklog(const BatchPool &P, TimePoint Urgency, TimePoint Now);
+/// \return What goes before a job of this order.
+BacklogView batchBacklog(const BatchPool &P, const WaitOrder &Order,
+                         TimePoint Now);
 
 /// \return Waiting jobs in the order in which they are sent.
 std::vector<BatchJob *> batchWaiting(BatchPool &P, TimePoint Now);
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -6,11 +6,6 @@
 
 namespace fulmar {
 
-/// Each step of priority counts like this much later a due time. A pool that
-/// is full for a burst of six seconds turns away the least urgent first, but
-/// a request that has waited this long goes before a fresh urgent one.
-static constexpr Duration PriorityStep = std::chrono::milliseconds(150);
-
 Duration batchCallTime(const BatchSpec &Spec, int Pieces) {
   return Spec.CallTime + Spec.PieceTime * Pieces;
 }
@@ -25,15 +20,41 @@
          CallOverhead;
 }
 
-/// \return Where a job stands in the order of urgency; the lower, the earlier.
-static TimePoint urgency(const BatchJob &Job) {
-  return Job.Due + PriorityStep * Job.Ask.Priority;
+/// A job whose first pieces are done keeps space for them until the last one
+/// is. If others go first, the space of a whole pool fills with parts of
+/// requests that cannot go on: calls shrink to a third while hundreds of pieces
+/// wait. And a pool that is behind must not spend itself on requests that are
+/// late already, or it makes the next ones late too.
+static WaitRank rankOf(const BatchJob &Job, TimePoint OnTime) {
+  if (Job.Left < Job.Ask.Pieces || Job.Waiting < Job.Left)
+    return WaitRank::Begun;
+  return Job.Due < OnTime ? WaitRank::Late : WaitRank::OnTime;
+}
+
+/// Full calls' times that a job must have left to count as on time. Calls are
+/// full when a pool is behind, and a job's pieces are often spread over two of
+/// them. With the time of the smallest call, an overloaded pool always served
+/// the job that was just about to be late, and ended it late: of requests in a
+/// burst of 1.3 times what a pool can do, of the more urgent requests 49 in 100
+/// were on time instead of 85 (test "a burst that is more than the pool can
+/// do").
+static constexpr double OnTimeCalls = 1.5;
+
+/// \return Jobs due before this cannot be on time any more.
+static TimePoint onTimeFrom(const BatchPool &P, TimePoint Now) {
+  return Now +
+         fromMs(toMs(batchCallTime(P.Spec, P.Spec.MaxPieces)) * OnTimeCalls);
 }
 
-BacklogView batchBacklog(const BatchPool &P, TimePoint Urgency, TimePoint Now) {
+WaitOrder batchOrder(const BatchPool &P, const BatchJob &Job, TimePoint Now) {
+  return {rankOf(Job, onTimeFrom(P, Now)), Job.Ask.Priority, Job.Due};
+}
+
+BacklogView batchBacklog(const BatchPool &P, const WaitOrder &Order,
+                         TimePoint Now) {
   BacklogView View;
   for (const auto &[Id, Job] : P.Jobs) {
-    if (urgency(Job) <= Urgency)
+    if (Job.Waiting > 0 && batchOrder(P, Job, Now) <= Order)
       View.PiecesAhead += Job.Waiting;
   }
   bool Any = false;
@@ -52,7 +73,8 @@
 
 Duration batchExpected(const BatchPool &P, int Pieces, int Priority,
                        TimePoint Due, TimePoint Now) {
-  BacklogView View = batchBacklog(P, Due + PriorityStep * Priority, Now);
+  WaitRank Rank = Due < onTimeFrom(P, Now) ? WaitRank::Late : WaitRank::OnTime;
+  BacklogView View = batchBacklog(P, {Rank, Priority, Due}, Now);
   if (View.Upstreams == 0)
     return Duration::max();
   // Calls go out full while pieces wait; the pool then ends one of them each
@@ -66,43 +88,20 @@
   return fromMs(WaitMs) + batchCallTime(P.Spec, Mine) + CallOverhead;
 }
 
-/// Where a job stands among those that wait; the lower, the earlier.
-enum class WaitRank {
-  Begun,   ///< Some of its results are there already.
-  OnTime,  ///< Its request can still be on time.
-  Late,    ///< Its request will be late.
-  Count,   ///< Number of ranks.
-  Invalid, ///< Not a rank.
-};
-
-/// A job whose first pieces are done keeps space for them until the last one
-/// is. If others go first, the space of a whole pool fills with parts of
-/// requests that cannot go on: calls shrink to a third while hundreds of pieces
-/// wait. And a pool that is behind must not spend itself on requests that are
-/// late already, or it makes the next ones late too.
-static WaitRank rankOf(const BatchJob &Job, TimePoint OnTime) {
-  if (Job.Left < Job.Ask.Pieces || Job.Waiting < Job.Left)
-    return WaitRank::Begun;
-  return Job.Due < OnTime ? WaitRank::Late : WaitRank::OnTime;
-}
-
 std::vector<BatchJob *> batchWaiting(BatchPool &P, TimePoint Now) {
-  TimePoint OnTime = Now + batchCallTime(P.Spec, 1);
-  std::vector<std::pair<WaitRank, BatchJob *>> Ranked;
+  std::vector<std::pair<WaitOrder, BatchJob *>> Ordered;
   for (auto &[Id, Job] : P.Jobs) {
     if (Job.Waiting > 0)
-      Ranked.emplace_back(rankOf(Job, OnTime), &Job);
+      Ordered.emplace_back(batchOrder(P, Job, Now), &Job);
   }
   std::stable_sort(
-      Ranked.begin(), Ranked.end(), [](const auto &A, const auto &B) {
-        return A.first != B.first ? A.first < B.first
-                                  : urgency(*A.second) < urgency(*B.second);
-      });
-  std::vector<BatchJob *> Order;
-  Order.reserve(Ranked.size());
-  for (const auto &[Rank, Job] : Ranked)
-    Order.push_back(Job);
-  return Order;
+      Ordered.begin(), Ordered.end(),
+      [](const auto &A, const auto &B) { return A.first < B.first; });
+  std::vector<BatchJob *> Jobs;
+  Jobs.reserve(Ordered.size());
+  for (const auto &[Order, Job] : Ordered)
+    Jobs.push_back(Job);
+  return Jobs;
 }
 
 } // namespace fulmar
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -178,6 +178,45 @@
   CHECK(W.P.Counts.Repeats == 0);
 }
 
+SCENARIO("a burst that is more than the pool can do") {
+  // Symptom: in a burst of 1.3 times what a pool can do hardly a request is on
+  // time, although three quarters could be.
+  // Sequence: the queue grows until its head is just about to be late; from
+  // then on each job is sent at its last moment.
+  // Cause: a job counted as on time that the smallest call would still end in
+  // time; calls are full then, and take twice as long.
+  PoolWorld W(5);
+  std::map<std::uint64_t, TimePoint> Due;
+  std::map<int, std::pair<int, int>> OnTime; // By priority: asked, on time.
+  std::map<std::uint64_t, int> Priority;
+  std::set<std::uint64_t> Counted;
+  for (int I = 0; I < 600; ++I) {
+    W.pass(milliseconds(10));
+    W.freeAll();
+    for (const auto &[Id, Result] : W.Answers) {
+      if (!Counted.insert(Id).second || Result.End != BatchEnd::Done)
+        continue;
+      OnTime[Priority[Id]].second += W.Now <= Due[Id] ? 1 : 0;
+    }
+    // 350 pieces/s; the pool makes 269. Five eighths are of the first class.
+    bool Second = I % 8 >= 5;
+    if (I % 8 == 7)
+      continue;
+    BatchAsk Ask = W.makeAsk(4, Second ? 2 : 0);
+    Ask.Due = milliseconds(1100);
+    std::uint64_t Id = W.ask(Ask);
+    Due[Id] = W.Now + Ask.Due;
+    Priority[Id] = Ask.Priority;
+    ++OnTime[Ask.Priority].first;
+  }
+  double Urgent = 1.0 * OnTime[0].second / OnTime[0].first;
+  double Other = 1.0 * OnTime[2].second / OnTime[2].first;
+  CAPTURE(Urgent, Other);
+  // What is asked in the last second is not done yet.
+  CHECK(Urgent > 0.75);
+  CHECK(Other < Urgent);
+}
+
 SCENARIO("space for results is short") {
   // Symptom: hundreds of pieces wait while calls carry a third of what they
   // could.
