--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -25,6 +25,7 @@
 void BatchService::start() {
   Timers = &Services.find<TimerService>(service::Timers);
   Client = &Services.find<HttpClientService>(service::Http).Client;
+  Tickets.start(Services.find<LoopService>(service::Loop).Loop);
   Timers->every(TickPeriod, [this] { tick(); });
 }
 
@@ -87,26 +88,19 @@
 
 BatchTicket BatchService::ask(const std::string &Pool, const BatchAsk &Ask,
                               DoneFn Done, ReadFn Read) {
-  BatchTicket Ticket{++LastTicket};
   auto Found = Pools.find(Pool);
   if (Found == Pools.end()) {
-    Waiters[Ticket] = {Pool, {}, std::move(Done), std::move(Read)};
-    Services.find<LoopService>(service::Loop).Loop.defer([this, Ticket] {
-      auto Waiting = Waiters.find(Ticket);
-      if (Waiting == Waiters.end())
-        return;
-      DoneFn Fn = std::move(Waiting->second.Done);
-      Waiters.erase(Waiting);
-      BatchResult Result;
-      Result.End = BatchEnd::NoUpstream;
-      Fn(Result);
-    });
+    BatchTicket Ticket =
+        Tickets.add({Pool, {}}, std::move(Done), std::move(Read));
+    BatchResult Result;
+    Result.End = BatchEnd::NoUpstream;
+    Tickets.answer(Ticket, Result);
     return Ticket;
   }
   BatchActions Out;
   BatchAskId Id = batchAsk(Found->second, Ask, Timers->now(), Out);
-  Waiters[Ticket] = {Pool, Id, std::move(Done), std::move(Read)};
-  Tickets[{Pool, Id}] = Ticket;
+  BatchTicket Ticket =
+      Tickets.add({Pool, Id}, std::move(Done), std::move(Read));
   perform(Found->second, Out);
   return Ticket;
 }
@@ -125,17 +119,12 @@
 }
 
 void BatchService::cancel(BatchTicket Ticket) {
-  auto Found = Waiters.find(Ticket);
-  if (Found == Waiters.end())
-    return;
-  Waiter Gone = std::move(Found->second);
-  Waiters.erase(Found);
-  Tickets.erase({Gone.Pool, Gone.Ask});
-  auto Pool = Pools.find(Gone.Pool);
+  auto Gone = Tickets.remove(Ticket);
+  auto Pool = Gone ? Pools.find(Gone->Pool) : Pools.end();
   if (Pool == Pools.end())
     return;
   BatchActions Out;
-  batchCancel(Pool->second, Gone.Ask, Timers->now(), Out);
+  batchCancel(Pool->second, Gone->Ask, Timers->now(), Out);
   perform(Pool->second, Out);
 }
 
@@ -154,9 +143,12 @@
     if (const auto *Send = std::get_if<SendBatchAction>(&Action))
       send(P, *Send);
     else if (const auto *Answer = std::get_if<AnswerBatchAction>(&Action))
-      answer(P.Name, *Answer);
+      Tickets.answer({P.Name, Answer->Ask}, Answer->Result,
+                     [this, Pool = P.Name](const BatchResult &Unwanted) {
+                       free(Pool, Unwanted.Handles);
+                     });
     else if (const auto *Read = std::get_if<InputsReadAction>(&Action))
-      inputsRead(P.Name, Read->Ask);
+      Tickets.inputsRead({P.Name, Read->Ask});
     else
       queueFree(std::get<FreeBatchAction>(Action).Handle);
   }
@@ -210,31 +202,6 @@
   Client->start(std::move(Call), std::move(On));
 }
 
-void BatchService::answer(const std::string &Pool,
-                          const AnswerBatchAction &Answer) {
-  // Whoever asked may not know the ticket yet, and may ask again at once.
-  Services.find<LoopService>(service::Loop)
-      .Loop.defer([this, Pool, Id = Answer.Ask, Result = Answer.Result] {
-        auto Ticket = Tickets.find({Pool, Id});
-        if (Ticket == Tickets.end())
-          return free(Pool, Result.Handles);
-        auto Waiting = Waiters.find(Ticket->second);
-        Tickets.erase(Ticket);
-        DoneFn Fn = std::move(Waiting->second.Done);
-        Waiters.erase(Waiting);
-        Fn(Result);
-      });
-}
-
-void BatchService::inputsRead(const std::string &Pool, BatchAskId Ask) {
-  auto Ticket = Tickets.find({Pool, Ask});
-  if (Ticket == Tickets.end())
-    return;
-  ReadFn Read = Waiters.at(Ticket->second).Read;
-  if (Read)
-    Read();
-}
-
 void BatchService::queueFree(const std::string &Handle) {
   Frees[Wire.handleAddress(Handle)].push_back(Handle);
   if (FlushPlanned)
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -14,8 +14,10 @@
 
 struct BatchAskTag {};
 struct BatchCallTag {};
-using BatchAskId = StrongId<BatchAskTag>;   ///< One stage of one request.
-using BatchCallId = StrongId<BatchCallTag>; ///< One call to an upstream.
+struct BatchTicketTag {};
+using BatchAskId = StrongId<BatchAskTag>;     ///< One stage of one request.
+using BatchCallId = StrongId<BatchCallTag>;   ///< One call to an upstream.
+using BatchTicket = StrongId<BatchTicketTag>; ///< Of who asked; 0: none.
 
 /// The pieces of one stage of one request.
 struct BatchAsk {
