Calls of a pool begin one after the other

Change: while pieces for less than a full call wait and most upstreams work, calls begin 1.1 x (a call's time / upstreams) apart.

--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -97,9 +97,11 @@
   std::map<BatchAskId, BatchJob> Jobs;              ///< In progress, by age.
   std::map<BatchCallId, BatchCall> Calls;           ///< In progress.
   std::unordered_map<std::string, KeptResult> Kept; ///< By handle.
-  std::uint64_t LastAsk = 0;                        ///< Counts asks.
-  std::uint64_t LastCall = 0;                       ///< Counts calls.
-  BatchCounts Counts;                               ///< For operators.
+  TimePoint LastSent{};                             ///< Of the latest call.
+  TimePoint PumpAt{}; ///< Pieces are held back until then; zero: none are.
+  std::uint64_t LastAsk = 0;  ///< Counts asks.
+  std::uint64_t LastCall = 0; ///< Counts calls.
+  BatchCounts Counts;         ///< For operators.
 };
 
 /// Send a call.
--- a/src/batch_func.h
+++ b/src/batch_func.h
@@ -32,6 +32,9 @@
 /// Does what has become due: gives up, doubles slow calls, sends.
 void batchTick(BatchPool &P, TimePoint Now, BatchActions &Out);
 
+/// Sends what waits to whoever is free. To be called at PumpAt.
+void batchPump(BatchPool &P, TimePoint Now, BatchActions &Out);
+
 /// Estimates when \p Pieces more pieces of this priority would be done.
 Duration batchExpected(const BatchPool &P, int Pieces, int Priority,
                        TimePoint Due, TimePoint Now);
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -54,9 +54,6 @@
 /// \return Waiting jobs in the order in which they are sent.
 std::vector<BatchJob *> batchWaiting(BatchPool &P, TimePoint Now);
 
-/// Sends what waits to whoever is free.
-void batchPump(BatchPool &P, TimePoint Now, BatchActions &Out);
-
 } // namespace fulmar
 
 #endif
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -14,6 +14,16 @@
 /// for those that are larger.
 static constexpr double RoomShare = 0.92;
 
+/// Calls of a pool begin this many times as far apart as its upstreams would
+/// end them in turn. Without it upstreams that happen to be free together are
+/// given calls together, are free together again, and all pieces in between
+/// wait for that: at 0.6 of what 8 upstreams can do, 9 in 10 asks were done
+/// within 590 ms instead of 470 (test "calls begin one after the other").
+static constexpr double PaceFactor = 1.1;
+/// With more than this part of the upstreams free, nothing waits for long
+/// anyway.
+static constexpr double PacedFree = 0.5;
+
 /// A call that is being put together.
 struct CallDraft {
   std::vector<BatchItem> Items; ///< Its pieces.
@@ -144,7 +154,41 @@
   return Idle;
 }
 
+/// \return How many upstreams may be given calls.
+static std::size_t usableUpstreams(const BatchPool &P, TimePoint Now) {
+  auto Usable = [Now](const auto &Item) {
+    return batchUsable(Item.second, Now);
+  };
+  return static_cast<std::size_t>(
+      std::count_if(P.Upstreams.begin(), P.Upstreams.end(), Usable));
+}
+
+/// \return Whether so many upstreams are free that nothing waits for long.
+static bool manyFree(const BatchPool &P, std::size_t Free, TimePoint Now) {
+  return static_cast<double>(Free) >
+         static_cast<double>(usableUpstreams(P, Now)) * PacedFree;
+}
+
+/// \return When the next call may begin, with \p Waiting pieces for it.
+static TimePoint nextCall(const BatchPool &P, int Waiting, TimePoint Now) {
+  if (Waiting >= P.Spec.MaxPieces)
+    return Now;
+  double Places = static_cast<double>(usableUpstreams(P, Now)) * P.Spec.Slots;
+  return P.LastSent +
+         fromMs(toMs(batchCallTime(P.Spec, Waiting)) / Places * PaceFactor);
+}
+
+/// \return Pieces for one call at most, with \p Waiting of them for \p Free
+/// upstreams. A call costs as much as many pieces: with upstreams to spare,
+/// pieces are spread over them, but never into calls of less than half.
+static int callSize(const BatchPool &P, int Waiting, std::size_t Free) {
+  int Share =
+      static_cast<int>((static_cast<std::size_t>(Waiting) + Free - 1) / Free);
+  return std::clamp(Share, std::max(1, P.Spec.MaxPieces / 2), P.Spec.MaxPieces);
+}
+
 void batchPump(BatchPool &P, TimePoint Now, BatchActions &Out) {
+  P.PumpAt = TimePoint{};
   std::vector<BatchUpstream *> Idle = idleUpstreams(P, Now);
   if (Idle.empty())
     return;
@@ -156,13 +200,14 @@
   for (BatchUpstream *U : Idle) {
     if (Waiting == 0)
       return;
-    // A call costs as much as many pieces: with upstreams to spare, pieces are
-    // spread over them, but never into calls of less than half.
-    int Share = static_cast<int>(
-        (static_cast<std::size_t>(Waiting) + Unused - 1) / Unused);
+    int Most = P.Spec.MaxPieces;
+    if (manyFree(P, Unused, Now)) {
+      Most = callSize(P, Waiting, Unused);
+    } else if (TimePoint Next = nextCall(P, Waiting, Now); Next > Now) {
+      P.PumpAt = Next;
+      return;
+    }
     --Unused;
-    int Most =
-        std::clamp(Share, std::max(1, P.Spec.MaxPieces / 2), P.Spec.MaxPieces);
     if (betterToWait(P, *U, std::min(Most, Waiting), Now))
       continue;
     CallDraft Call;
@@ -172,6 +217,7 @@
     if (Call.Items.empty())
       continue;
     Waiting -= static_cast<int>(Call.Items.size());
+    P.LastSent = Now;
     sendCall(P, *U, std::move(Call.Items), std::move(Call.Bytes), Now, Out);
   }
 }
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -152,6 +152,22 @@
     else
       queueFree(std::get<FreeBatchAction>(Action).Handle);
   }
+  planPump(P);
+}
+
+/// Sees that a pool that holds pieces back sends them when it may.
+void BatchService::planPump(const BatchPool &P) {
+  if (P.PumpAt == TimePoint{} || !PumpPlanned.insert(P.Name).second)
+    return;
+  Timers->after(P.PumpAt - Timers->now(), [this, Name = P.Name] {
+    PumpPlanned.erase(Name);
+    auto Found = Pools.find(Name);
+    if (Found == Pools.end())
+      return;
+    BatchActions Out;
+    batchPump(Found->second, Timers->now(), Out);
+    perform(Found->second, Out);
+  });
 }
 
 void BatchService::send(BatchPool &P, const SendBatchAction &Send) {
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -2,6 +2,8 @@
 #ifndef FULMARSTEP_BATCH_SERVICE_H
 #define FULMARSTEP_BATCH_SERVICE_H
 
+#include <set>
+
 #include "batch_backend.h"
 #include "batch_func.h"
 #include "http_client.h"
@@ -40,6 +42,7 @@
                   std::size_t Count, const RetryAllowance &Allowance);
   void perform(BatchPool &P, const BatchActions &Actions);
   void send(BatchPool &P, const SendBatchAction &Send);
+  void planPump(const BatchPool &P);
   void queueFree(const std::string &Handle);
   void flushFrees();
   void sendFrees(const std::string &Address);
@@ -53,7 +56,8 @@
   std::map<std::string, std::size_t> Sizes;              ///< Of each pool.
   BatchTickets Tickets;                                  ///< Who waits.
   std::map<std::string, std::vector<std::string>> Frees; ///< By address.
-  bool FlushPlanned = false; ///< flushFrees will run.
+  std::set<std::string> PumpPlanned; ///< Pools that will be pumped.
+  bool FlushPlanned = false;         ///< flushFrees will run.
 };
 
 } // namespace fulmar
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -1,6 +1,8 @@
 /// \file test_batch.cpp Forming calls out of pieces, in virtual time.
 #include <catch2/catch.hpp>
 
+#include <numeric>
+
 #include "batch_func.h"
 #include "batch_home.h"
 
@@ -178,6 +180,40 @@
   CHECK(W.P.Counts.Repeats == 0);
 }
 
+SCENARIO("calls begin one after the other") {
+  // Symptom: a stage takes 460 ms though its calls take 330.
+  // Sequence: some upstreams happen to be free at once and are given calls at
+  // once; they end at once, and all that came in between goes out at once.
+  // Cause: each free upstream was given what waited at that moment.
+  BatchSpec Spec = PoolWorld::ledgerSpec();
+  Spec.MaxPieces = 40;
+  Spec.PieceTime = Duration(5100);
+  Spec.RoomBytes = 1e9;
+  PoolWorld W(8, Spec);
+  Random Rng(7);
+  std::map<std::uint64_t, TimePoint> Asked;
+  std::vector<double> Times;
+  // 432 pieces/s, 0.6 of what full calls make.
+  for (int I = 0; I < 3000; ++I) {
+    W.pass(milliseconds(10));
+    W.freeAll();
+    for (const auto &[Id, Result] : W.Answers)
+      Times.push_back(toMs(W.Now - Asked[Id]));
+    W.Answers.clear();
+    constexpr double Arrivals = 1.08;
+    double Left = Arrivals * randomUnit(Rng) * 2;
+    for (; Left > randomUnit(Rng); Left -= 1)
+      Asked[W.ask(W.makeAsk(4))] = W.Now;
+  }
+  std::sort(Times.begin(), Times.end());
+  double Mean = std::accumulate(Times.begin(), Times.end(), 0.0) /
+                static_cast<double>(Times.size());
+  double Late = Times[Times.size() * 9 / 10];
+  CAPTURE(Times.size(), Mean, Late);
+  CHECK(Late < 520);
+  CHECK(Mean < 430);
+}
+
 SCENARIO("a burst that is more than the pool can do") {
   // Symptom: in a burst of 1.3 times what a pool can do hardly a request is on
   // time, although three quarters could be.
