Inputs are given back early only at upstreams that this node alone uses

Cause: inputs were given back 50 ms after their call was sent to an upstream without a call of ours. Change: the load that upstreams report with each answer is kept; inputs are given back early only where the latest answer, lately, said that there are no others.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -195,7 +195,7 @@
 
 /// Learns from a call's time, or from its failure.
 static void learn(BatchPool &P, const BatchCall &Call, bool Answered,
-                  AttemptEffect Effect, TimePoint Now) {
+                  const BatchCallResult &Result, TimePoint Now) {
   auto Found = P.Upstreams.find(Call.Instance);
   if (Found == P.Upstreams.end())
     return;
@@ -203,7 +203,7 @@
   --U.InFlight;
   if (!Answered) {
     U.FreeAt = Now;
-    if (Effect == AttemptEffect::SaidNotRun) {
+    if (Result.Effect == AttemptEffect::SaidNotRun) {
       U.AvoidUntil = std::max(U.AvoidUntil, Now + FullPause);
       return;
     }
@@ -212,6 +212,10 @@
     return;
   }
   U.Failures = 0;
+  U.HeardAt = Now;
+  U.Others = Result.Load ? std::max(0, Result.Load->Running +
+                                           Result.Load->Waiting - U.InFlight)
+                         : 0;
   int Size = static_cast<int>(Call.Items.size());
   double Ratio =
       toMs(Now - Call.Sent) / toMs(batchCallTime(P.Spec, Size) + CallOverhead);
@@ -244,7 +248,7 @@
   BatchCall Call = std::move(Found->second);
   P.Calls.erase(Found);
   bool Answered = Result.Answered && Result.Pieces.size() == Call.Items.size();
-  learn(P, Call, Answered, Result.Effect, Now);
+  learn(P, Call, Answered, Result, Now);
   for (std::size_t I = 0; I < Call.Items.size(); ++I) {
     const BatchItem &Item = Call.Items[I];
     auto Job = P.Jobs.find(Item.Ask);
@@ -356,9 +360,14 @@
 /// Tells whose inputs have been read. Their space is scarce at their makers,
 /// and a call takes hundreds of ms after it has read them: with the space taken
 /// until its end, the pool before it ran at two thirds of its rate.
+///
+/// A call that waits at its upstream has read nothing. While nodes differ about
+/// who forms the calls, two of them use the same upstreams; inputs that were
+/// given back then were gone at the calls' turn, and all of 12,000 pieces of a
+/// day had to be made again.
 static void tellRead(BatchPool &P, TimePoint Now, BatchActions &Out) {
   for (auto &[Id, Job] : P.Jobs) {
-    if (!Job.Ask.TellRead || Job.InputsRead || Job.Waiting > 0 ||
+    if (!Job.Ask.TellRead || Job.InputsRead || !Job.AtOnce || Job.Waiting > 0 ||
         Now - Job.StartedAt < ReadTime)
       continue;
     Job.InputsRead = true;
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -21,6 +21,8 @@
   TimePoint FreeAt{};     ///< When its latest call should end.
   double Slowness = 1;    ///< Smoothed time of its calls over the expected.
   int Failures = 0;       ///< Calls in a row that failed.
+  int Others = 0;         ///< Calls of other nodes, when it was last heard.
+  TimePoint HeardAt{};    ///< Of its latest answer; zero: none yet.
   TimePoint AvoidUntil{}; ///< Left out until then.
   double RoomUsed = 0;    ///< Bytes of results that it keeps.
 };
@@ -56,6 +58,8 @@
   bool Ran = false;               ///< Some piece ran or may have run.
   TimePoint StartedAt{};          ///< When its last waiting piece was sent.
   bool InputsRead = false;        ///< It was told that its inputs were read.
+  bool AtOnce =
+      true; ///< Its calls began as soon as they came, for all we know.
 };
 
 /// A call in progress.
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -24,11 +24,16 @@
 /// anyway.
 static constexpr double PacedFree = 0.5;
 
+/// An upstream that said a call ago that it has nothing else to do most likely
+/// still has not. Full calls take 450 ms.
+static constexpr Duration HeardLately = std::chrono::milliseconds(1500);
+
 /// A call that is being put together.
 struct CallDraft {
   std::vector<BatchItem> Items; ///< Its pieces.
   std::vector<double> Bytes;    ///< Space for each result.
   int Most = 0;                 ///< Pieces at most.
+  bool AtOnce = false;          ///< It begins as soon as it comes.
   double Room = 0;              ///< Space that is left, bytes.
 };
 
@@ -53,6 +58,7 @@
     --Job.Waiting;
     Job.Ran = true;
     Job.StartedAt = Now;
+    Job.AtOnce = Job.AtOnce && Call.AtOnce;
     BatchItem Item;
     Item.Ask = Job.Id;
     Item.RequestId = Job.Ask.RequestId;
@@ -140,7 +146,14 @@
   return false;
 }
 
-/// \return Idle upstreams, the quickest first.
+/// \return Whether a call to an idle upstream begins as soon as it comes: no
+/// other node gives it calls.
+static bool beginsAtOnce(const BatchUpstream &U, TimePoint Now) {
+  return U.Others == 0 && U.HeardAt > TimePoint{} &&
+         Now - U.HeardAt < HeardLately;
+}
+
+/// \return Idle upstreams: those that other nodes use last, the quickest first.
 static std::vector<BatchUpstream *> idleUpstreams(BatchPool &P, TimePoint Now) {
   std::vector<BatchUpstream *> Idle;
   for (auto &[Instance, U] : P.Upstreams) {
@@ -149,7 +162,8 @@
   }
   std::stable_sort(Idle.begin(), Idle.end(),
                    [](const BatchUpstream *A, const BatchUpstream *B) {
-                     return A->Slowness < B->Slowness;
+                     return A->Others != B->Others ? A->Others < B->Others
+                                                   : A->Slowness < B->Slowness;
                    });
   return Idle;
 }
@@ -212,6 +226,7 @@
       continue;
     CallDraft Call;
     Call.Most = Most;
+    Call.AtOnce = beginsAtOnce(*U, Now);
     Call.Room = P.Spec.RoomBytes * RoomShare - U->RoomUsed;
     fillCall(P, Order, *U, Waiting > P.Spec.MaxPieces, Call, Now);
     if (Call.Items.empty())
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -3,11 +3,13 @@
 #define FULMARSTEP_BATCH_TYPE_H
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "core/strong_id.h"
 #include "core/time_type.h"
+#include "forward_type.h"
 #include "verdict_type.h"
 
 namespace fulmar {
@@ -112,7 +114,8 @@
 struct BatchCallResult {
   bool Answered = false; ///< There is an answer for each piece.
   AttemptEffect Effect = AttemptEffect::MayHaveRun; ///< If it is not answered.
-  std::vector<PieceResult> Pieces; ///< In the order of the call.
+  std::vector<PieceResult> Pieces;  ///< In the order of the call.
+  std::optional<UpstreamLoad> Load; ///< What the upstream still has to do.
 };
 
 } // namespace fulmar
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -53,7 +53,6 @@
   bool Signed = false;     ///< It bears the upstream's signature.
   bool SaidNotRun = false; ///< It says that the request was not run.
   bool InputsGone = false; ///< It says that a stage's result is missing.
-  std::optional<UpstreamLoad> Load; ///< If it reports its load.
 };
 
 } // namespace fulmar
