Results go when they have been read, by the engines too

Cause: results for an engine were kept until its first event. Change: where space is scarce, results are given back 20 ms after they can have been read, longer where work finds them gone (one piece in twenty may). An attempt that fails after that begins its stages again.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -29,9 +29,6 @@
 /// A call that takes this many times its expected time has its pieces sent to
 /// another upstream too. Ordinary calls vary by a few per cent.
 static constexpr double HedgeFactor = 1.8;
-/// An upstream that was idle reads a call's inputs before it works on it; their
-/// transfer takes a few ms. After this time they are taken to be read.
-static constexpr Duration ReadTime = std::chrono::milliseconds(50);
 /// Space for results counts as scarce in a pool above this part of it.
 static constexpr double TightShare = 0.55;
 
@@ -242,20 +239,24 @@
 
 void batchCallEnded(BatchPool &P, BatchCallId Id, const BatchCallResult &Result,
                     TimePoint Now, BatchActions &Out) {
-  auto Found = P.Calls.find(Id);
-  if (Found == P.Calls.end())
+  auto Ended = P.Calls.find(Id);
+  if (Ended == P.Calls.end())
     return;
-  BatchCall Call = std::move(Found->second);
-  P.Calls.erase(Found);
+  BatchCall Call = std::move(Ended->second);
+  P.Calls.erase(Ended);
   bool Answered = Result.Answered && Result.Pieces.size() == Call.Items.size();
   learn(P, Call, Answered, Result, Now);
+  int Found = 0; // Pieces whose inputs were given back early, and were there.
+  int Missed = 0;
   for (std::size_t I = 0; I < Call.Items.size(); ++I) {
     const BatchItem &Item = Call.Items[I];
     auto Job = P.Jobs.find(Item.Ask);
+    bool Early = Job != P.Jobs.end() && Job->second.InputsRead;
     if (Job != P.Jobs.end())
       --Job->second.Pieces[static_cast<std::size_t>(Item.Piece)].Running;
     bool Done = Answered && Result.Pieces[I].End == PieceEnd::Done;
     if (Done) {
+      Found += Early ? 1 : 0;
       takeResult(P, Call, I, Result.Pieces[I], Now, Out);
       continue;
     }
@@ -264,11 +265,13 @@
       Maker->second.RoomUsed =
           std::max(0.0, Maker->second.RoomUsed - Call.Bytes[I]);
     PieceEnd End = Answered ? Result.Pieces[I].End : PieceEnd::Failed;
+    Missed += Early && End == PieceEnd::InputsGone ? 1 : 0;
     bool Again = End == PieceEnd::Failed || End == PieceEnd::NoRoom;
     pieceFailed(P, Item, endOf(End), Again,
                 Result.Effect == AttemptEffect::SaidNotRun && !Answered, Now,
                 Out);
   }
+  readWaitLearn(P.InputsRead, Missed, Found);
   batchPump(P, Now, Out);
 }
 
@@ -368,7 +371,7 @@
 static void tellRead(BatchPool &P, TimePoint Now, BatchActions &Out) {
   for (auto &[Id, Job] : P.Jobs) {
     if (!Job.Ask.TellRead || Job.InputsRead || !Job.AtOnce || Job.Waiting > 0 ||
-        Now - Job.StartedAt < ReadTime)
+        Now - Job.StartedAt < P.InputsRead.Wait)
       continue;
     Job.InputsRead = true;
     Out.push_back(InputsReadAction{Id});
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -87,6 +87,29 @@
   watchSilence(*R);
 }
 
+/// \return Whether some of a request's results lie where space is scarce.
+static bool holdsScarceSpace(const ForwardRequest &R) {
+  auto Scarce = [](const StageProgress &Stage) {
+    return Stage.Tight && !Stage.Handles.empty();
+  };
+  return std::any_of(R.Stages.begin(), R.Stages.end(), Scarce);
+}
+
+/// Gives the results of the stages back when the upstream has read them, where
+/// their space is scarce. Its first event comes much later: it reads a prompt
+/// of 12,000 tokens for 250 ms before.
+void GatewayService::planFree(ForwardRequest &R) {
+  if (!holdsScarceSpace(R))
+    return;
+  R.ReadTimer = Timers->after(InputsRead.Wait, [this, Serial = R.Serial] {
+    ForwardRequest *Reading = find(Serial);
+    if (!Reading || !Reading->Attempt)
+      return;
+    Reading->InputsFreed = true;
+    freeStages(*Reading);
+  });
+}
+
 HttpCallbacks GatewayService::attemptCallbacks(RequestSerial Serial) {
   HttpCallbacks On;
   On.OnSent = [this, Serial] { attemptSent(Serial); };
@@ -99,6 +122,7 @@
 void GatewayService::attemptSent(RequestSerial Serial) {
   ForwardRequest *R = find(Serial);
   R->Attempt->Sent = true;
+  planFree(*R);
   if (R->Sends++ > 0) {
     retryWindowRepeat(Retries[R->PoolName], Timers->now());
     ++Metrics.Repeats;
@@ -155,6 +179,8 @@
     smoothTime(timesOf(R).FirstEvent, Now - A.Started);
     Metrics.FirstEvent.add(toMs(Now - A.Started));
     // The upstream has begun to run the request, so it has read its inputs.
+    if (R.InputsFreed)
+      readWaitLearn(InputsRead, /*Missed=*/0, /*Found=*/1);
     freeStages(R);
   }
   R.Cursor.take(Event);
@@ -214,6 +240,8 @@
     R->LastFailure = Whole.Failure != HttpFailure::None
                          ? std::string(httpFailureName(Whole.Failure))
                          : "status " + std::to_string(Whole.Status);
+  if (Reply.InputsGone && R->InputsFreed)
+    readWaitLearn(InputsRead, /*Missed=*/1, /*Found=*/0);
   if (Reply.InputsGone && R->StageRounds == 1) {
     judgeUpstream(*R, AttemptOutcome::Success, Effect);
     closeAttempt(*R);
@@ -246,7 +274,9 @@
 
 void GatewayService::closeAttempt(ForwardRequest &R) {
   Timers->cancel(R.SilenceTimer);
+  Timers->cancel(R.ReadTimer);
   R.SilenceTimer = TimerId{};
+  R.ReadTimer = TimerId{};
   R.Attempt.reset();
 }
 
@@ -304,7 +334,7 @@
   case Verdict::PassOn:
     return Streaming ? finishStream(R) : finishWith(R, Answer);
   case Verdict::Retry:
-    if (!R.Stages.empty() && R.HeadSent)
+    if (!R.Stages.empty() && (R.HeadSent || R.InputsFreed))
       return redoStages(R);
     return sendAttempt(R.Serial);
   case Verdict::RefuseNotRun:
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -81,9 +81,11 @@
   TimePoint FirstEvent{};                ///< When the client got the first one.
   std::string LastUpstream;              ///< For logs.
   std::string LastFailure;               ///< For logs.
-  Duration RetryIn{};    ///< When to come back, if it is refused.
-  TimerId DeadlineTimer; ///< Ends it.
-  TimerId SilenceTimer;  ///< Looks after a silent stream.
+  Duration RetryIn{};       ///< When to come back, if it is refused.
+  TimerId DeadlineTimer;    ///< Ends it.
+  TimerId SilenceTimer;     ///< Looks after a silent stream.
+  TimerId ReadTimer;        ///< When its upstream has read its inputs.
+  bool InputsFreed = false; ///< They are gone; another attempt needs new ones.
 };
 
 } // namespace fulmar
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -247,6 +247,7 @@
   R.Exchange->OnDrained = nullptr;
   Timers->cancel(R.DeadlineTimer);
   Timers->cancel(R.SilenceTimer);
+  Timers->cancel(R.ReadTimer);
   Timers->cancel(R.StageTimer);
   cancelStages(R);
   TimePoint Useful = R.FirstEvent > TimePoint{} ? R.FirstEvent : Now;
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -6,6 +6,7 @@
 #include "gateway_request.h"
 #include "gateway_settings.h"
 #include "policy_type.h"
+#include "read_wait.h"
 #include "verdict_type.h"
 
 namespace fulmar {
@@ -98,6 +99,7 @@
 
   // gateway_attempt.cpp: sends and their answers.
   void sendAttempt(RequestSerial Serial);
+  void planFree(ForwardRequest &R);
   HttpCallbacks attemptCallbacks(RequestSerial Serial);
   void attemptSent(RequestSerial Serial);
   void attemptHead(RequestSerial Serial, const HttpAnswer &Answer);
@@ -151,6 +153,7 @@
   std::map<RequestSerial, ForwardRequest> Requests; ///< In progress.
   std::uint64_t LastSerial = 0;                     ///< Counts requests.
   std::uint32_t LastUpstream = 0;                   ///< Counts upstreams.
+  ReadWait InputsRead;    ///< Until upstreams have read a run's inputs.
   TimePoint RefuseAt{};   ///< While draining; zero: not draining.
   TimePoint EndsAt{};     ///< When the process will be ended.
   GatewayMetrics Metrics; ///< For operators.
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -39,6 +39,7 @@
   double RevokeMs = 5000;         ///< Set before nodes are added.
   std::string Attempts = "2";     ///< Of each route.
   int CallMs = 20;                ///< Of a call for pieces, as configured.
+  double RoomMb = 8;              ///< For results at an upstream.
 
   /// Adds an upstream and lists it.
   platform::StandinRunner &addRunner(const std::string &Pool,
@@ -90,7 +91,9 @@
         "\"slots\":1,\"queue\":2,\"batch\":4,\"call_ms\":" +
         std::to_string(CallMs) +
         ",\"item_ms\":1,"
-        "\"headroom_mb\":8,\"handle_s\":4}}],\"limits\":{},\"tenants\":[{"
+        "\"headroom_mb\":" +
+        std::to_string(RoomMb) +
+        ",\"handle_s\":4}}],\"limits\":{},\"tenants\":[{"
         "\"name\":\"org-a\",\"api_keys\":[" +
         Keys + "]}]}";
     Store.put("op/config", Text);
--- a/tests/test_decisions.cpp
+++ b/tests/test_decisions.cpp
@@ -5,6 +5,7 @@
 #include "freshness.h"
 #include "log_func.h"
 #include "log_parse.h"
+#include "read_wait.h"
 #include "retry_window.h"
 #include "route_func.h"
 #include "upstream_book.h"
@@ -219,3 +220,31 @@
   CHECK(Found.Context.size() == 2);
   CHECK(Found.Unreadable == std::vector<int>{2});
 }
+
+SCENARIO("how long inputs are kept after the work was sent") {
+  ReadWait W;
+  GIVEN("upstreams in another region, which find them gone") {
+    for (int I = 0; I < 10 && W.Wait < milliseconds(70); ++I)
+      readWaitLearn(W, /*Missed=*/10, /*Found=*/0);
+    CHECK(W.Wait >= milliseconds(70));
+    THEN("a shorter wait is tried again, little by little") {
+      Duration Before = W.Wait;
+      readWaitLearn(W, 0, 10);
+      CHECK(W.Wait < Before);
+      CHECK(W.Wait > Before * 9 / 10);
+    }
+    THEN("there is a bound") {
+      readWaitLearn(W, 1000, 0);
+      CHECK(W.Wait == MostReadWait);
+    }
+  }
+  GIVEN("a request in each few calls whose inputs are gone for other reasons") {
+    // Symptom: calls shrink although hardly any input is missing.
+    // Sequence: in every fourth call one request of eight finds its inputs
+    // gone, and the wait becomes half as long again. Cause: a call with one
+    // such request counted as much as a call of them.
+    for (int I = 0; I < 400; ++I)
+      readWaitLearn(W, I % 4 == 0 ? 6 : 0, I % 4 == 0 ? 40 : 46);
+    CHECK(W.Wait < LeastReadWait * 3 / 2);
+  }
+}
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -187,6 +187,30 @@
       CHECK(W.runsOfLast() == 1);
     }
   }
+  GIVEN(
+      "results that fill most of their space, and an engine that reads long") {
+    // Symptom: calls carry two thirds of what they could while pieces wait.
+    // Sequence: the engine has the results within a few ms, and answers with
+    // its first event a quarter of a second later. Cause: their space was given
+    // back with the first event.
+    W.RoomMb = 1;
+    W.configure();
+    W.addRunner("engine", {"i-long", milliseconds(300), 3});
+    W.list("engine", "i-e", "draining");
+    runUntil(
+        W.Loop, [] { return false; }, milliseconds(1300));
+    auto Got = W.send("/staged/x", Pieces);
+    CHECK(runUntil(W.Loop, [&] { return W.runsOfLast() == 1; }));
+    auto Kept = [&] {
+      return S.Results.size() + W.Runners["i-t"]->Results.size();
+    };
+    CHECK(Kept() > 0);
+    CHECK(runUntil(
+        W.Loop, [&] { return Kept() == 0; }, milliseconds(150)));
+    CHECK(Got->Stream.empty());
+    CHECK(runUntil(W.Loop, [&] { return Got->Ended; }));
+    CHECK(Got->Stream == wholeStream(3));
+  }
   GIVEN("upstreams that are full for a moment") {
     // Symptom: requests fail within a few ms although their upstreams live.
     // Sequence: two nodes form calls at once; an upstream refuses a call; it
