--- a/src/read_wait.h
+++ b/src/read_wait.h
@@ -38,8 +38,8 @@
 /// missing, and for how many they were not.
 inline void readWaitLearn(ReadWait &W, int Missed, int Found) {
   double Factor = std::pow(MissedFactor, Missed) * std::pow(FoundFactor, Found);
-  W.Wait =
-      std::clamp(fromMs(toMs(W.Wait) * Factor), LeastReadWait, MostReadWait);
+  W.Wait = fromMs(std::clamp(toMs(W.Wait) * Factor, toMs(LeastReadWait),
+                             toMs(MostReadWait)));
 }
 
 } // namespace fulmar
