Pieces that were not worked on wait until they are of no use

Change: such pieces wait; the upstream is left alone for 80 to 640 ms; a part's repeats are shared by two nodes.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -17,12 +17,15 @@
 /// Calls in a row that fail before an upstream is left out for a while.
 static constexpr int FailuresToAvoid = 2;
 static constexpr Duration AvoidTime = std::chrono::seconds(2);
-/// An upstream that says it is full is left alone for this long. Another node
-/// gives it work too, as happens while nodes differ about who forms the calls;
-/// its queue moves once in a call's time, a few hundred ms.
+/// An upstream that says it is full is left alone for this long, and for twice
+/// as long each further time. Another node gives it work too, as happens while
+/// nodes differ about who forms the calls; its queue moves once in a call's
+/// time, a few hundred ms.
 static constexpr Duration FullPause = std::chrono::milliseconds(80);
+static constexpr int MostFullDoublings = 3;
 /// Weight of the newest call in an upstream's slowness.
 static constexpr double SlownessGain = 0.4;
+static constexpr double LeastSlowness = 0.5;
 /// Part of an idle upstream's slowness that is forgotten in each tick: after
 /// some seconds it is worth another try, and would otherwise never get one.
 static constexpr double SlownessForgotten = 0.02;
@@ -167,11 +170,19 @@
     answer(P, Found, BatchEnd::Done, Duration::zero(), Out);
 }
 
-/// A piece of a call has no result: it waits again, or its ask fails.
-/// \param Full the upstream said that it was full, so the piece was not worked
-/// on and may be sent as often as the budget allows.
-static void pieceFailed(BatchPool &P, const BatchItem &Item, BatchEnd Why,
-                        bool Again, bool Full, TimePoint Now,
+/// Why a piece of a call has no result.
+struct PieceFailure {
+  BatchEnd Why = BatchEnd::Failed; ///< What its ask is told, if it ends.
+  bool Again = false;              ///< Another try may do better.
+  bool Refused = false;            ///< It was not worked on.
+};
+
+/// A piece of a call has no result: it waits again, or its ask fails. One that
+/// was not worked on, because the upstream was full or had no space, waits
+/// until it is of no use; if a few refusals failed the request, one whose
+/// upstreams are only busy would fail within a quarter of a second.
+static void pieceFailed(BatchPool &P, const BatchItem &Item,
+                        const PieceFailure &Failure, TimePoint Now,
                         BatchActions &Out) {
   auto Found = P.Jobs.find(Item.Ask);
   if (Found == P.Jobs.end())
@@ -180,61 +191,102 @@
   BatchPiece &Piece = Job.Pieces[static_cast<std::size_t>(Item.Piece)];
   if (Piece.State != PieceState::Running || Piece.Running > 0)
     return; // Done, or another call may still bring it.
-  if (Full)
+  if (Failure.Refused)
     --Piece.Sends;
-  Again = Again && Piece.Sends < MaxSends &&
-          retryWindowAllows(P.Repeats, P.Allowance, Now);
-  if (!Again)
-    return answer(P, Found, Why, P.Spec.CallTime, Out);
+  else if (!Failure.Again || Piece.Sends >= MaxSends ||
+           !retryWindowAllows(P.Repeats, P.Allowance, Now))
+    return answer(P, Found, Failure.Why, P.Spec.CallTime, Out);
   Piece.State = PieceState::Waiting;
   ++Job.Waiting;
 }
 
-/// Learns from a call's time, or from its failure.
-static void learn(BatchPool &P, const BatchCall &Call, bool Answered,
-                  const BatchCallResult &Result, TimePoint Now) {
-  auto Found = P.Upstreams.find(Call.Instance);
-  if (Found == P.Upstreams.end())
-    return;
-  BatchUpstream &U = Found->second;
-  --U.InFlight;
-  if (!Answered) {
-    U.FreeAt = Now;
-    if (Result.Effect == AttemptEffect::SaidNotRun) {
-      U.AvoidUntil = std::max(U.AvoidUntil, Now + FullPause);
-      return;
-    }
-    if (++U.Failures >= FailuresToAvoid)
-      U.AvoidUntil = Now + AvoidTime;
-    return;
-  }
+/// An upstream did not take work, because it is full or has no space.
+static void learnRefusal(BatchUpstream &U, TimePoint Now) {
+  int Doublings = std::min(U.Refusals++, MostFullDoublings);
+  U.FullUntil = Now + FullPause * (1 << Doublings);
+}
+
+/// A call did not come to an answer for each piece.
+static void learnFailure(BatchUpstream &U, AttemptEffect Effect,
+                         TimePoint Now) {
+  U.FreeAt = Now;
+  if (Effect == AttemptEffect::SaidNotRun)
+    return learnRefusal(U, Now);
+  if (++U.Failures >= FailuresToAvoid)
+    U.AvoidUntil = Now + AvoidTime;
+}
+
+/// \return Whether some piece of a call ended so.
+static bool anyPiece(const BatchCallResult &Result, PieceEnd End) {
+  return std::any_of(Result.Pieces.begin(), Result.Pieces.end(),
+                     [End](const PieceResult &P) { return P.End == End; });
+}
+
+/// Learns from an answer about the upstream and from the time it took.
+static void learnAnswer(const BatchPool &P, BatchUpstream &U,
+                        const BatchCall &Call, const BatchCallResult &Result,
+                        TimePoint Now) {
   U.Failures = 0;
   U.HeardAt = Now;
   U.Others = Result.Load ? std::max(0, Result.Load->Running +
                                            Result.Load->Waiting - U.InFlight)
                          : 0;
+  if (anyPiece(Result, PieceEnd::NoRoom))
+    learnRefusal(U, Now);
+  else
+    U.Refusals = 0;
+  // One that did nothing is no quicker for that.
+  if (!anyPiece(Result, PieceEnd::Done))
+    return;
   int Size = static_cast<int>(Call.Items.size());
   double Ratio =
       toMs(Now - Call.Sent) / toMs(batchCallTime(P.Spec, Size) + CallOverhead);
   U.Slowness += (Ratio - U.Slowness) * SlownessGain;
   // An upstream that is quicker than its figures is no reason to hurry.
-  U.Slowness = std::max(U.Slowness, 0.5);
+  U.Slowness = std::max(U.Slowness, LeastSlowness);
+}
+
+/// Learns from the end of a call.
+static void learn(BatchPool &P, const BatchCall &Call, bool Answered,
+                  const BatchCallResult &Result, TimePoint Now) {
+  auto Found = P.Upstreams.find(Call.Instance);
+  if (Found == P.Upstreams.end())
+    return;
+  --Found->second.InFlight;
+  if (Answered)
+    learnAnswer(P, Found->second, Call, Result, Now);
+  else
+    learnFailure(Found->second, Result.Effect, Now);
 }
 
-static BatchEnd endOf(PieceEnd End) {
-  switch (End) {
+/// \return Why the piece at \p Index of a call has no result.
+static PieceFailure failureOf(const BatchCallResult &Result, bool Answered,
+                              std::size_t Index) {
+  if (!Answered)
+    return {BatchEnd::Failed, /*Again=*/true,
+            Result.Effect == AttemptEffect::SaidNotRun};
+  switch (Result.Pieces[Index].End) {
   case PieceEnd::Late:
-    return BatchEnd::Hopeless;
+    return {BatchEnd::Hopeless, /*Again=*/false, /*Refused=*/false};
   case PieceEnd::InputsGone:
-    return BatchEnd::InputsGone;
-  case PieceEnd::Done:
+    return {BatchEnd::InputsGone, /*Again=*/false, /*Refused=*/false};
   case PieceEnd::NoRoom:
+    return {BatchEnd::Failed, /*Again=*/true, /*Refused=*/true};
+  case PieceEnd::Done:
   case PieceEnd::Failed:
   case PieceEnd::Count:
   case PieceEnd::Invalid:
     break;
   }
-  return BatchEnd::Failed;
+  return {BatchEnd::Failed, /*Again=*/true, /*Refused=*/false};
+}
+
+/// The space set aside for a result that was not made is free.
+static void returnRoom(BatchPool &P, const BatchCall &Call, std::size_t Index) {
+  auto Maker = P.Upstreams.find(Call.Instance);
+  if (Maker != P.Upstreams.end())
+    Maker->second.RoomUsed =
+        std::max(0.0, Maker->second.RoomUsed - Call.Bytes[Index]);
 }
 
 void batchCallEnded(BatchPool &P, BatchCallId Id, const BatchCallResult &Result,
@@ -260,16 +312,10 @@
       takeResult(P, Call, I, Result.Pieces[I], Now, Out);
       continue;
     }
-    auto Maker = P.Upstreams.find(Call.Instance);
-    if (Maker != P.Upstreams.end())
-      Maker->second.RoomUsed =
-          std::max(0.0, Maker->second.RoomUsed - Call.Bytes[I]);
-    PieceEnd End = Answered ? Result.Pieces[I].End : PieceEnd::Failed;
-    Missed += Early && End == PieceEnd::InputsGone ? 1 : 0;
-    bool Again = End == PieceEnd::Failed || End == PieceEnd::NoRoom;
-    pieceFailed(P, Item, endOf(End), Again,
-                Result.Effect == AttemptEffect::SaidNotRun && !Answered, Now,
-                Out);
+    returnRoom(P, Call, I);
+    PieceFailure Failure = failureOf(Result, Answered, I);
+    Missed += Early && Failure.Why == BatchEnd::InputsGone ? 1 : 0;
+    pieceFailed(P, Item, Failure, Now, Out);
   }
   readWaitLearn(P.InputsRead, Missed, Found);
   batchPump(P, Now, Out);
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -22,9 +22,11 @@
   TimePoint FreeAt{};     ///< When its latest call should end.
   double Slowness = 1;    ///< Smoothed time of its calls over the expected.
   int Failures = 0;       ///< Calls in a row that failed.
+  int Refusals = 0;       ///< Calls in a row that it refused as full.
   int Others = 0;         ///< Calls of other nodes, when it was last heard.
   TimePoint HeardAt{};    ///< Of its latest answer; zero: none yet.
-  TimePoint AvoidUntil{}; ///< Left out until then.
+  TimePoint AvoidUntil{}; ///< Left out until then, for its failures.
+  TimePoint FullUntil{};  ///< It said that it was full; not asked until then.
   double RoomUsed = 0;    ///< Bytes of results that it keeps.
 };
 
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -62,9 +62,9 @@
     if (!batchUsable(U, Now))
       continue;
     View.Upstreams += 1 / std::max(1.0, U.Slowness);
-    Duration Free = U.InFlight < P.Spec.Slots
-                        ? Duration::zero()
-                        : std::max(Duration::zero(), U.FreeAt - Now);
+    TimePoint FreeAt = U.InFlight < P.Spec.Slots ? Now : U.FreeAt;
+    Duration Free =
+        std::max(Duration::zero(), std::max(FreeAt, U.FullUntil) - Now);
     View.NextFree = Any ? std::min(View.NextFree, Free) : Free;
     Any = true;
   }
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -157,7 +157,7 @@
 static std::vector<BatchUpstream *> idleUpstreams(BatchPool &P, TimePoint Now) {
   std::vector<BatchUpstream *> Idle;
   for (auto &[Instance, U] : P.Upstreams) {
-    if (batchUsable(U, Now) && U.InFlight < P.Spec.Slots)
+    if (batchUsable(U, Now) && U.FullUntil <= Now && U.InFlight < P.Spec.Slots)
       Idle.push_back(&U);
   }
   std::stable_sort(Idle.begin(), Idle.end(),
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -19,6 +19,11 @@
 static constexpr Duration FreeDelay = std::chrono::milliseconds(25);
 static constexpr Duration FreeTimeout = std::chrono::seconds(2);
 
+/// Nodes that form calls for one part at most, while they differ about who
+/// does. The others repeat nothing there, and have no share in what may be
+/// repeated.
+static constexpr double NodesPerPart = 2;
+
 BatchService::BatchService(Kernel &K, const WireFormat &W)
     : Services(K), Wire(W) {}
 
@@ -76,6 +81,7 @@
   P.Spec = *Spec.Batch;
   P.Allowance = Allowance;
   P.Allowance.Extra /= static_cast<double>(Count);
+  P.Allowance.Nodes = NodesPerPart;
   BatchActions Out;
   batchUpstreams(P, Mine, Timers->now(), Out);
   perform(P, Out);
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -23,6 +23,7 @@
   std::vector<SendBatchAction> Sent;
   std::map<std::string, double> Slow; ///< Factor by instance.
   bool Full = false;                  ///< Upstreams refuse.
+  bool NoRoom = false;                ///< Upstreams have no space for results.
   int OtherCalls = 0;                 ///< Of other nodes, as the upstreams say.
   int LastHandle = 0;
 
@@ -123,9 +124,11 @@
     Result.Effect =
         Full ? AttemptEffect::SaidNotRun : AttemptEffect::MayHaveRun;
     Result.Load = UpstreamLoad{OtherCalls, 0, 1};
-    for (std::size_t I = 0; I < Call.Items.size(); ++I)
-      Result.Pieces.push_back(
-          {PieceEnd::Done, Call.Address + "/" + std::to_string(++LastHandle)});
+    for (std::size_t I = 0; I < Call.Items.size(); ++I) {
+      std::string Handle = Call.Address + "/" + std::to_string(++LastHandle);
+      Result.Pieces.push_back(NoRoom ? PieceResult{PieceEnd::NoRoom, ""}
+                                     : PieceResult{PieceEnd::Done, Handle});
+    }
     BatchActions Out;
     batchCallEnded(P, BatchCallId{Id}, Result, Now, Out);
     perform(Out);
@@ -386,6 +389,32 @@
   }
 }
 
+SCENARIO("upstreams are full for longer than repeats are allowed") {
+  // Symptom: after a restart of all nodes requests fail within 250 ms although
+  // all upstreams live.
+  // Sequence: nodes differ about who forms the calls; upstreams refuse; a pool
+  // that has had few requests may hardly repeat anything.
+  // Cause: a refusal, after which nothing has run, cost a repeat, and a request
+  // whose repeats were used up failed.
+  PoolWorld W(2);
+  W.P.Allowance = {0, 0, seconds(10), 1};
+  SECTION("they refuse calls") { W.Full = true; }
+  SECTION("their space is taken by results of who formed the calls before") {
+    W.NoRoom = true;
+  }
+  std::uint64_t Id = W.ask(W.makeAsk(2));
+  W.pass(milliseconds(1500));
+  CHECK(W.Answers.empty());
+  CHECK(W.Sent.size() <= 10);
+  std::uint64_t Later = W.ask(W.makeAsk(2));
+  CHECK(W.Answers.empty());
+  W.Full = W.NoRoom = false;
+  W.pass(milliseconds(1200));
+  REQUIRE(W.Answers.size() == 2);
+  CHECK(W.Answers.at(Id).End == BatchEnd::Done);
+  CHECK(W.Answers.at(Later).End == BatchEnd::Done);
+}
+
 SCENARIO("large results are made where they are used") {
   PoolWorld W(3);
   BatchAsk Ask = W.makeAsk(2);
