A priority that got much less than others of an overloaded pool goes first

Change: a pool counts what each priority asks and gets, older pieces counting less; one that gets under 0.8 of the mean's part goes first, among what can be on time.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -105,6 +105,7 @@
   Job.Dead = Now + Ask.Dead;
   Job.Pieces.resize(static_cast<std::size_t>(Ask.Pieces));
   Job.Left = Job.Waiting = Ask.Pieces;
+  P.Shares.ByPriority[Ask.Priority].Asked += Ask.Pieces;
   // Upstreams see pieces; who counts what counts a request once.
   retryWindowRequest(P.Repeats, Now);
   return Job;
@@ -436,6 +437,7 @@
     if (U.InFlight == 0)
       U.Slowness += (1 - U.Slowness) * SlownessForgotten;
   }
+  sharesAge(P.Shares, Now);
   dropDead(P, Now, Out);
   hedge(P, Now);
   tellRead(P, Now, Out);
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "batch_type.h"
+#include "priority_share.h"
 #include "read_wait.h"
 #include "retry_window.h"
 #include "route_type.h"
@@ -105,6 +106,7 @@
   std::map<BatchCallId, BatchCall> Calls;           ///< In progress.
   std::unordered_map<std::string, KeptResult> Kept; ///< By handle.
   ReadWait InputsRead;                              ///< Of calls' pieces.
+  PriorityShares Shares;                            ///< Of pieces.
   TimePoint LastSent{};                             ///< Of the latest call.
   TimePoint PumpAt{}; ///< Pieces are held back until then; zero: none are.
   std::uint64_t LastAsk = 0;  ///< Counts asks.
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -15,6 +15,7 @@
 /// Where a job stands among those that wait; the lower, the earlier.
 enum class WaitRank {
   Begun,   ///< Some of its results are there already.
+  Behind,  ///< Can be on time, and its priority got much less than others.
   OnTime,  ///< Its request can still be on time.
   Late,    ///< Its request will be late.
   Count,   ///< Number of ranks.
@@ -31,6 +32,9 @@
   auto operator<=>(const WaitOrder &) const = default;
 };
 
+/// \return Jobs due before this cannot be on time any more.
+TimePoint batchOnTimeFrom(const BatchPool &P, TimePoint Now);
+
 /// \return Where a job stands.
 WaitOrder batchOrder(const BatchPool &P, const BatchJob &Job, TimePoint Now);
 
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -20,17 +20,6 @@
          CallOverhead;
 }
 
-/// A job whose first pieces are done keeps space for them until the last one
-/// is. If others go first, the space of a whole pool fills with parts of
-/// requests that cannot go on: calls shrink to a third while hundreds of pieces
-/// wait. And a pool that is behind must not spend itself on requests that are
-/// late already, or it makes the next ones late too.
-static WaitRank rankOf(const BatchJob &Job, TimePoint OnTime) {
-  if (Job.Left < Job.Ask.Pieces || Job.Waiting < Job.Left)
-    return WaitRank::Begun;
-  return Job.Due < OnTime ? WaitRank::Late : WaitRank::OnTime;
-}
-
 /// Full calls' times that a job must have left to count as on time. Calls are
 /// full when a pool is behind, and a job's pieces are often spread over two of
 /// them. With the time of the smallest call, an overloaded pool always served
@@ -40,14 +29,33 @@
 /// do").
 static constexpr double OnTimeCalls = 1.5;
 
-/// \return Jobs due before this cannot be on time any more.
-static TimePoint onTimeFrom(const BatchPool &P, TimePoint Now) {
+TimePoint batchOnTimeFrom(const BatchPool &P, TimePoint Now) {
   return Now +
          fromMs(toMs(batchCallTime(P.Spec, P.Spec.MaxPieces)) * OnTimeCalls);
 }
 
+/// \return The rank of a job none of whose pieces was sent. A pool that is
+/// behind must not spend itself on requests that are late already, or it makes
+/// the next ones late too.
+static WaitRank freshRank(const BatchPool &P, int Priority, TimePoint Due,
+                          TimePoint Now) {
+  if (Due < batchOnTimeFrom(P, Now))
+    return WaitRank::Late;
+  return shareBehind(P.Shares, Priority) ? WaitRank::Behind : WaitRank::OnTime;
+}
+
+/// A job whose first pieces are done keeps space for them until the last one
+/// is. If others go first, the space of a whole pool fills with parts of
+/// requests that cannot go on: calls shrink to a third while hundreds of pieces
+/// wait.
+static WaitRank rankOf(const BatchPool &P, const BatchJob &Job, TimePoint Now) {
+  if (Job.Left < Job.Ask.Pieces || Job.Waiting < Job.Left)
+    return WaitRank::Begun;
+  return freshRank(P, Job.Ask.Priority, Job.Due, Now);
+}
+
 WaitOrder batchOrder(const BatchPool &P, const BatchJob &Job, TimePoint Now) {
-  return {rankOf(Job, onTimeFrom(P, Now)), Job.Ask.Priority, Job.Due};
+  return {rankOf(P, Job, Now), Job.Ask.Priority, Job.Due};
 }
 
 BacklogView batchBacklog(const BatchPool &P, const WaitOrder &Order,
@@ -73,7 +81,7 @@
 
 Duration batchExpected(const BatchPool &P, int Pieces, int Priority,
                        TimePoint Due, TimePoint Now) {
-  WaitRank Rank = Due < onTimeFrom(P, Now) ? WaitRank::Late : WaitRank::OnTime;
+  WaitRank Rank = freshRank(P, Priority, Due, Now);
   BacklogView View = batchBacklog(P, {Rank, Priority, Due}, Now);
   if (View.Upstreams == 0)
     return Duration::max();
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -40,6 +40,7 @@
 /// Moves the waiting pieces of a job into a call, while there is room.
 static void takePieces(BatchPool &P, BatchJob &Job, CallDraft &Call,
                        TimePoint Now) {
+  bool OnTime = Job.Due >= batchOnTimeFrom(P, Now);
   for (std::size_t I = 0; I < Job.Pieces.size(); ++I) {
     BatchPiece &Piece = Job.Pieces[I];
     if (Piece.State != PieceState::Waiting)
@@ -51,6 +52,8 @@
     if (Piece.Tries++ > 0) {
       retryWindowRepeat(P.Repeats, Now);
       ++P.Counts.Repeats;
+    } else if (OnTime) {
+      ++P.Shares.ByPriority[Job.Ask.Priority].Sent;
     }
     Piece.State = PieceState::Running;
     ++Piece.Sends;
