--- a/src/batch_relay.cpp
+++ b/src/batch_relay.cpp
@@ -27,6 +27,10 @@
 /// each pool about once a second, and older news beats what ended requests
 /// took. After that a request is let in to find out.
 static constexpr Duration ViewLife = std::chrono::milliseconds(1500);
+/// An ask is held for this long by a node that does not know the others yet.
+/// It usually does 200 ms after its start; a call to the key-value service that
+/// is repeated once makes that 600.
+static constexpr Duration MostHold = std::chrono::milliseconds(600);
 /// A silent node is not asked for this long.
 static constexpr Duration SilentTime = std::chrono::seconds(2);
 /// Results are kept for a node that did not acknowledge them.
@@ -68,9 +72,16 @@
   return Ticket;
 }
 
-/// Gives an ask to the node that forms its pool's calls.
+/// Gives an ask to the node that forms its pool's calls. A node that has just
+/// started does not know the others yet, and would take that duty for its own;
+/// it holds the ask for a moment. After a restart of nine nodes each sent calls
+/// with one piece, which take as long as full ones: upstreams were busy with
+/// them for half a second, and 35 calls of others found them full.
 void BatchRelay::place(BatchTicket Ticket) {
   OwnAsk &Mine = Own.at(Ticket);
+  Mine.Held = !Members->settled() && Timers->now() - Mine.Asked < MostHold;
+  if (Mine.Held)
+    return;
   std::set<std::string> Left;
   for (const auto &[Node, Until] : Silent) {
     if (Until > Timers->now())
@@ -275,11 +286,15 @@
   TimePoint Now = Timers->now();
   std::vector<BatchTicket> Due;
   for (const auto &[Ticket, Mine] : Own) {
-    if (!Mine.Home.empty() && Mine.NextSend <= Now)
+    if (Mine.Held || (!Mine.Home.empty() && Mine.NextSend <= Now))
       Due.push_back(Ticket);
   }
   for (BatchTicket Ticket : Due) {
     OwnAsk &Mine = Own.at(Ticket);
+    if (Mine.Held) {
+      place(Ticket);
+      continue;
+    }
     if (Mine.Unanswered < SendsBeforeMove) {
       send(Ticket, Mine);
       continue;
--- a/src/batch_relay.h
+++ b/src/batch_relay.h
@@ -57,6 +57,7 @@
     std::string Home;     ///< The node asked; empty: this one.
     BatchTicket Local;    ///< Name at this node's own pools.
     TimePoint NextSend{}; ///< When to ask again.
+    bool Held = false;    ///< Until this node knows the others.
     int Unanswered = 0;   ///< Sends in a row that nobody answered.
   };
   /// An ask of another node.
--- a/src/gateway_node.h
+++ b/src/gateway_node.h
@@ -36,6 +36,8 @@
   void halt() { Services.stop(); }
   /// \return The part that passes requests on, for tests.
   GatewayService &gateway() const;
+  /// \return All of its parts, for tests.
+  const Kernel &services() const { return Services; }
 
 private:
   void checkDrain();
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -101,12 +101,19 @@
 
   /// Adds a node and waits until it is ready.
   GatewayNode &addNode() {
+    GatewayNode &Node = startNode("n" + std::to_string(Nodes.size()));
+    runUntil(Loop, [&] { return Node.gateway().ready(); });
+    return Node;
+  }
+
+  /// Adds a node.
+  GatewayNode &startNode(const std::string &Id) {
     std::vector<int> Ports = freePorts("127.0.0.1", 5);
     auto Address = [&](std::size_t I) {
       return "127.0.0.1:" + std::to_string(Ports[I]);
     };
     GatewaySettings S;
-    S.NodeId = "n" + std::to_string(Nodes.size());
+    S.NodeId = Id;
     S.FailureDomain = "z1";
     S.CallerAddress = Address(0);
     S.ReadyAddress = Address(1);
@@ -123,7 +130,6 @@
         Loop, Timers, S, Wire, [this](HttpClient &C) {
           return std::make_unique<platform::Store>(C, Store.address());
         }));
-    runUntil(Loop, [&] { return Nodes.back()->gateway().ready(); });
     return *Nodes.back();
   }
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -1,7 +1,10 @@
 /// \file test_gateway.cpp Whole nodes before stand-ins of the platform.
 #include <catch2/catch.hpp>
 
+#include "batch_service.h"
+#include "core/hash.h"
 #include "gateway_world.h"
+#include "node_services.h"
 
 using namespace fulmar;
 using platform::RunnerMode;
@@ -60,6 +63,52 @@
   }
 }
 
+SCENARIO("requests come before a node knows the others") {
+  // Symptom: after a restart of all nodes, stages take a second for a while,
+  // and upstreams refuse calls as full.
+  // Sequence: clients that know a node's address send as soon as it listens; it
+  // asks for their pieces before it has heard of another node.
+  // Cause: alone in its own eyes it formed the pool's calls itself, of one
+  // piece each.
+  GatewayWorld W;
+  W.addRunner("batch", {"i-b"});
+  W.addRunner("engine", {"i-e", milliseconds(5), 5});
+  W.configure();
+  std::vector<std::string> Ids = {"n0", "n1"};
+  std::sort(Ids.begin(), Ids.end(), [](const auto &A, const auto &B) {
+    std::uint64_t Key = hash64("batch");
+    return rendezvousWeight(Key, A) > rendezvousWeight(Key, B);
+  });
+  GatewayNode &Home = W.startNode(Ids[0]);
+  runUntil(W.Loop, [&] { return Home.gateway().ready(); });
+  // The answer to its first write is lost, and it joins half a second later.
+  W.Store.Mode = StoreMode::Losing;
+  GatewayNode &Late = W.startNode(Ids[1]);
+  std::vector<std::shared_ptr<ClientResult>> Results;
+  while (!Late.gateway().ready()) {
+    runUntil(
+        W.Loop, [&] { return Late.gateway().ready(); }, milliseconds(40));
+    if (Results.size() == 4)
+      W.Store.Mode = StoreMode::Serving;
+    Results.push_back(W.send("/staged/x", {{"X-Pieces", "0,1,1"}}, 1));
+  }
+  runUntil(W.Loop, [&] {
+    return std::all_of(Results.begin(), Results.end(),
+                       [](const auto &R) { return R->Ended; });
+  });
+  int Served = 0;
+  for (const auto &R : Results)
+    Served += R->Answer.Status == HttpOk ? 1 : 0;
+  auto Calls = [](const GatewayNode &Node) {
+    const auto &Pools =
+        Node.services().find<BatchService>(service::Batches).pools();
+    return Pools.at("batch").Counts.Calls;
+  };
+  CHECK(Served >= 5);
+  CHECK(Calls(Home) > 0);
+  CHECK(Calls(Late) == 0);
+}
+
 SCENARIO("whose work goes first") {
   // Symptom: in a burst of the most urgent kind of request the least urgent one
   // is on time as often.
