One node in thirty reads the key-value service, not one of each failure domain

The test that a reader is in the own domain is replaced: in a small fleet all nodes choose the same one, in a large one nodes ask one of their domain where there is one.

--- a/src/vouch.cpp
+++ b/src/vouch.cpp
@@ -7,18 +7,18 @@
 
 namespace fulmar {
 
-/// Chooses the same readers on every node of a failure domain.
+/// Chooses the same readers on every node.
 static constexpr std::uint64_t ReaderKey = 0x7265616465722e31;
 
-/// \return The nodes of the own failure domain that may read for others. When
-/// none is fit, the key-value service is away for all of them: the same few go
-/// on trying, and the others hear from them. With each node on its own, 75 of
-/// them call a service that is down a thousand times a second, and each finds
-/// out by itself, seconds apart, that it is back.
+/// \return The nodes that may read for others. When none is fit, the key-value
+/// service is away for all of them: the same few go on trying, and the others
+/// hear from them. With each node on its own, 75 of them call a service that is
+/// down a thousand times a second, and each finds out by itself, seconds apart,
+/// that it is back.
 static std::vector<const MemberInfo *> readerCandidates(const Membership &M) {
   std::vector<const MemberInfo *> Nodes;
   auto Consider = [&](const MemberInfo &Info) {
-    if (memberServes(Info.State) && Info.FailureDomain == M.Self.FailureDomain)
+    if (memberServes(Info.State))
       Nodes.push_back(&Info);
   };
   Consider(M.Self);
@@ -30,24 +30,34 @@
   return Nodes;
 }
 
-std::string chooseReader(const Membership &M) {
-  std::vector<std::pair<std::uint64_t, std::string>> Nodes;
-  for (const MemberInfo *Info : readerCandidates(M))
-    Nodes.emplace_back(rendezvousWeight(ReaderKey, Info->Id), Info->Id);
-  std::sort(Nodes.rbegin(), Nodes.rend());
+/// \return The nodes that read, the same ones on every node.
+static std::vector<const MemberInfo *> readers(const Membership &M) {
+  std::vector<const MemberInfo *> Nodes = readerCandidates(M);
+  std::sort(Nodes.begin(), Nodes.end(),
+            [](const MemberInfo *A, const MemberInfo *B) {
+              return rendezvousWeight(ReaderKey, A->Id) >
+                     rendezvousWeight(ReaderKey, B->Id);
+            });
   std::size_t Readers = 1 + Nodes.size() / NodesPerReader;
   if (Nodes.size() > Readers)
     Nodes.resize(Readers);
+  return Nodes;
+}
+
+std::string chooseReader(const Membership &M) {
   std::string Best = M.Self.Id;
-  std::uint64_t BestWeight = 0;
-  for (const auto &[Rank, Id] : Nodes) {
-    if (Id == M.Self.Id)
-      return Id;
-    std::uint64_t Weight = rendezvousWeight(hash64(M.Self.Id), Id);
-    if (Weight < BestWeight)
+  std::pair<bool, std::uint64_t> BestRank;
+  for (const MemberInfo *Info : readers(M)) {
+    if (Info->Id == M.Self.Id)
+      return Info->Id;
+    // Its own failure domain first: a question there costs the least.
+    std::pair<bool, std::uint64_t> Rank = {
+        Info->FailureDomain == M.Self.FailureDomain,
+        rendezvousWeight(hash64(M.Self.Id), Info->Id)};
+    if (Rank < BestRank)
       continue;
-    BestWeight = Weight;
-    Best = Id;
+    BestRank = Rank;
+    Best = Info->Id;
   }
   return Best;
 }
--- a/src/vouch_func.h
+++ b/src/vouch_func.h
@@ -6,15 +6,17 @@
 
 namespace fulmar {
 
-/// Nodes of one failure domain that one reader serves; a question and its
-/// answer are 200 bytes, three times a second.
+/// Nodes that one reader serves; a question and its answer are 200 bytes, three
+/// times a second.
 inline constexpr std::size_t NodesPerReader = 30;
 
-/// Chooses the node of the own failure domain that reads for this one.
+/// Chooses the node that reads the key-value service for this one.
 ///
-/// Each call to the key-value service costs, a waiting one too, and its rates
-/// grow more slowly than the fleet. That nothing has changed can be told by
-/// whoever has looked.
+/// Each call to the service costs, a waiting one too, and its rates grow more
+/// slowly than the fleet. That nothing has changed can be told by whoever has
+/// looked. With a reader in each failure domain nine nodes in three domains
+/// made 1,120 calls in 45 s of a day with faults, with one reader 700. A node
+/// whose reader is silent reads itself after 650 ms.
 /// \return Its id; this node's own when it reads for itself.
 std::string chooseReader(const Membership &M);
 
