Upstreams that start again under their name; entries of the list that others wrote

Cause: the key of an entry was taken for the start of an upstream, so one that came back under its name kept its calls, results, failures and leave of before; and readers took missing fields as empty or zero and unknown words as leaving.

Change: an incarnation is (instance, time of its start). With a later start the pool's upstream begins anew, its calls end as may-have-run, pieces whose results it kept are made again, requests that hold such results begin their stages again, runs that are silent since are cut off, idle connections are closed. What came after the start is of the new one and goes on. A part that a shrunken pool no longer has shares the upstreams of another part.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <set>
 
 #include "core/enum_names.h"
 
@@ -43,7 +44,7 @@
 
 /// \return Whether some upstream is short of space for results.
 static bool isTight(const BatchPool &P) {
-  for (const auto &[Instance, U] : P.Upstreams) {
+  for (const auto &[Start, U] : P.Upstreams) {
     if (U.RoomUsed > P.Spec.RoomBytes * TightShare)
       return true;
   }
@@ -75,7 +76,7 @@
   auto Found = P.Kept.find(Handle);
   if (Found == P.Kept.end())
     return;
-  auto Maker = P.Upstreams.find(Found->second.Instance);
+  auto Maker = P.Upstreams.find(Found->second.Upstream);
   if (Maker != P.Upstreams.end())
     Maker->second.RoomUsed =
         std::max(0.0, Maker->second.RoomUsed - Found->second.Bytes);
@@ -149,7 +150,7 @@
                        const PieceResult &Result, TimePoint Now,
                        BatchActions &Out) {
   const BatchItem &Item = Call.Items[Index];
-  P.Kept[Result.Handle] = {Call.Instance, Call.Bytes[Index],
+  P.Kept[Result.Handle] = {Call.Upstream, Call.Bytes[Index],
                            Now + P.Spec.ResultLife};
   auto Found = P.Jobs.find(Item.Ask);
   if (Found == P.Jobs.end() ||
@@ -250,7 +251,7 @@
 /// Learns from the end of a call.
 static void learn(BatchPool &P, const BatchCall &Call, bool Answered,
                   const BatchCallResult &Result, TimePoint Now) {
-  auto Found = P.Upstreams.find(Call.Instance);
+  auto Found = P.Upstreams.find(Call.Upstream);
   if (Found == P.Upstreams.end())
     return;
   --Found->second.InFlight;
@@ -284,7 +285,7 @@
 
 /// The space set aside for a result that was not made is free.
 static void returnRoom(BatchPool &P, const BatchCall &Call, std::size_t Index) {
-  auto Maker = P.Upstreams.find(Call.Instance);
+  auto Maker = P.Upstreams.find(Call.Upstream);
   if (Maker != P.Upstreams.end())
     Maker->second.RoomUsed =
         std::max(0.0, Maker->second.RoomUsed - Call.Bytes[Index]);
@@ -322,6 +323,37 @@
   batchPump(P, Now, Out);
 }
 
+/// Has those pieces of a job made again whose results are lost.
+/// \return Whether they may be.
+static bool remakePieces(BatchPool &P, BatchJob &Job,
+                         const std::set<std::string> &Lost, TimePoint Now) {
+  for (BatchPiece &Piece : Job.Pieces) {
+    if (Piece.State != PieceState::Done || !Lost.count(Piece.Handle))
+      continue;
+    if (Piece.Sends >= MaxSends ||
+        !retryWindowAllows(P.Repeats, P.Allowance, Now))
+      return false;
+    Piece.Handle.clear();
+    Piece.State = PieceState::Waiting;
+    ++Job.Waiting;
+    ++Job.Left;
+  }
+  return true;
+}
+
+void batchRemake(BatchPool &P, std::span<const std::string> Lost, TimePoint Now,
+                 BatchActions &Out) {
+  std::set<std::string> Handles(Lost.begin(), Lost.end());
+  std::vector<BatchAskId> Failed;
+  for (auto &[Id, Job] : P.Jobs) {
+    if (!remakePieces(P, Job, Handles, Now))
+      Failed.push_back(Id);
+  }
+  for (BatchAskId Id : Failed)
+    answer(P, P.Jobs.find(Id), BatchEnd::Failed, P.Spec.CallTime, Out);
+  batchPump(P, Now, Out);
+}
+
 void batchFree(BatchPool &P, std::span<const std::string> Handles,
                TimePoint Now, BatchActions &Out) {
   for (const std::string &Handle : Handles) {
@@ -333,10 +365,10 @@
 
 void batchUpstreams(BatchPool &P, std::span<const UpstreamEntry> Listed,
                     TimePoint Now, BatchActions &Out) {
-  for (auto &[Instance, U] : P.Upstreams)
+  for (auto &[Start, U] : P.Upstreams)
     U.Listed = false;
   for (const UpstreamEntry &Entry : Listed) {
-    BatchUpstream &U = P.Upstreams[Entry.Instance];
+    BatchUpstream &U = P.Upstreams[Entry.incarnation()];
     U.Entry = Entry;
     U.Listed = true;
   }
@@ -385,7 +417,7 @@
     if (Call.Hedged || toMs(Now - Call.Sent) < toMs(Usual) * HedgeFactor)
       continue;
     Call.Hedged = true;
-    auto Slow = P.Upstreams.find(Call.Instance);
+    auto Slow = P.Upstreams.find(Call.Upstream);
     if (Slow != P.Upstreams.end())
       Slow->second.Slowness =
           std::max(Slow->second.Slowness, toMs(Now - Call.Sent) / toMs(Usual));
@@ -433,7 +465,7 @@
   }
   for (const std::string &Handle : Expired)
     releaseRoom(P, Handle);
-  for (auto &[Instance, U] : P.Upstreams) {
+  for (auto &[Start, U] : P.Upstreams) {
     if (U.InFlight == 0)
       U.Slowness += (1 - U.Slowness) * SlownessForgotten;
   }
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -68,7 +68,7 @@
 
 /// A call in progress.
 struct BatchCall {
-  std::string Instance;         ///< The upstream.
+  Incarnation Upstream;         ///< To whom.
   std::vector<BatchItem> Items; ///< Its pieces, in order.
   std::vector<double> Bytes;    ///< Space set aside for each result.
   TimePoint Sent{};             ///< When it was sent.
@@ -78,7 +78,7 @@
 
 /// A result that an upstream keeps.
 struct KeptResult {
-  std::string Instance; ///< The upstream.
+  Incarnation Upstream; ///< Who keeps it.
   double Bytes = 0;     ///< Its size.
   TimePoint Until{};    ///< When the upstream drops it by itself.
 };
@@ -101,7 +101,7 @@
   BatchSpec Spec;           ///< What its upstreams can do.
   RetryAllowance Allowance; ///< Of repeated pieces.
   RetryWindow Repeats;      ///< Of pieces.
-  std::map<std::string, BatchUpstream> Upstreams;   ///< By instance.
+  std::map<Incarnation, BatchUpstream> Upstreams;   ///< By start.
   std::map<BatchAskId, BatchJob> Jobs;              ///< In progress, by age.
   std::map<BatchCallId, BatchCall> Calls;           ///< In progress.
   std::unordered_map<std::string, KeptResult> Kept; ///< By handle.
@@ -121,6 +121,7 @@
   std::string Instance;         ///< Of the upstream; another must refuse it.
   std::vector<BatchItem> Items; ///< Its pieces.
   Duration Timeout{};           ///< Given up after this time.
+  double RoomUsed = 0;          ///< Bytes of results at the upstream, for logs.
 };
 
 /// Tell who asked.
--- a/src/batch_home.cpp
+++ b/src/batch_home.cpp
@@ -31,6 +31,15 @@
   return Parts <= 1 ? 0 : hash64(RequestId) % Upstreams % Parts;
 }
 
+std::vector<UpstreamEntry>
+batchPartUpstreams(const std::vector<UpstreamEntry> &All, std::size_t Part) {
+  std::size_t Count = batchParts(All.size());
+  std::vector<UpstreamEntry> Mine;
+  for (std::size_t I = Part % Count; I < All.size(); I += Count)
+    Mine.push_back(All[I]);
+  return Mine;
+}
+
 /// \return Nodes whose hosts are strong enough to form calls.
 static std::vector<const MemberInfo *>
 strongNodes(const Membership &M, const std::set<std::string> &Silent) {
--- a/src/batch_home.h
+++ b/src/batch_home.h
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "member_base.h"
+#include "route_type.h"
 
 namespace fulmar {
 
@@ -27,6 +28,17 @@
 /// requests in proportion to their upstreams.
 std::size_t batchPartOf(const std::string &RequestId, std::size_t Upstreams);
 
+/// \return The upstreams of one part of a pool.
+///
+/// Parts take turns in the order of the upstreams' failure domains and names,
+/// which is the same on every node: each has upstreams in all domains, and none
+/// has two more than another. A part that a pool of this size does not have
+/// shares those of another part: asks in progress are still its own, and with
+/// the upstreams of before they would be sent to some that are leaving or gone.
+/// \param All of the pool, in that order.
+std::vector<UpstreamEntry>
+batchPartUpstreams(const std::vector<UpstreamEntry> &All, std::size_t Part);
+
 /// Chooses the node that forms the calls for \p Pool.
 ///
 /// Upstreams take as long for one piece as for many, so calls have to be formed
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -80,6 +80,11 @@
 /// \return Waiting jobs in the order in which they are sent.
 std::vector<BatchJob *> batchWaiting(BatchPool &P, TimePoint Now);
 
+/// Has the pieces made again whose results are lost; an ask whose pieces may
+/// not be repeated fails.
+void batchRemake(BatchPool &P, std::span<const std::string> Lost, TimePoint Now,
+                 BatchActions &Out);
+
 } // namespace fulmar
 
 #endif
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -66,7 +66,7 @@
       View.PiecesAhead += Job.Waiting;
   }
   bool Any = false;
-  for (const auto &[Instance, U] : P.Upstreams) {
+  for (const auto &[Start, U] : P.Upstreams) {
     if (!batchUsable(U, Now))
       continue;
     View.Upstreams += 1 / std::max(1.0, U.Slowness);
--- a/src/batch_place.cpp
+++ b/src/batch_place.cpp
@@ -26,7 +26,7 @@
 
 static DomainBacklogs backlogsOf(const BatchPool &P, TimePoint Now) {
   DomainBacklogs Out;
-  for (const auto &[Instance, U] : P.Upstreams) {
+  for (const auto &[Start, U] : P.Upstreams) {
     if (!batchUsable(U, Now))
       continue;
     auto [Found, Fresh] = Out.try_emplace(U.Entry.FailureDomain);
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -106,7 +106,7 @@
                      TimePoint Now, BatchActions &Out) {
   BatchCallId Id{++P.LastCall};
   BatchCall &Call = P.Calls[Id];
-  Call.Instance = U.Entry.Instance;
+  Call.Upstream = U.Entry.incarnation();
   Call.Sent = Now;
   int Size = static_cast<int>(Items.size());
   Call.Expected = batchExpectedAt(P, U, Size);
@@ -123,6 +123,7 @@
   Send.Address = U.Entry.Address;
   Send.Instance = U.Entry.Instance;
   Send.Items = std::move(Items);
+  Send.RoomUsed = U.RoomUsed;
   Send.Timeout = std::max(
       GiveUpLeast, fromMs(toMs(batchCallTime(P.Spec, Size)) * GiveUpFactor));
   Out.push_back(std::move(Send));
@@ -133,7 +134,7 @@
 static bool betterToWait(const BatchPool &P, const BatchUpstream &U, int Pieces,
                          TimePoint Now) {
   TimePoint Here = Now + batchExpectedAt(P, U, Pieces);
-  for (const auto &[Instance, Other] : P.Upstreams) {
+  for (const auto &[Key, Other] : P.Upstreams) {
     if (&Other == &U || !batchUsable(Other, Now))
       continue;
     TimePoint Start = std::max(Now, Other.FreeAt);
@@ -155,7 +156,7 @@
 /// \return Idle upstreams: those that other nodes use last, the quickest first.
 static std::vector<BatchUpstream *> idleUpstreams(BatchPool &P, TimePoint Now) {
   std::vector<BatchUpstream *> Idle;
-  for (auto &[Instance, U] : P.Upstreams) {
+  for (auto &[Start, U] : P.Upstreams) {
     if (batchUsable(U, Now) && U.FullUntil <= Now && U.InFlight < P.Spec.Slots)
       Idle.push_back(&U);
   }
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -57,36 +57,40 @@
                 return std::tie(A.FailureDomain, A.Instance) <
                        std::tie(B.FailureDomain, B.Instance);
               });
-    // A pool that has shrunk keeps its parts: asks in progress are theirs.
     std::size_t Count = batchParts(All.size());
     Sizes[Spec.Name] = All.size();
-    for (std::size_t Part = 0; Part < Count; ++Part)
-      updatePart(Spec, All, Part, Count, Allowance);
+    // A pool that has shrunk keeps its parts, for asks in progress are theirs.
+    for (std::size_t Part = 0;
+         Part < Count || Pools.count(batchPartName(Spec.Name, Part)); ++Part)
+      updatePart(Spec, All, Part, Allowance);
   }
 }
 
-/// Brings one part of a pool up to date. Parts take turns in the order of the
-/// upstreams' failure domains and names, which is the same on every node: each
-/// has upstreams in all domains, and none has two more than another.
+/// Brings one part of a pool up to date.
 void BatchService::updatePart(const ServiceSpec &Spec,
                               const std::vector<UpstreamEntry> &All,
-                              std::size_t Part, std::size_t Count,
+                              std::size_t Part,
                               const RetryAllowance &Allowance) {
-  std::vector<UpstreamEntry> Mine;
-  for (std::size_t I = Part; I < All.size(); I += Count)
-    Mine.push_back(All[I]);
   std::string Name = batchPartName(Spec.Name, Part);
   BatchPool &P = Pools[Name];
   P.Name = Name;
   P.Spec = *Spec.Batch;
   P.Allowance = Allowance;
-  P.Allowance.Extra /= static_cast<double>(Count);
+  P.Allowance.Extra /= static_cast<double>(batchParts(All.size()));
   P.Allowance.Nodes = NodesPerPart;
   BatchActions Out;
-  batchUpstreams(P, Mine, Timers->now(), Out);
+  batchUpstreams(P, batchPartUpstreams(All, Part), Timers->now(), Out);
   perform(P, Out);
 }
 
+void BatchService::restarted(const UpstreamRestart &Restart) {
+  for (auto &[Name, P] : Pools) {
+    BatchActions Out;
+    batchRestarted(P, Restart, Timers->now(), Out);
+    perform(P, Out);
+  }
+}
+
 std::size_t BatchService::size(const std::string &Pool) const {
   auto Found = Sizes.find(Pool);
   return Found == Sizes.end() ? 0 : Found->second;
@@ -190,7 +194,7 @@
               {"pieces", Send.Items.size()},
               {"waiting", Waiting},
               {"jobs", P.Jobs.size()},
-              {"room_used", P.Upstreams[Send.Instance].RoomUsed}});
+              {"room_used", Send.RoomUsed}});
   }
   HttpCall Call = Wire.writeBatch(Send.Items, Send.Instance);
   Call.Address = Send.Address;
@@ -212,7 +216,9 @@
                 {"upstream", Address},
                 {"pieces", Size},
                 {"status", Answer.Status},
-                {"why", httpFailureName(Answer.Failure)},
+                {"why", Result.Why.empty()
+                            ? std::string(httpFailureName(Answer.Failure))
+                            : Result.Why},
                 {"took_ms", toMs(Timers->now() - Started)}});
     auto Found = Pools.find(Pool);
     if (Found == Pools.end())
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -8,6 +8,7 @@
 #include "batch_func.h"
 #include "http_client.h"
 #include "kernel.h"
+#include "restart_func.h"
 #include "timer_base.h"
 #include "wire_format.h"
 
@@ -32,6 +33,8 @@
   void update(const RouteTable &Table,
               const std::map<std::string, UpstreamEntry> &Listed,
               const RetryAllowance &Allowance);
+  /// An upstream has started again; to be called before update().
+  void restarted(const UpstreamRestart &Restart);
 
   /// \return The pools, for status and metrics.
   const std::map<std::string, BatchPool> &pools() const { return Pools; }
@@ -39,7 +42,7 @@
 private:
   void updatePart(const ServiceSpec &Spec,
                   const std::vector<UpstreamEntry> &All, std::size_t Part,
-                  std::size_t Count, const RetryAllowance &Allowance);
+                  const RetryAllowance &Allowance);
   void perform(BatchPool &P, const BatchActions &Actions);
   void send(BatchPool &P, const SendBatchAction &Send);
   void planPump(const BatchPool &P);
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -116,6 +116,7 @@
   AttemptEffect Effect = AttemptEffect::MayHaveRun; ///< If it is not answered.
   std::vector<PieceResult> Pieces;  ///< In the order of the call.
   std::optional<UpstreamLoad> Load; ///< What the upstream still has to do.
+  std::string Why; ///< For logs, when the answer cannot be read.
 };
 
 } // namespace fulmar
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -12,6 +12,7 @@
 #include "peer_service.h"
 #include "route_feed.h"
 #include "settings_func.h"
+#include "upstream_feed.h"
 
 namespace fulmar {
 
@@ -104,6 +105,9 @@
       {"fulmarstep_config_version", "gauge",
        Routes->table() ? static_cast<double>(Routes->table()->Version) : 0},
       {"fulmarstep_config_age_ms", "gauge", Age ? toMs(*Age) : -1},
+      {"fulmarstep_unreadable_upstream_entries", "gauge",
+       static_cast<double>(
+           Services.find<UpstreamFeed>(service::Upstreams).unreadable())},
       {"fulmarstep_peer_messages_total", "counter",
        static_cast<double>(Peers.SentMessages)},
       {"fulmarstep_members", "gauge",
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -60,7 +60,7 @@
   }
   Upstream &U = P.Upstreams[*Index];
   ForwardSend Send;
-  Send.Instance = U.Instance;
+  Send.Instance = U.Start.Instance;
   Send.Organisation = R->Organisation;
   Send.Left = R->ClientEnd - Now;
   const ServiceSpec *Service = findService(*R->Table, R->PoolName);
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -49,6 +49,8 @@
   Batches = &Services.find<BatchRelay>(service::Relay);
   OwnPools = &Services.find<BatchService>(service::Batches);
   Routes->onChange([this] { configChanged(); });
+  Upstreams->onRestart(
+      [this](const UpstreamRestart &Restart) { upstreamRestarted(Restart); });
   Upstreams->onChange([this] { upstreamsChanged(); });
   Members->onChange([this] { upstreamsChanged(); });
   Timers->every(SweepPeriod, [this] { sweep(); });
@@ -147,7 +149,7 @@
   for (const auto &[Instance, Entry] : Upstreams->book().Entries) {
     if (Entry.Pool == Spec.Name)
       Listed.push_back({Entry.Address, Entry.Pool, Entry.FailureDomain,
-                        Entry.Leaving, Instance});
+                        Entry.Leaving, Entry.incarnation()});
   }
   updateUpstreams(P, Listed, Config.FailureDomain, LastUpstream);
   for (Upstream &U : P.Upstreams)
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -7,6 +7,7 @@
 #include "gateway_settings.h"
 #include "policy_type.h"
 #include "read_wait.h"
+#include "restart_func.h"
 #include "verdict_type.h"
 
 namespace fulmar {
@@ -97,6 +98,11 @@
   std::vector<std::string> finalInputs(const ForwardRequest &R) const;
   Duration restAfter(const ForwardRequest &R, std::size_t Index) const;
 
+  // gateway_restart.cpp: upstreams that start again.
+  void upstreamRestarted(const UpstreamRestart &Restart);
+  void attemptLost(RequestSerial Serial);
+  void resultsLost(RequestSerial Serial);
+
   // gateway_attempt.cpp: sends and their answers.
   void sendAttempt(RequestSerial Serial);
   void planFree(ForwardRequest &R);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -107,6 +107,9 @@
   /// Goes on reading.
   void resume(HttpCallId Id);
 
+  /// Closes the idle connections to \p Address.
+  void closeIdle(const std::string &Address);
+
   /// \return Counts so far.
   const HttpClientCounts &counts() const;
 
--- a/src/route_type.h
+++ b/src/route_type.h
@@ -116,17 +116,30 @@
 };
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
 
+/// One start of an upstream. A process may start again under the name that it
+/// had; it then holds and knows nothing of before.
+struct Incarnation {
+  std::string Instance;    ///< Name of the upstream.
+  std::int64_t BornMs = 0; ///< Unix time of its start, ms; 0: not told.
+
+  auto operator<=>(const Incarnation &) const = default;
+};
+
 /// An upstream as the platform lists it.
 struct UpstreamEntry {
-  std::string Instance;      ///< New at each start of the upstream.
+  std::string Instance;      ///< Name of the upstream; may outlive a start.
   std::string Pool;          ///< Pool it belongs to.
   std::string Address;       ///< IP:PORT.
   std::string FailureDomain; ///< Where it runs.
   int Slots = 1;             ///< Requests at once.
   bool Leaving = false;      ///< Gets nothing new.
   Duration ColdFor{};        ///< How much longer it is slow after its start.
+  std::int64_t BornMs = 0;   ///< Unix time of its start, ms; 0: not told.
 
   bool operator==(const UpstreamEntry &) const = default;
+
+  /// \return Which start of which upstream this entry is of.
+  Incarnation incarnation() const { return {Instance, BornMs}; }
 };
 
 } // namespace fulmar
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -2,7 +2,7 @@
 #include "upstream_func.h"
 
 #include <algorithm>
-#include <unordered_set>
+#include <map>
 
 #include "core/hash.h"
 #include "limit_func.h"
@@ -288,19 +288,25 @@
   }
 }
 
-/// \return What names an upstream from one list to the next. An address may be
-/// given to another upstream; an instance is never used twice.
-static const std::string &identity(const UpstreamSpec &Spec) {
-  return Spec.Instance.empty() ? Spec.Address : Spec.Instance;
+/// \return What names a start of an upstream from one list to the next. An
+/// address may be given to another upstream, and an upstream that starts again
+/// under its name has nothing in common with what was learnt of it before.
+static Incarnation identity(const Incarnation &Start,
+                            const std::string &Address) {
+  return Start.Instance.empty() ? Incarnation{Address, 0} : Start;
 }
 
-static const std::string &identity(const Upstream &U) {
-  return U.Instance.empty() ? U.Address : U.Instance;
+static Incarnation identity(const UpstreamSpec &Spec) {
+  return identity(Spec.Start, Spec.Address);
+}
+
+static Incarnation identity(const Upstream &U) {
+  return identity(U.Start, U.Address);
 }
 
 void updateUpstreams(Pool &P, std::span<const UpstreamSpec> Listed,
                      const std::string &OwnDomain, std::uint32_t &LastId) {
-  std::unordered_map<std::string_view, const UpstreamSpec *> New;
+  std::map<Incarnation, const UpstreamSpec *> New;
   for (const UpstreamSpec &Spec : Listed)
     New.emplace(identity(Spec), &Spec);
   for (Upstream &U : P.Upstreams) {
@@ -320,7 +326,7 @@
     Upstream U;
     U.Id = UpstreamId{++LastId};
     U.Address = Spec.Address;
-    U.Instance = Spec.Instance;
+    U.Start = Spec.Start;
     U.FailureDomain = Spec.FailureDomain;
     U.Leaving = Spec.Leaving;
     U.Local = Spec.FailureDomain == OwnDomain;
--- a/src/upstream_base.h
+++ b/src/upstream_base.h
@@ -12,6 +12,7 @@
 #include "core/time_type.h"
 #include "fair_queue_base.h"
 #include "limit_base.h"
+#include "route_type.h"
 
 namespace fulmar {
 
@@ -24,7 +25,7 @@
   std::string Pool;          ///< Pool it belongs to.
   std::string FailureDomain; ///< Where it runs.
   bool Leaving = false;      ///< Gets nothing new.
-  std::string Instance;      ///< New at each start; empty: not known.
+  Incarnation Start;         ///< Which start; no instance: not known.
 
   bool operator==(const UpstreamSpec &) const = default;
 };
@@ -33,7 +34,7 @@
 struct Upstream {
   UpstreamId Id;             ///< Local name.
   std::string Address;       ///< IP:PORT.
-  std::string Instance;      ///< New at each start; empty: not known.
+  Incarnation Start;         ///< Which start; no instance: not known.
   std::string FailureDomain; ///< Where it runs.
   bool Listed = true;        ///< Still in the host list.
   bool Leaving = false;      ///< Gets nothing new.
--- a/src/upstream_book.cpp
+++ b/src/upstream_book.cpp
@@ -19,8 +19,9 @@
 digestOf(const std::map<std::string, UpstreamEntry> &List) {
   std::string Text;
   for (const auto &[Instance, Entry] : List) {
-    Text += Instance + '\n' + Entry.Pool + '\n' + Entry.Address + '\n' +
-            Entry.FailureDomain + (Entry.Leaving ? "\n1\n" : "\n0\n");
+    Text += Instance + '\n' + std::to_string(Entry.BornMs) + '\n' + Entry.Pool +
+            '\n' + Entry.Address + '\n' + Entry.FailureDomain +
+            (Entry.Leaving ? "\n1\n" : "\n0\n");
   }
   // A list that was read is never taken for none.
   return std::max<std::uint64_t>(hash64(Text), NoBook + 1);
@@ -52,6 +53,17 @@
     Book.Latest.pop_front();
 }
 
+/// \return \p Entry, or what is known already of a later start of the same
+/// upstream. A write of the earlier start may arrive after it, and would bring
+/// back an address and results that are gone.
+static const UpstreamEntry &latestStart(const UpstreamBook &Book,
+                                        const UpstreamEntry &Entry) {
+  auto Known = Book.Entries.find(Entry.Instance);
+  if (Known == Book.Entries.end() || Known->second.BornMs <= Entry.BornMs)
+    return Entry;
+  return Known->second;
+}
+
 bool bookRead(UpstreamBook &Book, const std::vector<UpstreamEntry> &Listed,
               TimePoint Now) {
   if (Book.Known && Now - Book.ReadAt > ListAway)
@@ -60,7 +72,7 @@
       Book.Known && Book.BackAt > TimePoint{} && Now - Book.BackAt < ListReturn;
   std::map<std::string, UpstreamEntry> Next;
   for (const UpstreamEntry &Entry : Listed)
-    Next[Entry.Instance] = Entry;
+    Next[Entry.Instance] = latestStart(Book, Entry);
   if (Returning) {
     for (const auto &[Instance, Entry] : Book.Entries)
       Next.try_emplace(Instance, Entry);
--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -1,6 +1,7 @@
 /// \file upstream_feed.cpp Follows the list of upstreams.
 #include "upstream_feed.h"
 
+#include "event_loop.h"
 #include "log_func.h"
 #include "node_services.h"
 
@@ -15,6 +16,9 @@
 static constexpr Duration RetryPause = std::chrono::milliseconds(150);
 /// Each pause varies by this part, so that nodes do not read together.
 static constexpr double Spread = 0.3;
+/// Entries of one read that are logged as unreadable; a program that fills the
+/// prefix with its own must not fill the log.
+static constexpr std::size_t MostLoggedUnreadable = 20;
 
 UpstreamFeed::UpstreamFeed(Kernel &K, const WireFormat &W, std::uint64_t Seed)
     : Services(K), Wire(W), Rng(Seed) {}
@@ -74,24 +78,53 @@
              {{"failures", Failures}, {"revision", Found.Revision}});
   Failures = 0;
   std::vector<UpstreamEntry> Listed;
+  std::map<std::string, std::string> Bad;
   for (const KvItem &Item : Found.Items) {
-    auto Entry = Wire.readUpstream(Item.Key, Item.Value);
-    if (!Entry) {
-      logEvent(LogLevel::Error, "upstream_entry_unreadable",
-               {{"key", Item.Key}});
-      continue;
-    }
-    Listed.push_back(std::move(*Entry));
+    if (auto Entry = readEntry(Item, Bad))
+      Listed.push_back(std::move(*Entry));
   }
+  Unreadable = std::move(Bad);
   std::map<std::string, UpstreamEntry> Before = Book.Entries;
   if (!bookRead(Book, Listed, Timers->now()))
     return;
   changed(Before);
 }
 
+/// Reads one entry. Other programs may write below the same prefix: what is not
+/// an upstream's is left out, and the others hold. It is read once a second for
+/// as long as it is there, and logged when it is new.
+std::optional<UpstreamEntry>
+UpstreamFeed::readEntry(const KvItem &Item,
+                        std::map<std::string, std::string> &Bad) {
+  std::string Why;
+  auto Entry = Wire.readUpstream(Item.Key, Item.Value, Why);
+  if (Entry)
+    return Entry;
+  auto Known = Unreadable.find(Item.Key);
+  if ((Known == Unreadable.end() || Known->second != Why) &&
+      Bad.size() < MostLoggedUnreadable)
+    logEvent(LogLevel::Warning, "upstream_entry_unreadable",
+             {{"key", Item.Key},
+              {"revision", Item.Revision},
+              {"bytes", Item.Value.size()},
+              {"why", Why}});
+  Bad[Item.Key] = std::move(Why);
+  return std::nullopt;
+}
+
 void UpstreamFeed::changed(
     const std::map<std::string, UpstreamEntry> &Before) const {
   logChanges(Before);
+  for (const UpstreamRestart &Restart : findRestarts(
+           Before, Book.Entries, EventLoop::wallClock(), Timers->now())) {
+    logEvent(LogLevel::Info, "upstream_restarted",
+             {{"instance", Restart.Later.Instance},
+              {"born_ms", Restart.Later.BornMs},
+              {"earlier_born_ms", Restart.Earlier.BornMs},
+              {"age_ms", toMs(Timers->now() - Restart.StartedAt)}});
+    for (const auto &Fn : Restarts)
+      Fn(Restart);
+  }
   for (const auto &Fn : Changes)
     Fn();
 }
--- a/src/upstream_feed.h
+++ b/src/upstream_feed.h
@@ -7,6 +7,7 @@
 #include "core/random.h"
 #include "kernel.h"
 #include "kv_tree.h"
+#include "restart_func.h"
 #include "timer_base.h"
 #include "upstream_book.h"
 #include "vouch_service.h"
@@ -24,14 +25,23 @@
   /// Calls \p Fn whenever an entry changes.
   void onChange(std::function<void()> Fn) { Changes.push_back(std::move(Fn)); }
 
+  /// Calls \p Fn when an upstream has started again, before the change is told.
+  void onRestart(std::function<void(const UpstreamRestart &)> Fn) {
+    Restarts.push_back(std::move(Fn));
+  }
+
   /// \return What is listed.
   const UpstreamBook &book() const { return Book; }
+  /// \return Entries of the latest read that name no upstream to use.
+  std::size_t unreadable() const { return Unreadable.size(); }
 
 private:
   void read();
   void readAfter(Duration Pause);
   void vouched(const Vouch &Heard);
   void answered(const KvItems &Found);
+  std::optional<UpstreamEntry>
+  readEntry(const KvItem &Item, std::map<std::string, std::string> &Bad);
   void changed(const std::map<std::string, UpstreamEntry> &Before) const;
   void logChanges(const std::map<std::string, UpstreamEntry> &Before) const;
 
@@ -44,7 +54,10 @@
   VouchService *Readers = nullptr; ///< Tells what others read.
   TimerId NextRead;                ///< Of our own; none: one is under way.
   int Failures = 0;                ///< Reads in a row that failed.
-  std::vector<std::function<void()>> Changes; ///< Subscribers.
+  std::map<std::string, std::string> Unreadable; ///< Why, by key.
+  std::vector<std::function<void()>> Changes;    ///< Subscribers.
+  std::vector<std::function<void(const UpstreamRestart &)>>
+      Restarts; ///< Subscribers.
 };
 
 } // namespace fulmar
--- a/src/wire_format.h
+++ b/src/wire_format.h
@@ -29,8 +29,10 @@
   virtual RouteTablePtr readRoutes(std::string_view Text,
                                    std::string &Why) const = 0;
   /// Reads one listed upstream.
-  virtual std::optional<UpstreamEntry>
-  readUpstream(std::string_view Key, std::string_view Text) const = 0;
+  /// \return Nothing when the entry is not one of an upstream; \p Why says why.
+  virtual std::optional<UpstreamEntry> readUpstream(std::string_view Key,
+                                                    std::string_view Text,
+                                                    std::string &Why) const = 0;
 
   /// Reads what a client says of its request.
   virtual ForwardAsk readAsk(const HttpExchange &Exchange) const = 0;
--- /dev/null
+++ b/tests/batch_world.h
@@ -0,0 +1,147 @@
+/// \file batch_world.h A pool of stage upstreams in virtual time, for tests.
+#ifndef FULMARSTEP_TESTS_BATCH_WORLD_H
+#define FULMARSTEP_TESTS_BATCH_WORLD_H
+
+#include <map>
+#include <set>
+
+#include "batch_func.h"
+
+namespace fulmar {
+
+/// A pool whose upstreams do as they are told, in virtual time.
+struct PoolWorld {
+  BatchPool P;
+  TimePoint Now{std::chrono::seconds(100)};
+  std::map<std::uint64_t, std::pair<TimePoint, SendBatchAction>> Running;
+  std::map<std::uint64_t, BatchResult> Answers;
+  std::set<std::uint64_t> Read;
+  std::set<std::string> Freed;
+  std::vector<SendBatchAction> Sent;
+  std::map<std::string, double> Slow; ///< Factor by instance.
+  bool Full = false;                  ///< Upstreams refuse.
+  bool NoRoom = false;                ///< Upstreams have no space for results.
+  int OtherCalls = 0;                 ///< Of other nodes, as the upstreams say.
+  int LastHandle = 0;
+
+  explicit PoolWorld(int Upstreams, BatchSpec Spec = ledgerSpec()) {
+    P.Name = "pool";
+    P.Spec = Spec;
+    P.Allowance = {0.2, 50, std::chrono::seconds(10), 1};
+    list(Upstreams);
+  }
+
+  /// As a pool of the sites: 24 pieces a call, 240 ms and 8.6 ms a piece.
+  static BatchSpec ledgerSpec() {
+    BatchSpec Spec;
+    Spec.MaxPieces = 24;
+    Spec.CallTime = std::chrono::milliseconds(240);
+    Spec.PieceTime = Duration(8600);
+    Spec.RoomBytes = 2.6e6;
+    Spec.ResultLife = std::chrono::seconds(4);
+    return Spec;
+  }
+
+  void list(int Upstreams) {
+    std::vector<UpstreamEntry> Listed;
+    for (int I = 0; I < Upstreams; ++I) {
+      UpstreamEntry E;
+      E.Instance = "i" + std::to_string(I);
+      E.Address = "a" + std::to_string(I);
+      E.FailureDomain = "z" + std::to_string(I % 3);
+      Listed.push_back(E);
+    }
+    BatchActions Out;
+    batchUpstreams(P, Listed, Now, Out);
+    perform(Out);
+  }
+
+  void perform(const BatchActions &Out) {
+    for (const BatchAction &Action : Out) {
+      if (const auto *Send = std::get_if<SendBatchAction>(&Action)) {
+        Sent.push_back(*Send);
+        double Factor = Slow.count(Send->Instance) ? Slow[Send->Instance] : 1;
+        Duration Took =
+            Full ? Duration(std::chrono::milliseconds(2))
+                 : fromMs(toMs(batchCallTime(
+                              P.Spec, static_cast<int>(Send->Items.size()))) *
+                          Factor);
+        Running[Send->Call.Value] = {Now + Took, *Send};
+      } else if (const auto *Answer = std::get_if<AnswerBatchAction>(&Action)) {
+        Answers[Answer->Ask.Value] = Answer->Result;
+      } else if (const auto *Told = std::get_if<InputsReadAction>(&Action)) {
+        Read.insert(Told->Ask.Value);
+      } else {
+        Freed.insert(std::get<FreeBatchAction>(Action).Handle);
+      }
+    }
+  }
+
+  BatchAsk makeAsk(int Pieces, int Priority = 0) const {
+    BatchAsk Ask;
+    Ask.RequestId = "r";
+    Ask.Pieces = Pieces;
+    Ask.Priority = Priority;
+    Ask.ResultBytes = 60e3;
+    Ask.Due = std::chrono::milliseconds(1500);
+    Ask.Dead = std::chrono::seconds(6);
+    return Ask;
+  }
+
+  std::uint64_t ask(const BatchAsk &Ask) {
+    BatchActions Out;
+    BatchAskId Id = batchAsk(P, Ask, Now, Out);
+    perform(Out);
+    return Id.Value;
+  }
+
+  /// Lets time pass in steps of 10 ms.
+  void pass(Duration Time) {
+    TimePoint End = Now + Time;
+    while (Now < End) {
+      Now += std::chrono::milliseconds(10);
+      std::vector<std::uint64_t> Done;
+      for (const auto &[Id, Call] : Running) {
+        if (Call.first <= Now)
+          Done.push_back(Id);
+      }
+      for (std::uint64_t Id : Done)
+        finish(Id);
+      BatchActions Out;
+      batchTick(P, Now, Out);
+      perform(Out);
+    }
+  }
+
+  void finish(std::uint64_t Id) {
+    SendBatchAction Call = Running.at(Id).second;
+    Running.erase(Id);
+    BatchCallResult Result;
+    Result.Answered = !Full;
+    Result.Effect =
+        Full ? AttemptEffect::SaidNotRun : AttemptEffect::MayHaveRun;
+    Result.Load = UpstreamLoad{OtherCalls, 0, 1};
+    for (std::size_t I = 0; I < Call.Items.size(); ++I) {
+      std::string Handle = Call.Address + "/" + std::to_string(++LastHandle);
+      Result.Pieces.push_back(NoRoom ? PieceResult{PieceEnd::NoRoom, ""}
+                                     : PieceResult{PieceEnd::Done, Handle});
+    }
+    BatchActions Out;
+    batchCallEnded(P, BatchCallId{Id}, Result, Now, Out);
+    perform(Out);
+  }
+
+  /// Gives back the results of every ask that is done.
+  void freeAll() {
+    for (auto &[Id, Result] : Answers) {
+      BatchActions Out;
+      batchFree(P, Result.Handles, Now, Out);
+      Result.Handles.clear();
+      perform(Out);
+    }
+  }
+};
+
+} // namespace fulmar
+
+#endif
--- /dev/null
+++ b/tests/test_restart.cpp
@@ -0,0 +1,242 @@
+/// \file test_restart.cpp Upstreams that start again under their name.
+#include <catch2/catch.hpp>
+
+#include "batch_world.h"
+#include "gateway_world.h"
+#include "restart_func.h"
+#include "upstream_book.h"
+#include "upstream_func.h"
+
+using namespace fulmar;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+UpstreamEntry entryOf(const std::string &Instance, WallMs BornMs) {
+  UpstreamEntry Entry;
+  Entry.Instance = Instance;
+  Entry.Pool = "p";
+  Entry.Address = "1.2.3.4:5";
+  Entry.BornMs = BornMs;
+  return Entry;
+}
+
+/// Starts an upstream of \p W again, \p Ago before now.
+void restart(PoolWorld &W, const std::string &Instance, Duration Ago) {
+  UpstreamRestart Restart;
+  for (const auto &[Start, U] : W.P.Upstreams) {
+    if (Start.Instance == Instance)
+      Restart.Earlier = U.Entry;
+  }
+  Restart.Later = Restart.Earlier;
+  ++Restart.Later.BornMs;
+  Restart.StartedAt = W.Now - Ago;
+  BatchActions Out;
+  batchRestarted(W.P, Restart, W.Now, Out);
+  W.perform(Out);
+}
+
+} // namespace
+
+SCENARIO("an upstream is listed with a later start") {
+  // Symptom: after an upstream crashed and came back within three heartbeats,
+  // its pieces failed for want of inputs that nobody could find.
+  // Sequence: its entry never left the list; a new start wrote it again, under
+  // the same key.
+  // Cause: the key alone was taken for the instance.
+  UpstreamBook Book;
+  UpstreamBook Other;
+  bookRead(Book, {entryOf("a", 100)}, TimePoint{seconds(1)});
+  bookRead(Other, {entryOf("a", 100)}, TimePoint{seconds(1)});
+  auto Before = Book.Entries;
+  REQUIRE(bookRead(Book, {entryOf("a", 200)}, TimePoint{seconds(2)}));
+  THEN("that is a restart, and other nodes are told") {
+    auto Found =
+        findRestarts(Before, Book.Entries, 1200, TimePoint{seconds(3)});
+    REQUIRE(Found.size() == 1);
+    CHECK(Found[0].Earlier.BornMs == 100);
+    CHECK(Found[0].Later.BornMs == 200);
+    CHECK(Found[0].StartedAt == TimePoint{seconds(2)});
+    auto Change = bookChangesSince(Book, Other.Digest);
+    REQUIRE(Change);
+    CHECK(bookApply(Other, *Change, TimePoint{seconds(2)}));
+    CHECK(Other.Entries.at("a").BornMs == 200);
+  }
+  THEN("what the earlier start wrote last changes nothing") {
+    UpstreamEntry Late = entryOf("a", 100);
+    Late.Leaving = true;
+    CHECK_FALSE(bookRead(Book, {Late}, TimePoint{seconds(3)}));
+    CHECK(Book.Entries.at("a").BornMs == 200);
+    CHECK_FALSE(Book.Entries.at("a").Leaving);
+  }
+  THEN("several starts between two reads are one restart") {
+    bookRead(Book, {entryOf("a", 900)}, TimePoint{seconds(3)});
+    CHECK(findRestarts(Before, Book.Entries, 1200, TimePoint{seconds(3)})
+              .size() == 1);
+  }
+  THEN("an outage of the list hides none") {
+    bookRead(Book, {}, TimePoint{seconds(9)});
+    REQUIRE(Book.Entries.count("a") == 1);
+    auto Away = Book.Entries;
+    bookRead(Book, {entryOf("a", 300)}, TimePoint{seconds(10)});
+    CHECK(
+        findRestarts(Away, Book.Entries, 1200, TimePoint{seconds(10)}).size() ==
+        1);
+  }
+}
+
+SCENARIO("when a start was, by a time of day that may be wrong") {
+  TimePoint Now{seconds(60)};
+  CHECK(startedAt(10'000, 12'000, Now) == Now - seconds(2));
+  CHECK(startedAt(10'000, 9'000, Now) == Now);
+  CHECK(startedAt(10'000, 999'000, Now) == TimePoint{});
+}
+
+SCENARIO("a pool's upstream starts again under its name") {
+  PoolWorld W(1);
+  GIVEN("a call that it had") {
+    std::uint64_t Id = W.ask(W.makeAsk(4));
+    REQUIRE(W.Sent.size() == 1);
+    W.Now += milliseconds(50);
+    THEN("its pieces are made again, not waited for") {
+      restart(W, "i0", milliseconds(10));
+      REQUIRE(W.Sent.size() == 2);
+      CHECK(W.Sent[1].Instance == "i0");
+      CHECK(W.Sent[1].Items.size() == 4);
+      W.pass(milliseconds(400));
+      CHECK(W.Answers.at(Id).End == BatchEnd::Done);
+      CHECK(W.P.Upstreams.size() == 1);
+      CHECK(W.P.Upstreams.begin()->second.InFlight == 0);
+    }
+    THEN("a call that the new start got goes on") {
+      restart(W, "i0", milliseconds(60));
+      CHECK(W.Sent.size() == 1);
+      W.pass(milliseconds(400));
+      CHECK(W.Answers.at(Id).End == BatchEnd::Done);
+      CHECK(W.Sent.size() == 1);
+    }
+  }
+  GIVEN("results that it kept, of an ask that is not done") {
+    BatchAsk Ask = W.makeAsk(30); // Of a call's 24: two calls.
+    std::uint64_t Id = W.ask(Ask);
+    W.pass(milliseconds(460));
+    REQUIRE(W.Answers.count(Id) == 0);
+    REQUIRE_FALSE(W.P.Kept.empty());
+    restart(W, "i0", milliseconds(1));
+    THEN("they take no room, and are made again") {
+      CHECK(W.P.Kept.empty());
+      W.pass(seconds(2));
+      REQUIRE(W.Answers.at(Id).End == BatchEnd::Done);
+      std::set<std::string> Handles(W.Answers.at(Id).Handles.begin(),
+                                    W.Answers.at(Id).Handles.end());
+      CHECK(Handles.size() == 30);
+      for (const auto &[Handle, Kept] : W.P.Kept)
+        CHECK(Kept.Upstream.BornMs == 1);
+    }
+  }
+  GIVEN("failures and slowness of before") {
+    BatchUpstream &U = W.P.Upstreams.begin()->second;
+    U.Failures = 5;
+    U.Slowness = 7;
+    U.AvoidUntil = W.Now + seconds(9);
+    U.RoomUsed = 2e6;
+    restart(W, "i0", milliseconds(1));
+    THEN("they are forgotten") {
+      REQUIRE(W.P.Upstreams.size() == 1);
+      const BatchUpstream &New = W.P.Upstreams.begin()->second;
+      CHECK(New.Failures == 0);
+      CHECK(New.Slowness == 1);
+      CHECK(New.AvoidUntil == TimePoint{});
+      CHECK(New.RoomUsed == 0);
+    }
+  }
+}
+
+SCENARIO("an ejected upstream starts again under its name") {
+  Pool P;
+  P.Spec.StartLimit = P.Spec.MaxLimit = 4;
+  std::uint32_t LastId = 0;
+  UpstreamSpec Spec{"1.2.3.4:5", "p", "z", true, {"a", 100}};
+  updateUpstreams(P, std::vector{Spec}, "z", LastId);
+  P.Upstreams[0].EjectedUntil = TimePoint{seconds(60)};
+  Spec.Start.BornMs = 200;
+  Spec.Leaving = false;
+  updateUpstreams(P, std::vector{Spec}, "z", LastId);
+  THEN("neither its ejection nor its leave binds the new start") {
+    REQUIRE(P.Upstreams.size() == 1);
+    CHECK(upstreamEligible(P.Upstreams[0], RouterPolicy(),
+                           TimePoint{seconds(1)}));
+  }
+}
+
+SCENARIO("a request's upstream starts again under its name") {
+  // Symptom: a request waits for its whole time-out for an upstream that works
+  // on nothing; or its last stage finds that its inputs are gone.
+  // Sequence: the upstream crashed behind a cut, so its connections were never
+  // reset, and came back under its name before its entry expired.
+  // Cause: nothing but the listed time of its start tells of it.
+  GatewayWorld W;
+  W.TimeoutMs = 9000;
+  W.TargetMs = 4000; // Its silence alone is no reason to end an attempt.
+  W.configure();
+  W.BornMs = EventLoop::wallClock() - 60'000;
+  GIVEN("a run that is silent") {
+    auto &Engine = W.addRunner("engine", {"e1", milliseconds(5), 3});
+    W.addNode();
+    Engine.Mode = platform::RunnerMode::Hangs;
+    auto Got =
+        W.send("/stream/x", {{"X-Deadline-Remaining-Milliseconds", "8900"}});
+    runUntil(W.Loop, [&] { return W.runsOfLast() == 1; });
+    Engine.Mode = platform::RunnerMode::Serving;
+    TimePoint Since = W.Timers.now();
+    W.BornMs = EventLoop::wallClock() + 5;
+    W.list("engine", "e1", "ready");
+    THEN("a stream that may be resumed goes on at the new start") {
+      runUntil(
+          W.Loop, [&] { return Got->Ended; }, seconds(5));
+      CHECK(Got->Answer.Status == 200);
+      CHECK(W.runsOfLast() == 2);
+      CHECK(W.Timers.now() - Since < seconds(3));
+    }
+  }
+  GIVEN("a run that may not be repeated") {
+    auto &Engine = W.addRunner("engine", {"e1", milliseconds(5), 3});
+    W.addNode();
+    Engine.Mode = platform::RunnerMode::Hangs;
+    auto Got =
+        W.send("/once/x", {{"X-Deadline-Remaining-Milliseconds", "8900"}});
+    runUntil(W.Loop, [&] { return W.runsOfLast() == 1; });
+    Engine.Mode = platform::RunnerMode::Serving;
+    W.BornMs = EventLoop::wallClock() + 5;
+    W.list("engine", "e1", "ready");
+    THEN("its client is told that it may have run, and it does not run again") {
+      runUntil(
+          W.Loop, [&] { return Got->Ended; }, seconds(5));
+      CHECK(Got->Answer.Status == 502);
+      CHECK(W.runsOfLast() == 1);
+    }
+  }
+  GIVEN("a request whose first results are there, and that waits for more") {
+    W.CallMs = 1200;
+    W.configure();
+    W.addRunner("engine", {"e1", milliseconds(5), 3});
+    auto &Batch = W.addRunner("batch", {"b1", milliseconds(5), 0,
+                                        milliseconds(5), milliseconds(1200)});
+    W.addNode();
+    auto Got =
+        W.send("/staged/x", {{"X-Deadline-Remaining-Milliseconds", "8900"},
+                             {"X-Pieces", "1,1,1"},
+                             {"X-Piece-Key", "k"}});
+    runUntil(
+        W.Loop, [&] { return Batch.Pieces == 2; }, seconds(6));
+    W.BornMs = EventLoop::wallClock() + 5;
+    W.list("batch", "b1", "ready");
+    THEN("all its stages are done again, as none of its results is left") {
+      runUntil(
+          W.Loop, [&] { return Got->Ended; }, seconds(9));
+      CHECK(Got->Answer.Status == 200);
+      CHECK(Batch.Pieces >= 5);
+    }
+  }
+}
