Nodes give each other the configuration; one that cannot read the service says so

Change: who hears of a newer version asks its reader for the text (up to 128 KiB; longer ones are read from the service) and confirms its age by the reader's; without a copy after 500 ms it reads itself. A node whose own calls failed twice and for 800 ms says so (cannot_read); it is no reader until a call of its own succeeds, tried every three seconds.

--- a/src/member.cpp
+++ b/src/member.cpp
@@ -164,8 +164,9 @@
   }
   if (Fresh)
     M.Ids.push_back(Said.Id);
-  bool Changed =
-      Fresh || Said.State != Other.Info.State || Said.Unfit != Other.Info.Unfit;
+  bool Changed = Fresh || Said.State != Other.Info.State ||
+                 Said.Unfit != Other.Info.Unfit ||
+                 Said.CannotRead != Other.Info.CannotRead;
   Other.Info = Said;
   makeNews(M, Said.Id, Other);
   if (!Changed)
@@ -446,10 +447,11 @@
   M.NextPeriod = Now + M.Period;
 }
 
-void memberFitness(Membership &M, bool Fit, MemberActions &Out) {
-  if (M.Self.Unfit == !Fit)
+void memberFitness(Membership &M, bool Fit, bool CanRead, MemberActions &Out) {
+  if (M.Self.Unfit == !Fit && M.Self.CannotRead == !CanRead)
     return;
   M.Self.Unfit = !Fit;
+  M.Self.CannotRead = !CanRead;
   // Of two beliefs with equal incarnations the first one heard would stay.
   ++M.Self.Incarnation;
   announce(M, Out);
--- a/src/member_func.h
+++ b/src/member_func.h
@@ -33,9 +33,9 @@
 /// This node stops now; saves the others their suspicion.
 void memberGoodbye(Membership &M, TimePoint Now, MemberActions &Out);
 
-/// Says whether callers should be sent to this node; tells some others at once
-/// when that changes.
-void memberFitness(Membership &M, bool Fit, MemberActions &Out);
+/// Says whether callers should be sent to this node, and whether it can read
+/// the key-value service; tells some others at once when that changes.
+void memberFitness(Membership &M, bool Fit, bool CanRead, MemberActions &Out);
 
 /// \return Whether \p State counts as running for routing and entries.
 inline bool memberServes(MemberState State) {
--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -103,9 +103,9 @@
   return JoinedAt > TimePoint{} && Timers->now() - JoinedAt >= SettleTime;
 }
 
-void MemberService::fitness(bool Fit) {
+void MemberService::fitness(bool Fit, bool CanRead) {
   MemberActions Out;
-  memberFitness(State, Fit, Out);
+  memberFitness(State, Fit, CanRead, Out);
   perform(Out);
 }
 
--- a/src/member_service.h
+++ b/src/member_service.h
@@ -39,7 +39,7 @@
   /// Tells the others that this node stops now.
   void goodbye();
   /// Tells the others whether callers should be sent here.
-  void fitness(bool Fit);
+  void fitness(bool Fit, bool CanRead);
   /// Takes the incarnation of this process and asks all seeds for members.
   void join(std::uint64_t Incarnation);
   /// \return Whether this process has joined and had time to hear of others.
--- a/src/member_type.h
+++ b/src/member_type.h
@@ -31,6 +31,7 @@
   MemberState State = MemberState::Alive; ///< What is believed.
   std::uint32_t Load = 0;       ///< Requests in progress when it last spoke.
   bool Unfit = false;           ///< Alive, but not to be given to callers.
+  bool CannotRead = false;      ///< Its calls to the key-value service fail.
   std::uint32_t Strength = 100; ///< Of its host, per cent of a usual one.
 
   bool operator==(const MemberInfo &) const = default;
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -30,10 +30,11 @@
 };
 
 /// What a message is about.
-using PeerBody = std::variant<MemberMessage, LedgerEntry, LedgerResult,
-                              BundleFetch, BundleDelta, DemandReport,
-                              DemandTotal, BatchAskMessage, BatchAnswerMessage,
-                              BatchReleaseMessage, VouchAsk, VouchAnswer>;
+using PeerBody =
+    std::variant<MemberMessage, LedgerEntry, LedgerResult, BundleFetch,
+                 BundleDelta, DemandReport, DemandTotal, BatchAskMessage,
+                 BatchAnswerMessage, BatchReleaseMessage, VouchAsk, VouchAnswer,
+                 ConfigFetch, ConfigCopy>;
 
 /// A message between nodes, with what every message says.
 struct PeerMessage {
--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -22,6 +22,23 @@
 /// A reader that has not confirmed its own version for this long has lost the
 /// service; who asks it looks for itself.
 static constexpr Duration MostVouchedAge = std::chrono::milliseconds(1100);
+/// Without a copy of a newer version after this time, a node reads it itself.
+/// Ten kilobytes on a link of 10 Mbit/s take 8 ms; the reader may have thirty
+/// to serve.
+static constexpr Duration CopyPatience = std::chrono::milliseconds(500);
+/// Longest configuration that nodes give each other. Thirty copies of it take
+/// a second and a half of a link of 20 Mbit/s; longer ones are read from the
+/// service, whose link is faster.
+static constexpr std::size_t LongestCopy = std::size_t{128} << 10;
+/// A node whose own calls have failed this often and for this long tells the
+/// others, which choose another reader. A shorter time would have each slow
+/// answer choose another one; in a longer one its whole share of the fleet
+/// reads for itself.
+static constexpr int FailuresToTell = 2;
+static constexpr Duration CannotReadAfter = std::chrono::milliseconds(800);
+/// A node that hears enough from others tries the service itself again after
+/// about this time: all it gains is to be a possible reader again.
+static constexpr Duration ProbePause = std::chrono::seconds(3);
 /// Pause before a failed call is repeated, spread over twice as much again: all
 /// nodes fail together when the service does, and must not return together.
 static constexpr Duration RetryPause = std::chrono::milliseconds(60);
@@ -35,6 +52,7 @@
   Tree = &Services.find<KvTree>(service::Kv);
   Readers = &Services.find<VouchService>(service::Vouch);
   Readers->onVouch([this](const Vouch &Heard) { vouched(Heard); });
+  Readers->onConfig([this](const ConfigHeard &Heard) { copied(Heard); });
   read();
 }
 
@@ -46,11 +64,19 @@
   return freshForEntry(Fresh, Bounds, EventLoop::bootClock());
 }
 
+bool RouteFeed::canRead() const {
+  return Failures < FailuresToTell ||
+         Timers->now() - FailingSince < CannotReadAfter;
+}
+
 std::optional<Duration> RouteFeed::age() const {
   return freshnessAge(Fresh, EventLoop::bootClock());
 }
 
 void RouteFeed::read() {
+  Timers->cancel(Fallback);
+  Fallback = TimerId{};
+  Fetching = false;
   Duration Sent = EventLoop::bootClock();
   Tree->range(Wire.routesKey(), [this, Sent](const KvItems &Found) {
     if (Found.Status != KvStatus::Ok)
@@ -70,13 +96,18 @@
 
 /// Goes on following, by the service itself or by a node that reads it.
 void RouteFeed::next() {
+  Fetching = false;
   if (Readers->reads())
     return follow();
+  if (Failures > 0 && Timers->now() >= ProbeAt)
+    return read();
+  readAfter(VouchPatience);
+}
+
+/// Reads after \p Pause, unless somebody tells enough before.
+void RouteFeed::readAfter(Duration Pause) {
   Timers->cancel(Fallback);
-  Fallback = Timers->after(VouchPatience, [this] {
-    Fallback = TimerId{};
-    read();
-  });
+  Fallback = Timers->after(Pause, [this] { read(); });
 }
 
 /// Takes in what a reader knows. While it tells that nothing has changed, this
@@ -89,13 +120,33 @@
     return;
   if (Heard.Answer.ConfigVersion < Table->Version)
     return;
-  if (Heard.Answer.ConfigVersion == Table->Version) {
-    freshnessConfirm(Fresh, Heard.AskedBoot - Heard.Answer.ConfigAge);
-    return next();
-  }
-  Timers->cancel(Fallback);
-  Fallback = TimerId{};
-  read();
+  if (Heard.Answer.ConfigVersion > Table->Version)
+    return fetch();
+  freshnessConfirm(Fresh, Heard.AskedBoot - Heard.Answer.ConfigAge);
+  next();
+}
+
+/// Gets a newer version from the node that told of it. If every node read each
+/// version itself, a fleet would read it as often as it has nodes; and one that
+/// the service turns away would stay at an old version, asking ten times a
+/// second and refusing keys, beside others that have the new one.
+void RouteFeed::fetch() {
+  if (Fetching)
+    return;
+  Fetching = true;
+  Readers->fetchConfig();
+  readAfter(CopyPatience);
+}
+
+void RouteFeed::copied(const ConfigHeard &Heard) {
+  if (!Fetching || !Table || Heard.Copy.Age > MostVouchedAge)
+    return;
+  Fetching = false;
+  take(Heard.Copy.Text);
+  if (Table->Version != Heard.Copy.Version)
+    return;
+  freshnessConfirm(Fresh, Heard.AskedBoot - Heard.Copy.Age);
+  next();
 }
 
 void RouteFeed::follow() {
@@ -138,13 +189,12 @@
              {{"why", Why},
               {"version", Table ? Table->Version : 0},
               {"age_ms", age() ? toMs(*age()) : -1}});
+  if (Failures == 1)
+    FailingSince = Timers->now();
+  ProbeAt = Timers->now() + fromMs(toMs(ProbePause) * (0.5 + randomUnit(Rng)));
   Duration Pause = RetryPause * Readers->retryFactor();
   Duration Spread = fromMs(toMs(Pause) * 2 * randomUnit(Rng));
-  Timers->cancel(Fallback);
-  Fallback = Timers->after(Pause + Spread, [this] {
-    Fallback = TimerId{};
-    read();
-  });
+  readAfter(Pause + Spread);
 }
 
 void RouteFeed::take(const std::string &Value) {
@@ -165,6 +215,7 @@
             {"keys", Next->ByKey.size()},
             {"bytes", Value.size()}});
   Table = std::move(Next);
+  Text = Value.size() <= LongestCopy ? Value : std::string();
   for (const auto &Fn : Changes)
     Fn();
 }
--- a/src/route_feed.h
+++ b/src/route_feed.h
@@ -27,10 +27,15 @@
 
   /// \return The version in force; null until there is one.
   const RouteTablePtr &table() const { return Table; }
+  /// \return Its text, to be sent to other nodes; empty when it is too long.
+  const std::string &text() const { return Text; }
   /// \return Whether requests with keys may be accepted now.
   bool keysFresh() const;
   /// \return Whether this node should be given out as an entry.
   bool entryFresh() const;
+  /// \return Whether this node's own calls to the key-value service succeed. It
+  /// may well have the newest configuration while they do not.
+  bool canRead() const;
   /// \return How long ago the version in force was sure to be the newest.
   std::optional<Duration> age() const;
 
@@ -38,7 +43,10 @@
   void read();
   void follow();
   void next();
+  void readAfter(Duration Pause);
   void vouched(const Vouch &Heard);
+  void fetch();
+  void copied(const ConfigHeard &Heard);
   void retry(const std::string &Why);
   void heard();
   void take(const std::string &Value);
@@ -50,11 +58,15 @@
   TimerService *Timers = nullptr;             ///< Time.
   KvTree *Tree = nullptr;                     ///< The key-value service.
   RouteTablePtr Table;                        ///< In force.
+  std::string Text;                           ///< Of it, if it is short.
   Freshness Fresh;                            ///< Its age.
   std::uint64_t Revision = 0;                 ///< Changes up to it are known.
   VouchService *Readers = nullptr;            ///< Tells what others read.
   TimerId Fallback;                           ///< Reads when nobody tells.
+  bool Fetching = false;                      ///< A copy was asked for.
   int Failures = 0;                           ///< Calls in a row that failed.
+  TimePoint FailingSince{};                   ///< When the first of them did.
+  TimePoint ProbeAt{};                        ///< When to try again, at last.
   std::vector<std::function<void()>> Changes; ///< Subscribers.
 };
 
--- a/src/vouch.cpp
+++ b/src/vouch.cpp
@@ -24,7 +24,9 @@
   Consider(M.Self);
   for (const auto &[Id, Other] : M.Members)
     Consider(Other.Info);
-  auto Unfit = [](const MemberInfo *Info) { return Info->Unfit; };
+  auto Unfit = [](const MemberInfo *Info) {
+    return Info->Unfit || Info->CannotRead;
+  };
   if (!std::all_of(Nodes.begin(), Nodes.end(), Unfit))
     std::erase_if(Nodes, Unfit);
   return Nodes;
--- a/src/vouch_service.cpp
+++ b/src/vouch_service.cpp
@@ -38,12 +38,40 @@
         for (const VouchFn &Fn : Hear)
           Fn(Vouch{AskedBoot, AskedAt, Answer});
       });
+  Peers->on<ConfigFetch>(
+      [this](const PeerMessage &From, const ConfigFetch &Asked) {
+        sendCopy(From.Sender, Asked);
+      });
+  Peers->on<ConfigCopy>([this](const PeerMessage &, const ConfigCopy &Copy) {
+    if (Copy.Nonce != FetchNonce)
+      return; // Asked for earlier: its age would be taken for too small.
+    for (const ConfigFn &Fn : HearConfig)
+      Fn(ConfigHeard{FetchedBoot, Copy});
+  });
   Timers->every(AskPeriod, [this] { ask(); });
 }
 
+std::string VouchService::reader() const {
+  return chooseReader(Members->state());
+}
+
+void VouchService::fetchConfig() {
+  ++FetchNonce;
+  FetchedBoot = EventLoop::bootClock();
+  Peers->sendTo(reader(), ConfigFetch{FetchNonce});
+}
+
+/// A configuration that is too long is not sent: who asks reads it itself.
+void VouchService::sendCopy(const std::string &Node, const ConfigFetch &Asked) {
+  auto Age = Routes->age();
+  if (!Routes->table() || !Age || Routes->text().empty())
+    return;
+  ConfigCopy Copy{Asked.Nonce, Routes->table()->Version, *Age, Routes->text()};
+  Peers->sendTo(Node, std::move(Copy));
+}
+
 bool VouchService::reads() const {
-  return !Members->settled() ||
-         chooseReader(Members->state()) == Members->state().Self.Id;
+  return !Members->settled() || reader() == Members->state().Self.Id;
 }
 
 int VouchService::retryFactor() const {
@@ -56,7 +84,7 @@
 void VouchService::ask() {
   if (!Members->settled())
     return;
-  std::string Reader = chooseReader(Members->state());
+  std::string Reader = reader();
   if (Reader == Members->state().Self.Id)
     return;
   ++Nonce;
--- a/src/vouch_service.h
+++ b/src/vouch_service.h
@@ -24,10 +24,17 @@
                         ///< on, they are never too small.
 };
 
+/// A copy of the configuration, with when it was asked for.
+struct ConfigHeard {
+  Duration AskedBoot{}; ///< Boot-time clock, when the question was sent.
+  ConfigCopy Copy;      ///< What the reader has in force.
+};
+
 /// Lets most nodes follow the key-value service through one that reads it.
 class VouchService : public Service {
 public:
   using VouchFn = std::function<void(const Vouch &)>;
+  using ConfigFn = std::function<void(const ConfigHeard &)>;
 
   explicit VouchService(Kernel &K) : Services(K) {}
 
@@ -35,6 +42,10 @@
 
   /// Calls \p Fn with each answer.
   void onVouch(VouchFn Fn) { Hear.push_back(std::move(Fn)); }
+  /// Calls \p Fn with each copy of the configuration that was asked for.
+  void onConfig(ConfigFn Fn) { HearConfig.push_back(std::move(Fn)); }
+  /// Asks the node that reads for this one for its configuration.
+  void fetchConfig();
   /// \return Whether this node reads for itself.
   bool reads() const;
   /// \return How many times longer than alone this node waits before it repeats
@@ -45,6 +56,8 @@
 
 private:
   void ask();
+  std::string reader() const;
+  void sendCopy(const std::string &Node, const ConfigFetch &Asked);
   VouchAnswer ownAnswer(const VouchAsk &Asked) const;
 
   Kernel &Services;                  ///< Finds the others.
@@ -56,7 +69,10 @@
   std::uint64_t Nonce = 0;           ///< Of the latest question.
   Duration AskedBoot{};              ///< When it was sent.
   TimePoint AskedAt{};               ///< When it was sent.
+  std::uint64_t FetchNonce = 0;      ///< Of the latest wish for a copy.
+  Duration FetchedBoot{};            ///< When it was sent.
   std::vector<VouchFn> Hear;         ///< Subscribers.
+  std::vector<ConfigFn> HearConfig;  ///< Subscribers.
 };
 
 } // namespace fulmar
--- a/src/vouch_type.h
+++ b/src/vouch_type.h
@@ -25,6 +25,19 @@
   std::optional<BookChange> ListChange; ///< What the asker's list lacks.
 };
 
+/// Ask a node for the configuration that it has in force.
+struct ConfigFetch {
+  std::uint64_t Nonce = 0; ///< Comes back in the answer.
+};
+
+/// The configuration in force at a node.
+struct ConfigCopy {
+  std::uint64_t Nonce = 0;   ///< As in the question.
+  std::uint64_t Version = 0; ///< Of the configuration.
+  Duration Age{};            ///< Since it was sure to be the newest.
+  std::string Text;          ///< As it stands in the key-value service.
+};
+
 } // namespace fulmar
 
 #endif
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -42,6 +42,7 @@
   int CallMs = 20;                ///< Of a call for pieces, as configured.
   double RoomMb = 8;              ///< For results at an upstream.
   WallMs BornMs = 1;              ///< Start of upstreams that are listed next.
+  std::string StoreAddress;       ///< Of nodes added next; empty: the store's.
 
   /// Adds an upstream and lists it.
   platform::StandinRunner &addRunner(const std::string &Pool,
@@ -125,15 +126,15 @@
     S.EntryAddress = Address(2);
     S.PeerAddress = Address(3);
     S.MetricsPort = Ports[4];
-    S.KvAddress = Store.address();
+    S.KvAddress = StoreAddress.empty() ? Store.address() : StoreAddress;
     S.RevokeMs = RevokeMs;
     S.RetryExtra = 50;
     S.EntryTtlMs = 200;
     S.GraceS = 3;
     Settings.push_back(S);
     Nodes.push_back(std::make_unique<GatewayNode>(
-        Loop, Timers, S, Wire, [this](HttpClient &C) {
-          return std::make_unique<platform::Store>(C, Store.address());
+        Loop, Timers, S, Wire, [Address = S.KvAddress](HttpClient &C) {
+          return std::make_unique<platform::Store>(C, Address);
         }));
     return *Nodes.back();
   }
