Callers are sent to nodes that read the key-value service themselves

Cause: since a node that the service turns away gets the configuration from others it counted as fit, so callers were still sent to it; when its reader fails too it refuses their keys. Change: entries prefer nodes whose own calls succeed; so do readers.

--- a/src/entry.cpp
+++ b/src/entry.cpp
@@ -36,19 +36,20 @@
     Candidates.push_back({&Info, Info.FailureDomain == Query.FailureDomain,
                           drawRank(Info, Rng)});
   };
-  auto ConsiderAll = [&](bool Unfit) {
-    if (Query.SelfReady && memberServes(M.Self.State) && M.Self.Unfit == Unfit)
+  auto ConsiderAll = [&](bool Sound) {
+    if (Query.SelfReady && memberServes(M.Self.State) &&
+        memberSound(M.Self) == Sound)
       Consider(M.Self);
     for (const auto &[Id, Other] : M.Members) {
-      if (memberServes(Other.Info.State) && Other.Info.Unfit == Unfit)
+      if (memberServes(Other.Info.State) && memberSound(Other.Info) == Sound)
         Consider(Other.Info);
     }
   };
-  ConsiderAll(/*Unfit=*/false);
-  // When every node is unfit, as in an outage of the key-value service, some
+  ConsiderAll(/*Sound=*/true);
+  // When no node is sound, as in an outage of the key-value service, some
   // requests can still be served, and a caller without an address has none.
   if (Candidates.empty())
-    ConsiderAll(/*Unfit=*/true);
+    ConsiderAll(/*Sound=*/false);
   std::sort(Candidates.begin(), Candidates.end(),
             [](const Candidate &A, const Candidate &B) {
               return A.Near != B.Near ? A.Near : A.Rank < B.Rank;
--- a/src/member_func.h
+++ b/src/member_func.h
@@ -37,6 +37,13 @@
 /// the key-value service; tells some others at once when that changes.
 void memberFitness(Membership &M, bool Fit, bool CanRead, MemberActions &Out);
 
+/// \return Whether a node is up to date by its own means. One that hears of the
+/// key-value service from others only serves as well, until the node that it
+/// hears from fails too: callers and other nodes had better not rely on it.
+inline bool memberSound(const MemberInfo &Info) {
+  return !Info.Unfit && !Info.CannotRead;
+}
+
 /// \return Whether \p State counts as running for routing and entries.
 inline bool memberServes(MemberState State) {
   return State == MemberState::Alive;
--- a/src/vouch.cpp
+++ b/src/vouch.cpp
@@ -24,11 +24,9 @@
   Consider(M.Self);
   for (const auto &[Id, Other] : M.Members)
     Consider(Other.Info);
-  auto Unfit = [](const MemberInfo *Info) {
-    return Info->Unfit || Info->CannotRead;
-  };
-  if (!std::all_of(Nodes.begin(), Nodes.end(), Unfit))
-    std::erase_if(Nodes, Unfit);
+  auto Unsound = [](const MemberInfo *Info) { return !memberSound(*Info); };
+  if (!std::all_of(Nodes.begin(), Nodes.end(), Unsound))
+    std::erase_if(Nodes, Unsound);
   return Nodes;
 }
 
--- a/tests/test_member.cpp
+++ b/tests/test_member.cpp
@@ -258,6 +258,16 @@
       Loaded += chooseEntries(M, {"", 1, true}, Rng)[0] == "10.0.0.1:8001";
     CHECK(Loaded < 150);
   }
+  THEN("a node that hears of the key-value service from others only is the "
+       "last choice") {
+    for (int I = 1; I < 9; ++I)
+      M.Members.at("n" + std::to_string(I)).Info.CannotRead = I != 5;
+    EntryQuery Query{"", 3, /*SelfReady=*/false};
+    CHECK(chooseEntries(M, Query, Rng) ==
+          std::vector<std::string>{"10.0.0.1:8005"});
+    M.Members.at("n5").Info.CannotRead = true;
+    CHECK(chooseEntries(M, Query, Rng).size() == 3);
+  }
   THEN("a node that knows nobody gives out itself") {
     Membership Alone = Net.fresh(0, 1);
     CHECK(chooseEntries(Alone, {"", 3, false}, Rng).size() == 1);
