Nodes that start together pull each other's member lists

Nodes chose different coordinators, and those did not answer whom they did not know: 350 asks given up after four sends (batch_home_silent), 3,271 of 74,689 pieces found their inputs gone, 448 requests began their stages again, 4,901 results were never used. Above 128 nodes that start together, announcements leave pairs that gossip has to introduce.

Change: after 0.3 s, and after pauses that double up to 40 s, a node asks a random other one for all members. Members that are new here are logged as one line a message, not a line each.

--- a/src/member.cpp
+++ b/src/member.cpp
@@ -22,6 +22,17 @@
 /// alone, 75 nodes that all lost their power took two seconds, in which each
 /// took other nodes' duties for its own.
 static constexpr std::size_t JoinAnnounced = 128;
+/// After it has joined, a node asks some other one for all members after this
+/// time, and again after pauses that double up to the last one.
+///
+/// Of nodes that start together, each reads a list with those that were quicker
+/// only, and announces itself to a part of a large fleet. What gossip then told
+/// took half a minute: a quarter of 295 nodes were unknown to each of them 16 s
+/// after their start, so nodes chose different coordinators, and a coordinator
+/// could not answer who it did not know. With three lists pulled in two seconds
+/// all know all (test "a large fleet starts at once").
+static constexpr Duration FirstPull = std::chrono::milliseconds(300);
+static constexpr Duration LastPullPause = std::chrono::seconds(40);
 /// Each news item is passed on this many times the logarithm of the fleet.
 static constexpr double NewsFactor = 3;
 /// Every so many periods a dead member or a seed is tried.
@@ -172,7 +183,7 @@
   if (!Changed)
     return;
   Other.Since = Now;
-  Out.push_back(MemberChangedAction{Said});
+  Out.push_back(MemberChangedAction{Said, Fresh});
 }
 
 static void setState(Membership &M, Member &Other, MemberState State,
@@ -290,7 +301,18 @@
   });
 }
 
+/// Asks some other node for all members.
+static void pull(Membership &M, TimePoint Now, MemberActions &Out) {
+  for (const MemberInfo &Other : randomMembers(M, 1))
+    send(M, addressOf(Other), MemberMessageKind::Join, 0, "", Out);
+  bool Last = M.PullPause > LastPullPause;
+  M.NextPull = Last ? TimePoint{} : Now + M.PullPause;
+  M.PullPause *= 2;
+}
+
 void memberTick(Membership &M, TimePoint Now, MemberActions &Out) {
+  if (M.NextPull > TimePoint{} && Now >= M.NextPull)
+    pull(M, Now, Out);
   bool Waiting = !M.Probe.Target.empty() && !M.Probe.Answered;
   if (Waiting && !M.Probe.Indirect && Now >= M.Probe.Sent + M.Timeout)
     probeIndirectly(M, Out);
@@ -317,11 +339,12 @@
 }
 
 TimePoint memberNextDue(const Membership &M) {
+  TimePoint Due = M.NextPeriod;
+  if (M.NextPull > TimePoint{})
+    Due = std::min(Due, M.NextPull);
   bool Waiting =
       !M.Probe.Target.empty() && !M.Probe.Answered && !M.Probe.Indirect;
-  if (!Waiting)
-    return M.NextPeriod;
-  return std::min(M.NextPeriod, M.Probe.Sent + M.Timeout);
+  return Waiting ? std::min(Due, M.Probe.Sent + M.Timeout) : Due;
 }
 
 static void sendList(Membership &M, const HostPort &To, MemberActions &Out) {
@@ -445,6 +468,8 @@
          I < JoinFanOut ? MemberMessageKind::Join : MemberMessageKind::Hello, 0,
          "", Out);
   M.NextPeriod = Now + M.Period;
+  M.PullPause = FirstPull;
+  M.NextPull = Now + fromMs(toMs(FirstPull) * (0.5 + randomUnit(M.Rng)));
 }
 
 void memberFitness(Membership &M, bool Fit, bool CanRead, MemberActions &Out) {
--- a/src/member_base.h
+++ b/src/member_base.h
@@ -61,7 +61,9 @@
   std::uint64_t LastSequence = 0;          ///< Counts probes.
   TimePoint NextPeriod{};                  ///< When the next probe is due.
   std::uint64_t Periods = 0;               ///< Counts periods.
-  MemberCounts Counts;                     ///< For operators.
+  TimePoint NextPull{}; ///< When to ask for all members; zero: no more.
+  Duration PullPause{}; ///< Until the one after it.
+  MemberCounts Counts;  ///< For operators.
 };
 
 /// Send a membership message.
@@ -72,7 +74,8 @@
 
 /// A member's state has changed here.
 struct MemberChangedAction {
-  MemberInfo Info; ///< As it is now.
+  MemberInfo Info;    ///< As it is now.
+  bool Fresh = false; ///< It was not known before.
 };
 
 /// Anything that membership asks its surroundings to do.
--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -115,13 +115,19 @@
 
 void MemberService::perform(const MemberActions &Actions) {
   bool Changed = false;
+  std::size_t Learned = 0;
   for (const MemberAction &Action : Actions) {
     if (const auto *Send = std::get_if<SendMemberAction>(&Action)) {
       Peers->send(Send->To, Send->Message);
       continue;
     }
-    const MemberInfo &Info = std::get<MemberChangedAction>(Action).Info;
+    const auto &[Info, Fresh] = std::get<MemberChangedAction>(Action);
     Changed = true;
+    // A line for each would be as many as the square of a fleet that starts.
+    if (Fresh && Info.State == MemberState::Alive) {
+      ++Learned;
+      continue;
+    }
     logEvent(Info.State == MemberState::Dead ? LogLevel::Warning
                                              : LogLevel::Info,
              "member_changed",
@@ -129,6 +135,9 @@
               {"state", nameIn(MemberStateNames, Info.State)},
               {"incarnation", Info.Incarnation}});
   }
+  if (Learned > 0)
+    logEvent(LogLevel::Info, "members_learned",
+             {{"count", Learned}, {"known", State.Members.size()}});
   if (Changed) {
     for (const auto &Fn : Changes)
       Fn();
--- a/tests/test_member.cpp
+++ b/tests/test_member.cpp
@@ -176,6 +176,34 @@
   CHECK(Net.allKnowAll());
 }
 
+SCENARIO("a large fleet starts at once") {
+  // Symptom: on a quiet day of 295 nodes asks of pieces time out at their
+  // coordinators, 350 times in twenty seconds, and inputs are gone by the time
+  // that they are used.
+  // Sequence: all nodes start within 0.3 s; each reads the list of those that
+  // entered it before, and announces itself to 128 of them.
+  // Cause: beyond 128 nodes pairs were left that gossip had to introduce, which
+  // took half a minute; a node does not answer one that it does not know.
+  constexpr std::size_t Size = 295;
+  MemberNet Net(Size, 12);
+  std::vector<HostPort> Entered;
+  for (std::size_t I = 0; I < Size; ++I) {
+    memberSeeds(Net.Nodes[I], Entered);
+    Entered.push_back({"10.0.0.1", static_cast<int>(I) + 1});
+    MemberActions Out;
+    memberJoin(Net.Nodes[I], 1000, Net.Now, Out);
+    Net.perform(I, Out);
+    Net.run(1ms);
+  }
+  Net.run(2500ms);
+  std::size_t Unknown = 0;
+  for (const Membership &M : Net.Nodes)
+    Unknown += Size - 1 - M.Members.size();
+  CHECK(Unknown <= Size / 10); // Of 86,730 pairs.
+  Net.run(10s);
+  CHECK(Net.allKnowAll());
+}
+
 SCENARIO("a paused node comes back") {
   // Symptom: a node that was stopped for a minute is shunned for good, or
   // declares everybody else dead. Sequence: pause, suspicion, death by gossip,
