--- a/src/peer_codec.h
+++ b/src/peer_codec.h
@@ -19,6 +19,10 @@
                                       std::string_view Key,
                                       std::string_view PreviousKey);
 
+/// Decodes what a message's signature covers.
+/// \return Nothing when the bytes are damaged.
+std::optional<PeerMessage> decodeSignedPart(const std::string &Bytes);
+
 /// Encodes a bundle for the key-value service.
 std::string encodeBundle(const SignedBundle &Bundle);
 /// Decodes a bundle; nothing when the bytes are damaged.
