One function gives an attempt up; shorter copies of the configuration

A reader serves 75 nodes since the last change, so a copy may be 32 KiB: all of them take a second of a link of 20 Mbit/s, as 128 KiB did for fewer. What gives up a silent attempt and one whose upstream started again is one function.

--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -388,14 +388,18 @@
         TimePoint Over = Silent->Attempt->LastEventAt + patience(*Silent);
         if (Silent->Attempt->Paused || Timers->now() < Over)
           return watchSilence(*Silent);
-        Client->cancel(Silent->Attempt->Call);
-        Silent->LastFailure = "silent";
-        HttpAnswer None;
-        afterAttempt(*Silent, AttemptOutcome::Broken,
-                     Silent->Attempt->Sent ? AttemptEffect::MayHaveRun
-                                           : AttemptEffect::NotSent,
-                     None, /*Expired=*/false);
+        abandonAttempt(*Silent, "silent");
       });
 }
 
+void GatewayService::abandonAttempt(ForwardRequest &R, std::string Why) {
+  Client->cancel(R.Attempt->Call);
+  R.LastFailure = std::move(Why);
+  HttpAnswer None;
+  afterAttempt(R, AttemptOutcome::Broken,
+               R.Attempt->Sent ? AttemptEffect::MayHaveRun
+                               : AttemptEffect::NotSent,
+               None, /*Expired=*/false);
+}
+
 } // namespace fulmar
--- a/src/gateway_restart.cpp
+++ b/src/gateway_restart.cpp
@@ -38,33 +38,24 @@
   // What is sent again may go to the new start.
   upstreamsChanged();
   std::vector<RequestSerial> Cut;
-  std::vector<RequestSerial> Unfounded;
+  std::vector<RequestSerial> LostInputs;
   for (const auto &[Serial, R] : Requests) {
     if (waitsForEarlier(R, Restart))
       Cut.push_back(Serial);
     else if (needsLostResults(R, Wire, Restart))
-      Unfounded.push_back(Serial);
+      LostInputs.push_back(Serial);
   }
-  for (RequestSerial Serial : Cut)
-    attemptLost(Serial);
-  for (RequestSerial Serial : Unfounded)
+  // Nobody is at work on these runs any more, and their connections may never
+  // say so.
+  for (RequestSerial Serial : Cut) {
+    ForwardRequest *R = find(Serial);
+    if (R && R->Attempt)
+      abandonAttempt(*R, "upstream started again");
+  }
+  for (RequestSerial Serial : LostInputs)
     resultsLost(Serial);
 }
 
-/// Nobody is at work on the run any more, and its connection may never say so.
-void GatewayService::attemptLost(RequestSerial Serial) {
-  ForwardRequest *R = find(Serial);
-  if (!R || !R->Attempt)
-    return;
-  Client->cancel(R->Attempt->Call);
-  R->LastFailure = "upstream started again";
-  HttpAnswer None;
-  afterAttempt(*R, AttemptOutcome::Broken,
-               R->Attempt->Sent ? AttemptEffect::MayHaveRun
-                                : AttemptEffect::NotSent,
-               None, /*Expired=*/false);
-}
-
 /// Begins the stages again whose results are lost. Once only: what has no time
 /// for a third round fails when its inputs are found missing.
 void GatewayService::resultsLost(RequestSerial Serial) {
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -100,13 +100,13 @@
 
   // gateway_restart.cpp: upstreams that start again.
   void upstreamRestarted(const UpstreamRestart &Restart);
-  void attemptLost(RequestSerial Serial);
   void resultsLost(RequestSerial Serial);
 
   // gateway_attempt.cpp: sends and their answers.
   void sendAttempt(RequestSerial Serial);
   void planFree(ForwardRequest &R);
   HttpCallbacks attemptCallbacks(RequestSerial Serial);
+  void abandonAttempt(ForwardRequest &R, std::string Why);
   void attemptSent(RequestSerial Serial);
   void attemptHead(RequestSerial Serial, const HttpAnswer &Answer);
   void attemptChunk(RequestSerial Serial, std::string_view Bytes);
--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -23,13 +23,13 @@
 /// service; who asks it looks for itself.
 static constexpr Duration MostVouchedAge = std::chrono::milliseconds(1100);
 /// Without a copy of a newer version after this time, a node reads it itself.
-/// Ten kilobytes on a link of 10 Mbit/s take 8 ms; the reader may have thirty
-/// to serve.
+/// Ten kilobytes on a link of 20 Mbit/s take 4 ms, and a reader has up to 75
+/// nodes to serve.
 static constexpr Duration CopyPatience = std::chrono::milliseconds(500);
-/// Longest configuration that nodes give each other. Thirty copies of it take
-/// a second and a half of a link of 20 Mbit/s; longer ones are read from the
-/// service, whose link is faster.
-static constexpr std::size_t LongestCopy = std::size_t{128} << 10;
+/// Longest configuration that nodes give each other. A reader's 75 copies of it
+/// take a second of a link of 20 Mbit/s; longer ones are read from the service,
+/// whose link is faster.
+static constexpr std::size_t LongestCopy = std::size_t{32} << 10;
 /// A node whose own calls have failed this often and for this long tells the
 /// others, which choose another reader. A shorter time would have each slow
 /// answer choose another one; in a longer one its whole share of the fleet
