Tests and scripts choose ports that no other process uses

Cause: tests chose ports 12000 to 31999 by their process id; scripts have fixed ones from 19000 up. A test whose id is 165 modulo 200 listens on the ports of the node that api-examples starts. Shown by a run: with 28505 held by hand the script ends the same way after 30.3 s; nothing said that the node could not listen, since its log went with the folder.

--- a/src/bench/demo.cpp
+++ b/src/bench/demo.cpp
@@ -14,6 +14,7 @@
 #include "rollout_service.h"
 #include "router_service.h"
 #include "signature_func.h"
+#include "standin/port_range.h"
 #include "standin/standin_site.h"
 
 namespace fulmar {
--- a/src/cli/cli_demo_platform.cpp
+++ b/src/cli/cli_demo_platform.cpp
@@ -10,6 +10,7 @@
 #include "platform/store.h"
 #include "platform/wire.h"
 #include "result_type.h"
+#include "standin/port_range.h"
 #include "standin/standin_site.h"
 
 DECLARE_double(seconds);
--- a/src/standin/standin_site.cpp
+++ b/src/standin/standin_site.cpp
@@ -1,44 +1,10 @@
 /// \file standin_site.cpp All stand-ins that a bundle needs, on one loop.
 #include "standin/standin_site.h"
 
-#include <unistd.h>
-
-#include "result_type.h"
-
 namespace fulmar {
 
 static constexpr int FailureDomains = 3;
 
-/// Ports below those that the system gives to outgoing connections (32768 and
-/// up, on Linux). A port that is free when it is chosen must still be free when
-/// it is used: one that the system may hand out meanwhile is taken now and then
-/// by any process that connects, seen as a node that cannot listen.
-static constexpr int FirstPort = 12000;
-static constexpr int PortsOfProcess = 100;
-static constexpr int ProcessRanges = 200;
-
-std::vector<int> freePorts(const std::string &Host, std::size_t Count) {
-  TimerService Timers;
-  EventLoop Loop(Timers);
-  // Processes that run at once, as tests do, choose from ranges of their own.
-  static int Next = 0;
-  int Range =
-      FirstPort + static_cast<int>(::getpid()) % ProcessRanges * PortsOfProcess;
-  std::vector<int> Ports;
-  for (int Tries = 0; Ports.size() < Count && Tries < PortsOfProcess; ++Tries) {
-    int Port = Range + Next++ % PortsOfProcess;
-    try {
-      HttpServer Probe(Loop, Host, Port, 1, [](const HttpExchangePtr &) {});
-      Ports.push_back(Port);
-    } catch (const Error &) {
-      // Taken by somebody else; the next one will do.
-    }
-  }
-  if (Ports.size() < Count)
-    throw Error(ResultCode::ListenFailed, "no free ports on " + Host);
-  return Ports;
-}
-
 StandinShape shapeOf(PoolKind Kind, double TimeFactor) {
   StandinShape Shape;
   Shape.Kind = Kind;
--- a/src/standin/standin_site.h
+++ b/src/standin/standin_site.h
@@ -49,9 +49,6 @@
   std::vector<Entry> Entries; ///< All.
 };
 
-/// Finds ports that nobody listens on now.
-std::vector<int> freePorts(const std::string &Host, std::size_t Count);
-
 /// Normal behaviour of a kind of upstream.
 StandinShape shapeOf(PoolKind Kind, double TimeFactor);
 
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -11,6 +11,7 @@
 #include "platform/store.h"
 #include "platform/wire.h"
 #include "raw_socket.h"
+#include "standin/port_range.h"
 #include "standin/standin_site.h"
 
 namespace fulmar {
--- a/tests/test_api.cpp
+++ b/tests/test_api.cpp
@@ -12,6 +12,7 @@
 #include "rollout_service.h"
 #include "router_service.h"
 #include "signature_func.h"
+#include "standin/port_range.h"
 #include "standin/standin_site.h"
 
 using namespace fulmar;
