A caller that comes back is not new: its target counts from its first attempt

Requests that had waited 2.3 s were refused, came back at another node under another id, were given the whole target again and went before new requests, which waited 2.3 s then.

Change: callers say how long they still wait. A node learns per route what new requests say (the latest 128; those that came back lie below) and takes what is missing from the target. Nothing is said with fewer than 16 requests, and while more seem to come back than are refused: callers of another program may wait for less time. The log lines of requests tell what was taken for used.

Ruled out: recognising a request by its stage key (it is the same in both attempts, but the second comes to another node and another part of a pool).

--- a/src/gateway_door.cpp
+++ b/src/gateway_door.cpp
@@ -103,7 +103,11 @@
     return ResultCode::TooManyRequests;
   Duration Left = R.Ask.Left.value_or(DefaultLeft);
   R.ClientEnd = R.Arrived + Left;
-  R.OnTimeBy = R.Arrived + R.Route->Target;
+  // The caller counts from its first attempt.
+  CallerTime &Callers = timesOf(R).Callers;
+  callerTimeLearn(Callers, Left);
+  R.UsedBefore = callerTimeUsed(Callers, Left);
+  R.OnTimeBy = R.Arrived + R.Route->Target - R.UsedBefore;
   R.Deadline = R.ClientEnd - AnswerMargin;
   if (R.Route->Timeout > Duration::zero())
     R.Deadline = std::min(R.Deadline, R.Arrived + R.Route->Timeout);
@@ -145,10 +149,13 @@
             {"host", R.Ask.Host},
             {"path", R.Exchange->Path},
             {"organisation", R.Organisation},
+            {"used_before_ms", toMs(R.UsedBefore)},
             {"expected_ms", toMs(R.Expected)},
             {"retry_in_ms", toMs(R.RetryIn)},
             {"config", R.Table ? R.Table->Version : 0},
             {"config_age_ms", Age ? toMs(*Age) : -1}});
+  if (R.Route)
+    callerTimeRefused(timesOf(R).Callers);
   replyCode(*R.Exchange, Code, R.Ask.RequestId, comeBackIn(Code, R.RetryIn));
   gatewayCount(Metrics, R.Organisation, R.Route ? R.Route->Name : "", Code);
 }
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -65,6 +65,7 @@
   int Urgency = 0;                  ///< Where work waits; 0 goes first.
   std::string PoolName;             ///< Who runs it.
   TimePoint Arrived{};              ///< When its first byte came.
+  Duration UsedBefore{};            ///< Its caller's time, by earlier attempts.
   TimePoint OnTimeBy{};             ///< An answer by then is on time.
   TimePoint Deadline{};             ///< It is answered by then.
   TimePoint ClientEnd{};            ///< The client waits until then.
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -217,6 +217,8 @@
   HttpExchangePtr Exchange = R.Exchange;
   bool Begun = R.HeadSent;
   std::string Id = R.Ask.RequestId;
+  if (!Begun)
+    callerTimeRefused(timesOf(R).Callers);
   conclude(R, Code, resultInfo(Code).HttpStatus);
   if (Begun)
     Exchange->abort();
@@ -264,6 +266,7 @@
       {"upstream", R.LastUpstream},
       {"sends", R.Sends},
       {"on_time", OnTime ? 1 : 0},
+      {"used_before_ms", toMs(R.UsedBefore)},
       {"stages_ms",
        R.StagesDone > TimePoint{} ? toMs(R.StagesDone - R.Arrived) : -1.0},
       {"first_ms",
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -2,6 +2,7 @@
 #ifndef FULMARSTEP_GATEWAY_SERVICE_H
 #define FULMARSTEP_GATEWAY_SERVICE_H
 
+#include "caller_time.h"
 #include "gateway_metrics.h"
 #include "gateway_request.h"
 #include "gateway_settings.h"
@@ -21,6 +22,7 @@
   std::vector<Duration> Stages; ///< Each stage, smoothed.
   Duration FirstEvent{};        ///< From the send to the first event.
   Duration Whole{};             ///< From the send to the end.
+  CallerTime Callers;           ///< What callers say of their time.
 };
 
 /// \return What chooses a session's upstream: the last part of its prompt that
