A pool tells times by the pieces that its calls really carry

The times told were those of full calls, 0.7 s where it took 2.5 s.

Change: a pool learns what its calls carry while more waits, and works out times with that.

Test "the next stage is behind, and results lie".

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -400,8 +400,8 @@
     bool IsLate = batchOrder(P, *Job, Now).Rank == WaitRank::Late;
     Ahead += Job->Waiting;
     AheadLate += IsLate ? Job->Waiting : 0;
-    Duration Late = batchWait(P, Pace, Ahead, AheadLate) + P.Spec.CallTime -
-                    (Job->Dead - Now);
+    Duration Late =
+        batchWait(Pace, Ahead, AheadLate) + P.Spec.CallTime - (Job->Dead - Now);
     if (Late <= Duration::zero())
       continue;
     Ahead -= Job->Waiting;
@@ -413,8 +413,7 @@
       Hopeless.push_back(Id);
   }
   // When what stays has been done.
-  Duration RetryIn =
-      std::max(batchWait(P, Pace, Ahead, AheadLate), LeastComeBack);
+  Duration RetryIn = std::max(batchWait(Pace, Ahead, AheadLate), LeastComeBack);
   for (BatchAskId Id : Hopeless) {
     ++P.Counts.Dropped;
     answer(P, P.Jobs.find(Id), BatchEnd::Hopeless, RetryIn, Out);
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -107,8 +107,10 @@
   std::unordered_map<std::string, KeptResult> Kept; ///< By handle.
   ReadWait InputsRead;                              ///< Of calls' pieces.
   PriorityShares Shares;                            ///< Of pieces.
-  TimePoint LastSent{};                             ///< Of the latest call.
-  TimePoint PumpAt{}; ///< Pieces are held back until then; zero: none are.
+  double CallFill = 0;  ///< Pieces in a call when more wait, smoothed; 0: none
+                        ///< was sent so far.
+  TimePoint LastSent{}; ///< Of the latest call.
+  TimePoint PumpAt{};   ///< Pieces are held back until then; zero: none are.
   std::uint64_t LastAsk = 0;  ///< Counts asks.
   std::uint64_t LastCall = 0; ///< Counts calls.
   BatchCounts Counts;         ///< For operators.
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -40,10 +40,11 @@
 
 /// How fast a pool does what waits for it.
 struct PoolPace {
-  double Upstreams = 0;  ///< Upstreams in use, slow ones counting less.
-  Duration NextFree{};   ///< Until the first of them is free.
-  double FullCallMs = 0; ///< What a full call takes, ms.
-  double LateShare = 1;  ///< Part of the pool that what is late gets.
+  double Upstreams = 0; ///< Upstreams in use, slow ones counting less.
+  Duration NextFree{};  ///< Until the first of them is free.
+  double Fill = 1;      ///< Pieces in a call while more wait.
+  double CallMs = 0;    ///< What such a call takes, ms.
+  double LateShare = 1; ///< Part of the pool that what is late gets.
 };
 
 /// A waiting job, and what is expected of its own failure domain.
@@ -79,8 +80,7 @@
 
 /// \return When the next call begins behind \p Ahead pieces that are sent
 /// first, of which \p AheadLate are late.
-Duration batchWait(const BatchPool &P, const PoolPace &Pace, double Ahead,
-                   double AheadLate);
+Duration batchWait(const PoolPace &Pace, double Ahead, double AheadLate);
 
 /// \return Waiting jobs in the order in which they are sent.
 std::vector<BatchJob *> batchWaiting(BatchPool &P, TimePoint Now);
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -70,9 +70,9 @@
 /// and nobody knows when.
 static constexpr double LeastLateShare = 0.1;
 
-/// \return Pieces a second that a pool ends when its calls are full.
-static double fullRate(const BatchPool &P, const PoolPace &Pace) {
-  return Pace.Upstreams * P.Spec.MaxPieces * 1e3 / Pace.FullCallMs;
+/// \return Pieces a second that a pool ends while more wait.
+static double rateOf(const PoolPace &Pace) {
+  return Pace.Upstreams * Pace.Fill * 1e3 / Pace.CallMs;
 }
 
 /// \return Pieces that wait and can be on time.
@@ -91,18 +91,18 @@
   // The next call is full without it; what was sent lately shows a burst late.
   if (onTimeWaiting(P, Now) >= P.Spec.MaxPieces)
     return LeastLateShare;
-  return std::max(LeastLateShare,
-                  1 - sharesSentRate(P.Shares) / fullRate(P, Pace));
+  return std::max(LeastLateShare, 1 - sharesSentRate(P.Shares) / rateOf(Pace));
 }
 
 PoolPace batchPace(const BatchPool &P, TimePoint Now) {
   PoolPace Pace;
-  Pace.FullCallMs = toMs(batchCallTime(P.Spec, P.Spec.MaxPieces));
+  Pace.Fill = P.CallFill > 0 ? P.CallFill : P.Spec.MaxPieces;
+  Pace.CallMs = toMs(P.Spec.CallTime) + toMs(P.Spec.PieceTime) * Pace.Fill;
   bool Any = false;
   for (const auto &[Start, U] : P.Upstreams) {
     if (!batchUsable(U, Now))
       continue;
-    Pace.Upstreams += 1 / std::max(1.0, U.Slowness);
+    Pace.Upstreams += P.Spec.Slots / std::max(1.0, U.Slowness);
     TimePoint FreeAt = U.InFlight < P.Spec.Slots ? Now : U.FreeAt;
     Duration Free =
         std::max(Duration::zero(), std::max(FreeAt, U.FullUntil) - Now);
@@ -114,14 +114,12 @@
   return Pace;
 }
 
-Duration batchWait(const BatchPool &P, const PoolPace &Pace, double Ahead,
-                   double AheadLate) {
-  // Calls go out full while pieces wait; the pool then ends one of them each
-  // full call's time over the number of upstreams.
-  double CallMs = Pace.FullCallMs / std::max(1.0, Pace.Upstreams);
-  double Calls = std::floor((Ahead - AheadLate) / P.Spec.MaxPieces);
-  double LateCalls = std::floor(AheadLate / P.Spec.MaxPieces);
-  return Pace.NextFree + fromMs((Calls + LateCalls / Pace.LateShare) * CallMs);
+Duration batchWait(const PoolPace &Pace, double Ahead, double AheadLate) {
+  // A pool that is behind ends one call each call's time over its upstreams.
+  double StepMs = Pace.CallMs / std::max(1.0, Pace.Upstreams);
+  double Calls = std::floor((Ahead - AheadLate) / Pace.Fill);
+  double LateCalls = std::floor(AheadLate / Pace.Fill);
+  return Pace.NextFree + fromMs((Calls + LateCalls / Pace.LateShare) * StepMs);
 }
 
 /// \return What pieces take once \p Ahead others have been sent.
@@ -150,10 +148,10 @@
   }
   BatchForecast Out;
   // Behind others a job has to reach its call with the time that counts there.
-  Out.OnTime = batchWait(P, Pace, Ahead, 0) +
-               (Ahead < P.Spec.MaxPieces ? timeOfCall(P, Pieces, Ahead)
-                                         : onTimeNeeds(P));
-  Out.Late = batchWait(P, Pace, All, AllLate) + timeOfCall(P, Pieces, All);
+  Out.OnTime = batchWait(Pace, Ahead, 0) + (Ahead < P.Spec.MaxPieces
+                                                ? timeOfCall(P, Pieces, Ahead)
+                                                : onTimeNeeds(P));
+  Out.Late = batchWait(Pace, All, AllLate) + timeOfCall(P, Pieces, All);
   return Out;
 }
 
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -28,6 +28,9 @@
 /// still has not. Full calls take 450 ms.
 static constexpr Duration HeardLately = std::chrono::milliseconds(1500);
 
+/// Weight of the newest call in the pieces that a call carries.
+static constexpr double FillGain = 0.1;
+
 /// A call that is being put together.
 struct CallDraft {
   std::vector<BatchItem> Items; ///< Its pieces.
@@ -201,6 +204,17 @@
   return std::clamp(Share, std::max(1, P.Spec.MaxPieces / 2), P.Spec.MaxPieces);
 }
 
+/// Learns how many pieces a call carries while more of them wait than it could.
+/// Space for results bounds it: results lie until the next stage has read them,
+/// so behind a pool that is full the one before it sends calls of a third.
+static void learnFill(BatchPool &P, int Waiting, std::size_t Size) {
+  if (Waiting < P.Spec.MaxPieces)
+    return;
+  auto Newest = static_cast<double>(Size);
+  P.CallFill =
+      P.CallFill == 0 ? Newest : P.CallFill + (Newest - P.CallFill) * FillGain;
+}
+
 void batchPump(BatchPool &P, TimePoint Now, BatchActions &Out) {
   P.PumpAt = TimePoint{};
   std::vector<BatchUpstream *> Idle = idleUpstreams(P, Now);
@@ -232,6 +246,7 @@
     if (Call.Items.empty())
       continue;
     P.LastSent = Now;
+    learnFill(P, Waiting, Call.Items.size());
     sendCall(P, *U, std::move(Call.Items), std::move(Call.Bytes), Now, Out);
   }
 }
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -235,6 +235,44 @@
   CHECK(MostOpen <= 1);
 }
 
+SCENARIO("the next stage is behind, and results lie") {
+  // Symptom: requests are let in that wait for two seconds between their
+  // stages and are refused then.
+  // Sequence: the pool of the next stage is full, results fill the space of
+  // this one, and its calls carry a third of what they could.
+  // Cause: the time until a request's turn was worked out with full calls.
+  PoolWorld W(5);
+  for (int I = 0; I < 300; ++I) {
+    W.pass(milliseconds(10));
+    // 200 pieces/s are asked for; the next stage takes 80.
+    if (I % 2 == 0) {
+      BatchAsk Ask = W.makeAsk(4);
+      Ask.Dead = std::chrono::seconds(60);
+      W.ask(Ask);
+    }
+    int Freed = 0;
+    for (auto &[Id, Result] : W.Answers) {
+      if (Result.Handles.empty() || Freed > 0 || I % 5 != 0)
+        continue;
+      BatchActions Out;
+      batchFree(W.P, Result.Handles, W.Now, Out);
+      Result.Handles.clear();
+      W.perform(Out);
+      ++Freed;
+    }
+  }
+  int Waiting = 0;
+  for (const auto &[Id, Job] : W.P.Jobs)
+    Waiting += Job.Waiting;
+  REQUIRE(Waiting > 100);
+  auto Forecast = batchForecast(W.P, 4, 0, W.Now);
+  REQUIRE(Forecast);
+  // At 80 pieces/s these take 1.4 s and more; with full calls, 0.5 s.
+  CAPTURE(Waiting, W.P.CallFill, toMs(Forecast->Late));
+  CHECK(toMs(Forecast->Late) > Waiting / 80.0 * 1e3 * 0.6);
+  CHECK(toMs(Forecast->Late) < Waiting / 80.0 * 1e3 * 1.6);
+}
+
 SCENARIO("the space of inputs is given back when they were read") {
   PoolWorld W(1);
   W.ask(W.makeAsk(1));
