Nodes that a reader tells leave a lost store to the readers

Change: a node whose reader answers, and which knows what it asks about, waits in proportion to the fleet; one that becomes a reader asks at once.

--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -53,6 +53,10 @@
   Readers = &Services.find<VouchService>(service::Vouch);
   Readers->onVouch([this](const Vouch &Heard) { vouched(Heard); });
   Readers->onConfig([this](const ConfigHeard &Heard) { copied(Heard); });
+  Readers->onDuty([this] {
+    if (Fallback != TimerId{})
+      read();
+  });
   read();
 }
 
@@ -192,7 +196,7 @@
   if (Failures == 1)
     FailingSince = Timers->now();
   ProbeAt = Timers->now() + fromMs(toMs(ProbePause) * (0.5 + randomUnit(Rng)));
-  Duration Pause = RetryPause * Readers->retryFactor();
+  Duration Pause = Readers->retryPause(RetryPause, Table != nullptr);
   Duration Spread = fromMs(toMs(Pause) * 2 * randomUnit(Rng));
   readAfter(Pause + Spread);
 }
