Names: door is admission, the home of a pool is its coordinator

No behaviour changes but the name of one log event (batch_home_silent is coordinator_silent).

gateway_door.cpp gateway_admission.cpp refuseAtDoor refuseAdmission DoorShare AdmissionShare batch_home.* batch_coordinator.* batchHome batchCoordinator UpstreamsPerHome UpstreamsPerCoordinator DoneAtHome DoneInDomain Home (of an ask) Coordinator

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -1,4 +1,4 @@
-/// \file admission.cpp Expected times and rates at the door.
+/// \file admission.cpp Expected times and rates at admission.
 #include "admission_func.h"
 
 #include <algorithm>
--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -83,7 +83,7 @@
   P.Kept.erase(Found);
 }
 
-/// Refuses an ask at the door.
+/// Refuses an ask at once.
 static BatchAskId refuse(BatchPool &P, BatchEnd End, Duration RetryIn,
                          BatchActions &Out) {
   ++P.Counts.Refused;
--- a/src/batch_home.cpp
+++ b/src/batch_coordinator.cpp
@@ -1,5 +1,5 @@
-/// \file batch_home.cpp Which node forms a pool's calls.
-#include "batch_home.h"
+/// \file batch_coordinator.cpp Which node forms a pool's calls.
+#include "batch_coordinator.h"
 
 #include <algorithm>
 
@@ -9,15 +9,17 @@
 namespace fulmar {
 
 /// A node may form calls if its host has this part of the strength of the
-/// strongest one. A pool's pieces and results all pass through its home: on a
-/// link of 10 Mbit/s they wait until the nodes that asked take it for dead.
+/// strongest one. A pool's pieces and results all pass through its coordinator:
+/// on a link of 10 Mbit/s they wait until the nodes that asked take it for
+/// dead.
 static constexpr double StrengthShare = 0.7;
 /// While this part of the strong nodes is fit, only those that are fit form
 /// calls: one that cannot read the list of upstreams would form them for
 /// upstreams that are gone. When most are unfit, the key-value service is away
 /// for everyone, and all strong nodes stay. Without that, each node of a fleet
-/// whose last fit node went would take itself for the home, and 75 of them send
-/// calls of one or two pieces to the same few upstreams, which refuse them.
+/// whose last fit node went would take itself for the coordinator, and 75 of
+/// them send calls of one or two pieces to the same few upstreams, which refuse
+/// them.
 static constexpr double FitShare = 0.5;
 
 std::string batchPartName(const std::string &Pool, std::size_t Part) {
@@ -59,8 +61,8 @@
   return Serving;
 }
 
-std::string batchHome(const Membership &M, const std::string &Pool,
-                      const std::set<std::string> &Silent) {
+std::string batchCoordinator(const Membership &M, const std::string &Pool,
+                             const std::set<std::string> &Silent) {
   std::vector<const MemberInfo *> Able = strongNodes(M, Silent);
   auto Unfit = [](const MemberInfo *Info) { return Info->Unfit; };
   auto Fit =
--- a/src/batch_home.h
+++ b/src/batch_coordinator.h
@@ -1,6 +1,6 @@
-/// \file batch_home.h Which node forms a pool's calls.
-#ifndef FULMARSTEP_BATCH_HOME_H
-#define FULMARSTEP_BATCH_HOME_H
+/// \file batch_coordinator.h Which node forms a pool's calls.
+#ifndef FULMARSTEP_BATCH_COORDINATOR_H
+#define FULMARSTEP_BATCH_COORDINATOR_H
 
 #include <set>
 
@@ -11,14 +11,15 @@
 
 /// Upstreams that one node forms calls for at most. A node with a quarter of a
 /// core takes in some 300 asks/s, about what eight upstreams can serve.
-inline constexpr std::size_t UpstreamsPerHome = 8;
+inline constexpr std::size_t UpstreamsPerCoordinator = 8;
 
 /// \return Into how many parts a pool of this many upstreams is divided, each
-/// with a home of its own.
+/// with a coordinator of its own.
 inline std::size_t batchParts(std::size_t Upstreams) {
-  return Upstreams <= UpstreamsPerHome
+  return Upstreams <= UpstreamsPerCoordinator
              ? 1
-             : (Upstreams + UpstreamsPerHome - 1) / UpstreamsPerHome;
+             : (Upstreams + UpstreamsPerCoordinator - 1) /
+                   UpstreamsPerCoordinator;
 }
 
 /// \return The name of one part of a pool.
@@ -42,13 +43,13 @@
 /// Chooses the node that forms the calls for \p Pool.
 ///
 /// Upstreams take as long for one piece as for many, so calls have to be formed
-/// out of the pieces of the whole fleet. Every node chooses the same home from
-/// the same members; while they differ, two nodes form calls for a while, which
-/// costs fuller calls and nothing else.
-/// \param Silent nodes that did not answer lately.
-/// \return Its id; this node's own when there is no other.
-std::string batchHome(const Membership &M, const std::string &Pool,
-                      const std::set<std::string> &Silent);
+/// out of the pieces of the whole fleet. Every node chooses the same
+/// coordinator from the same members; while they differ, two nodes form calls
+/// for a while, which costs fuller calls and nothing else. \param Silent nodes
+/// that did not answer lately. \return Its id; this node's own when there is no
+/// other.
+std::string batchCoordinator(const Membership &M, const std::string &Pool,
+                             const std::set<std::string> &Silent);
 
 } // namespace fulmar
 
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -49,9 +49,10 @@
 
 /// A waiting job, and what is expected of its own failure domain.
 struct PlacedJob {
-  BatchJob *Job = nullptr;             ///< It waits.
-  std::optional<TimePoint> DoneAtHome; ///< Done in its own domain; empty: no
-                                       ///< domain is its own, or none is there.
+  BatchJob *Job = nullptr; ///< It waits.
+  std::optional<TimePoint>
+      DoneInDomain; ///< Done in its own domain; empty: no
+                    ///< domain is its own, or none is there.
 };
 
 /// \return Waiting jobs in the order in which they are sent.
--- a/src/batch_place.cpp
+++ b/src/batch_place.cpp
@@ -73,15 +73,15 @@
 bool batchMayGoTo(const BatchPool &P, const PlacedJob &Placed,
                   const BatchUpstream &U, TimePoint Now) {
   const BatchJob &Job = *Placed.Job;
-  if (!Placed.DoneAtHome || Job.Ask.Domain == U.Entry.FailureDomain)
+  if (!Placed.DoneInDomain || Job.Ask.Domain == U.Entry.FailureDomain)
     return true;
   Duration Full = batchCallTime(P.Spec, P.Spec.MaxPieces);
-  if (*Placed.DoneAtHome + fromMs(toMs(Full) * WaitMarginCalls) <= Job.Due)
+  if (*Placed.DoneInDomain + fromMs(toMs(Full) * WaitMarginCalls) <= Job.Due)
     return false;
   int Size = std::min(P.Spec.MaxPieces, Job.Waiting);
   TimePoint Here = Now + batchExpectedAt(P, U, Size);
-  return Here <= Job.Due || *Placed.DoneAtHome > Job.Dead ||
-         *Placed.DoneAtHome - Here > fromMs(toMs(Full) * LateGainCalls);
+  return Here <= Job.Due || *Placed.DoneInDomain > Job.Dead ||
+         *Placed.DoneInDomain - Here > fromMs(toMs(Full) * LateGainCalls);
 }
 
 } // namespace fulmar
--- a/src/batch_relay.cpp
+++ b/src/batch_relay.cpp
@@ -1,7 +1,7 @@
 /// \file batch_relay.cpp Asks for pieces of work, here or at another node.
 #include "batch_relay.h"
 
-#include "batch_home.h"
+#include "batch_coordinator.h"
 #include "log_func.h"
 #include "member_service.h"
 #include "node_services.h"
@@ -87,15 +87,15 @@
     if (Until > Timers->now())
       Left.insert(Node);
   }
-  std::string Home = batchHome(Members->state(), Mine.Pool, Left);
+  std::string Coordinator = batchCoordinator(Members->state(), Mine.Pool, Left);
   Mine.Unanswered = 0;
-  if (Home != Members->state().Self.Id) {
+  if (Coordinator != Members->state().Self.Id) {
     ++Counts.Remote;
-    Mine.Home = Home;
+    Mine.Coordinator = Coordinator;
     return send(Ticket, Mine);
   }
   ++Counts.Local;
-  Mine.Home.clear();
+  Mine.Coordinator.clear();
   BatchAsk Ask = Mine.Ask;
   Ask.Due -= Timers->now() - Mine.Asked;
   Ask.Dead -= Timers->now() - Mine.Asked;
@@ -128,7 +128,7 @@
   Message.Ask.Dead -= Timers->now() - Mine.Asked;
   ++Mine.Unanswered;
   Mine.NextSend = Timers->now() + ResendAfter * Mine.Unanswered;
-  Peers->sendTo(Mine.Home, std::move(Message));
+  Peers->sendTo(Mine.Coordinator, std::move(Message));
 }
 
 void BatchRelay::ended(BatchTicket Ticket, const BatchResult &Result) {
@@ -155,9 +155,9 @@
     return;
   OwnAsk Gone = std::move(Found->second);
   Own.erase(Found);
-  if (Gone.Home.empty())
+  if (Gone.Coordinator.empty())
     return Pools->cancel(Gone.Local);
-  release(Gone.Home, "", {"", {}, {Ticket.Value}, {}});
+  release(Gone.Coordinator, "", {"", {}, {Ticket.Value}, {}});
 }
 
 /// \return The part of a pool that serves a request.
@@ -171,10 +171,10 @@
   if (Handles.empty())
     return;
   std::string Pool = partFor(Service, RequestId);
-  std::string Home = batchHome(Members->state(), Pool, {});
-  if (Home == Members->state().Self.Id)
+  std::string Coordinator = batchCoordinator(Members->state(), Pool, {});
+  if (Coordinator == Members->state().Self.Id)
     return Pools->free(Pool, Handles);
-  release(Home, Pool, {Pool, {}, {}, Handles});
+  release(Coordinator, Pool, {Pool, {}, {}, Handles});
 }
 
 /// Adds to what a node will be told in a moment.
@@ -205,7 +205,7 @@
                           const BatchAnswerMessage &Message) {
   BatchTicket Ticket{Message.Ticket};
   auto Found = Own.find(Ticket);
-  if (Found == Own.end() || Found->second.Home != Node) {
+  if (Found == Own.end() || Found->second.Coordinator != Node) {
     // Cancelled, or done by another node meanwhile: nobody wants the result.
     if (!Message.Pending)
       release(Node, "", {"", {}, {Message.Ticket}, {}});
@@ -288,7 +288,7 @@
   TimePoint Now = Timers->now();
   std::vector<BatchTicket> Due;
   for (const auto &[Ticket, Mine] : Own) {
-    if (Mine.Held || (!Mine.Home.empty() && Mine.NextSend <= Now))
+    if (Mine.Held || (!Mine.Coordinator.empty() && Mine.NextSend <= Now))
       Due.push_back(Ticket);
   }
   for (BatchTicket Ticket : Due) {
@@ -301,12 +301,12 @@
       send(Ticket, Mine);
       continue;
     }
-    logEvent(LogLevel::Warning, "batch_home_silent",
-             {{"node", Mine.Home},
+    logEvent(LogLevel::Warning, "coordinator_silent",
+             {{"node", Mine.Coordinator},
               {"pool", Mine.Pool},
               {"id", Mine.Ask.RequestId},
               {"sends", Mine.Unanswered}});
-    Silent[Mine.Home] = Now + SilentTime;
+    Silent[Mine.Coordinator] = Now + SilentTime;
     ++Counts.Moved;
     place(Ticket);
   }
@@ -324,9 +324,9 @@
 void BatchRelay::membersChanged() {
   std::vector<BatchTicket> Lost;
   for (const auto &[Ticket, Mine] : Own) {
-    if (Mine.Home.empty())
+    if (Mine.Coordinator.empty())
       continue;
-    const MemberInfo *Info = Members->info(Mine.Home);
+    const MemberInfo *Info = Members->info(Mine.Coordinator);
     if (!Info || Info->State == MemberState::Dead)
       Lost.push_back(Ticket);
   }
--- a/src/batch_relay.h
+++ b/src/batch_relay.h
@@ -49,17 +49,17 @@
 private:
   /// An ask of this node.
   struct OwnAsk {
-    std::string Service;  ///< Which pool.
-    std::string Pool;     ///< Which part of it.
-    BatchAsk Ask;         ///< What is asked.
-    TimePoint Asked{};    ///< When; its times count from then.
-    DoneFn Done;          ///< Hears the result.
-    ReadFn Read;          ///< Hears that the inputs were read.
-    std::string Home;     ///< The node asked; empty: this one.
-    BatchTicket Local;    ///< Name at this node's own pools.
-    TimePoint NextSend{}; ///< When to ask again.
-    bool Held = false;    ///< Until this node knows the others.
-    int Unanswered = 0;   ///< Sends in a row that nobody answered.
+    std::string Service;     ///< Which pool.
+    std::string Pool;        ///< Which part of it.
+    BatchAsk Ask;            ///< What is asked.
+    TimePoint Asked{};       ///< When; its times count from then.
+    DoneFn Done;             ///< Hears the result.
+    ReadFn Read;             ///< Hears that the inputs were read.
+    std::string Coordinator; ///< The node asked; empty: this one.
+    BatchTicket Local;       ///< Name at this node's own pools.
+    TimePoint NextSend{};    ///< When to ask again.
+    bool Held = false;       ///< Until this node knows the others.
+    int Unanswered = 0;      ///< Sends in a row that nobody answered.
   };
   /// An ask of another node.
   struct ServedAsk {
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -83,7 +83,7 @@
 static void fillCall(BatchPool &P, const std::vector<PlacedJob> &Order,
                      const BatchUpstream &U, CallDraft &Call, TimePoint Now) {
   for (const PlacedJob &Placed : Order) {
-    if (!Placed.DoneAtHome || Placed.Job->Ask.Domain == U.Entry.FailureDomain)
+    if (!Placed.DoneInDomain || Placed.Job->Ask.Domain == U.Entry.FailureDomain)
       takePieces(P, *Placed.Job, Call, Now);
   }
   for (const PlacedJob &Placed : Order) {
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <tuple>
 
-#include "batch_home.h"
+#include "batch_coordinator.h"
 #include "log_func.h"
 #include "loop_service.h"
 #include "node_services.h"
--- a/src/gateway_door.cpp
+++ b/src/gateway_admission.cpp
@@ -1,4 +1,4 @@
-/// \file gateway_door.cpp Taking clients' requests in, or refusing them.
+/// \file gateway_admission.cpp Taking clients' requests in, or refusing them.
 #include <algorithm>
 
 #include "core/hash.h"
@@ -64,7 +64,7 @@
   R.Table = Routes->table();
   ResultCode Code = admit(R);
   if (Code != ResultCode::Complete) {
-    refuseAtDoor(R, Code);
+    refuseAdmission(R, Code);
     Requests.erase(Serial);
     return;
   }
@@ -141,7 +141,7 @@
   return Now + Usual * DrainCaution + GraceMargin > EndsAt;
 }
 
-void GatewayService::refuseAtDoor(const ForwardRequest &R, ResultCode Code) {
+void GatewayService::refuseAdmission(const ForwardRequest &R, ResultCode Code) {
   auto Age = Routes->age();
   logEvent(LogLevel::Info, "request_refused",
            {{"id", R.Ask.RequestId},
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -70,10 +70,10 @@
   const std::map<std::string, Pool> &pools() const { return Pools; }
 
 private:
-  // gateway_door.cpp: taking requests in.
+  // gateway_admission.cpp: taking requests in.
   void accept(const HttpExchangePtr &Exchange);
   ResultCode admit(ForwardRequest &R);
-  void refuseAtDoor(const ForwardRequest &R, ResultCode Code);
+  void refuseAdmission(const ForwardRequest &R, ResultCode Code);
   bool cannotEndInGrace(const ForwardRequest &R) const;
 
   // gateway_stages.cpp: work to be done before.
--- a/src/micro/micro.cpp
+++ b/src/micro/micro.cpp
@@ -91,7 +91,7 @@
   }
 };
 
-/// A whole request: door, four stages, end.
+/// A whole request: admission, four stages, end.
 static Operation wholeRequest(std::size_t Size) {
   auto B = std::make_shared<RouterBench>(Size, 300);
   return [B] {
@@ -112,7 +112,7 @@
   };
 }
 
-/// The door alone: a request that is refused at once.
+/// Admission alone: a request that is refused at once.
 static Operation admission(std::size_t Organisations) {
   auto B = std::make_shared<RouterBench>(64, Organisations);
   // All but the first organisation's requests fill the queue.
--- a/src/policy_type.h
+++ b/src/policy_type.h
@@ -37,7 +37,7 @@
   QueueOrder Order = QueueOrder::Fair;         ///< Order of waiting calls.
   ChoiceRule Choice = ChoiceRule::LeastLoaded; ///< Choice of an upstream.
   LimitRule Limit = LimitRule::Adaptive;       ///< Calls at once.
-  bool Admission = true;      ///< Refuse hopeless work at the door.
+  bool Admission = true;      ///< Refuse hopeless work at once.
   bool Shedding = true;       ///< Refuse hopeless work before each stage.
   bool Hedging = true;        ///< Double slow idempotent attempts.
   bool Ejection = true;       ///< Leave out failing and very slow upstreams.
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -114,9 +114,9 @@
 
 /// While a pool is down, one request is let through to it in this time.
 static constexpr Duration ProbePeriod = std::chrono::milliseconds(100);
-/// Part of a queue that is filled from the door; the rest is for requests that
+/// Part of a queue that is filled by admission; the rest is for requests that
 /// are on their way from earlier stages.
-static constexpr double DoorShare = 0.8;
+static constexpr double AdmissionShare = 0.8;
 
 /// Whether \p R would find no place at a later stage. Without this it would be
 /// refused there, after the earlier stages have worked for nothing, and its
@@ -124,7 +124,7 @@
 static bool stageFull(RouterState &State, Pool &P, const StageSpec &Stage,
                       const Request &R) {
   auto Room = static_cast<std::size_t>(static_cast<double>(P.Queue.MaxCalls) *
-                                       DoorShare);
+                                       AdmissionShare);
   return queueWouldRefuse(P.Queue, makeCall(State, R, Stage),
                           std::max<std::size_t>(1, Room));
 }
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <numeric>
 
-#include "batch_home.h"
+#include "batch_coordinator.h"
 #include "batch_world.h"
 
 using namespace fulmar;
@@ -488,35 +488,35 @@
     std::string Id = "n" + std::to_string(I);
     M.Members[Id].Info.Id = Id;
   }
-  std::string Home = batchHome(M, "pool", {});
+  std::string Coordinator = batchCoordinator(M, "pool", {});
   THEN("it moves only when it is gone") {
     for (auto &[Id, Other] : M.Members) {
-      if (Id == Home)
+      if (Id == Coordinator)
         continue;
       MemberState Before = Other.Info.State;
       Other.Info.State = MemberState::Dead;
-      CHECK(batchHome(M, "pool", {}) == Home);
+      CHECK(batchCoordinator(M, "pool", {}) == Coordinator);
       Other.Info.State = Before;
     }
-    CHECK(batchHome(M, "pool", {Home}) != Home);
+    CHECK(batchCoordinator(M, "pool", {Coordinator}) != Coordinator);
   }
   THEN("a node that cannot hear of upstreams is none") {
-    if (M.Members.count(Home))
-      M.Members[Home].Info.Unfit = true;
+    if (M.Members.count(Coordinator))
+      M.Members[Coordinator].Info.Unfit = true;
     else
       M.Self.Unfit = true;
-    CHECK(batchHome(M, "pool", {}) != Home);
+    CHECK(batchCoordinator(M, "pool", {}) != Coordinator);
   }
   THEN("an outage of the key-value service moves it nowhere") {
     // Symptom: for ten seconds after an outage 300 requests a second fail with
     // StageUnavailable; upstreams refuse call after call as full.
     // Sequence: the service is away; one node after the other says that it is
     // unfit; when the last one has, each node forms every pool's calls itself.
-    // Cause: a home had to be fit even when no node was.
+    // Cause: a coordinator had to be fit even when no node was.
     M.Self.Unfit = true;
     for (auto &[Id, Other] : M.Members)
       Other.Info.Unfit = true;
-    CHECK(batchHome(M, "pool", {}) == Home);
+    CHECK(batchCoordinator(M, "pool", {}) == Coordinator);
   }
   THEN("a weak host forms none, however few of the strong ones are fit") {
     for (auto &[Id, Other] : M.Members) {
@@ -525,7 +525,7 @@
     }
     M.Self.Strength = 100;
     M.Self.Unfit = true;
-    CHECK(batchHome(M, "pool", {}) == M.Self.Id);
+    CHECK(batchCoordinator(M, "pool", {}) == M.Self.Id);
   }
 }
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -79,8 +79,8 @@
     std::uint64_t Key = hash64("batch");
     return rendezvousWeight(Key, A) > rendezvousWeight(Key, B);
   });
-  GatewayNode &Home = W.startNode(Ids[0]);
-  runUntil(W.Loop, [&] { return Home.gateway().ready(); });
+  GatewayNode &Coordinator = W.startNode(Ids[0]);
+  runUntil(W.Loop, [&] { return Coordinator.gateway().ready(); });
   // The answer to its first write is lost, and it joins half a second later.
   W.Store.Mode = StoreMode::Losing;
   GatewayNode &Late = W.startNode(Ids[1]);
@@ -105,7 +105,7 @@
     return Pools.at("batch").Counts.Calls;
   };
   CHECK(Served >= 5);
-  CHECK(Calls(Home) > 0);
+  CHECK(Calls(Coordinator) > 0);
   CHECK(Calls(Late) == 0);
 }
 
--- a/tests/test_member.cpp
+++ b/tests/test_member.cpp
@@ -155,7 +155,7 @@
   // Sequence: 75 nodes start within 0.4 s and know all addresses from the
   // store; each asks 16 of them; those that are not up yet answer nothing.
   // Cause: the others heard of a node by gossip only, and until then each of
-  // them took another node for the home of a pool.
+  // them took another node for the coordinator of a pool.
   constexpr std::size_t Size = 75;
   MemberNet Net(0, 4);
   std::vector<HostPort> All;
--- a/tests/test_router.cpp
+++ b/tests/test_router.cpp
@@ -256,7 +256,7 @@
   CHECK(all<CancelAction>().empty());
 }
 
-TEST_CASE_METHOD(RouterFixture, "what is refused at the door") {
+TEST_CASE_METHOD(RouterFixture, "what is refused at admission") {
   SECTION("unknown pipeline") {
     submit("nope");
     CHECK(code() == 2001);
