--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -53,10 +53,6 @@
   Readers = &Services.find<VouchService>(service::Vouch);
   Readers->onVouch([this](const Vouch &Heard) { vouched(Heard); });
   Readers->onConfig([this](const ConfigHeard &Heard) { copied(Heard); });
-  Readers->onDuty([this] {
-    if (Fallback != TimerId{})
-      read();
-  });
   read();
 }
 
@@ -196,7 +192,7 @@
   if (Failures == 1)
     FailingSince = Timers->now();
   ProbeAt = Timers->now() + fromMs(toMs(ProbePause) * (0.5 + randomUnit(Rng)));
-  Duration Pause = Readers->retryPause(RetryPause, Table != nullptr);
+  Duration Pause = RetryPause * Readers->retryFactor();
   Duration Spread = fromMs(toMs(Pause) * 2 * randomUnit(Rng));
   readAfter(Pause + Spread);
 }
--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -28,10 +28,6 @@
   Tree = &Services.find<KvTree>(service::Kv);
   Readers = &Services.find<VouchService>(service::Vouch);
   Readers->onVouch([this](const Vouch &Heard) { vouched(Heard); });
-  Readers->onDuty([this] {
-    if (NextRead != TimerId{})
-      readAfter(Duration::zero());
-  });
   read();
 }
 
@@ -43,7 +39,7 @@
     else if (Failures++ == 0)
       logEvent(LogLevel::Warning, "upstream_list_lost",
                {{"why", Found.Why}, {"listed", Book.Entries.size()}});
-    readAfter(Good ? ReadPeriod : Readers->retryPause(RetryPause, Book.Known));
+    readAfter(Good ? ReadPeriod : RetryPause * Readers->retryFactor());
   });
 }
 
--- a/src/vouch.cpp
+++ b/src/vouch.cpp
@@ -10,18 +10,6 @@
 /// Chooses the same readers on every node.
 static constexpr std::uint64_t ReaderKey = 0x7265616465722e31;
 
-/// A fleet waits once longer for so many nodes: however large it is, all of it
-/// together repeats some fifty calls a second.
-static constexpr int NodesPerFactor = 10;
-/// A node that nobody tells anything waits this many times longer at most: it
-/// has to find out by itself, within two seconds, that the service is back.
-static constexpr int MostFactorAlone = 12;
-
-Duration fleetRetryPause(Duration Alone, std::size_t Nodes, bool Told) {
-  int Factor = std::max(1, static_cast<int>(Nodes) / NodesPerFactor);
-  return Alone * (Told ? Factor : std::min(Factor, MostFactorAlone));
-}
-
 /// \return The nodes that may read for others. When none is fit, the key-value
 /// service is away for all of them: the same few go on trying, and the others
 /// hear from them. With each node on its own, 75 of them call a service that is
--- a/src/vouch_func.h
+++ b/src/vouch_func.h
@@ -21,19 +21,6 @@
 /// \return Its id; this node's own when it reads for itself.
 std::string chooseReader(const Membership &M);
 
-/// \return How long a node that does not read for others waits before it
-/// repeats a failed call of the key-value service.
-///
-/// While the service is away, its readers ask it several times a second, and
-/// tell within 300 ms when it is back. Where each node's pause grew to two
-/// seconds at most, 295 nodes called the service 300 times a second for as long
-/// as it was away, 2,300 of the 9,900 calls of a day with an outage of 8 s; and
-/// each call costs.
-/// \param Alone the pause of a node without others.
-/// \param Nodes in the fleet.
-/// \param Told its reader answers, and this node knows what it asks about.
-Duration fleetRetryPause(Duration Alone, std::size_t Nodes, bool Told);
-
 } // namespace fulmar
 
 #endif
--- a/src/vouch_service.cpp
+++ b/src/vouch_service.cpp
@@ -17,9 +17,11 @@
 /// a change is known everywhere after 1.3 s at most.
 static constexpr Duration AskPeriod = std::chrono::milliseconds(300);
 
-/// A reader that answered within this time tells it when the service is back:
-/// two questions and a lost answer.
-static constexpr Duration AnsweredLately = std::chrono::milliseconds(700);
+/// A fleet waits once longer for so many nodes, up to the most: about two
+/// seconds between two calls of a node.
+static constexpr int NodesPerFactor = 10;
+static constexpr int MostFactor = 12;
+
 void VouchService::start() {
   Timers = &Services.find<TimerService>(service::Timers);
   Members = &Services.find<MemberService>(service::Members);
@@ -33,7 +35,6 @@
       [this](const PeerMessage &, const VouchAnswer &Answer) {
         if (Answer.Nonce != Nonce)
           return; // The answer to an earlier question is too old to use.
-        HeardAt = Timers->now();
         for (const VouchFn &Fn : Hear)
           Fn(Vouch{AskedBoot, AskedAt, Answer});
       });
@@ -73,24 +74,18 @@
   return !Members->settled() || reader() == Members->state().Self.Id;
 }
 
-Duration VouchService::retryPause(Duration Alone, bool Knows) const {
+int VouchService::retryFactor() const {
   if (reads())
-    return Alone;
-  bool Told = Knows && Timers->now() - HeardAt <= AnsweredLately;
-  return fleetRetryPause(Alone, Members->ids().size(), Told);
+    return 1;
+  auto Nodes = static_cast<int>(Members->ids().size());
+  return std::clamp(Nodes / NodesPerFactor, 1, MostFactor);
 }
 
 void VouchService::ask() {
   if (!Members->settled())
     return;
   std::string Reader = reader();
-  bool Mine = Reader == Members->state().Self.Id;
-  if (Mine && !OnDuty) {
-    for (const DutyFn &Fn : Duties)
-      Fn();
-  }
-  OnDuty = Mine;
-  if (Mine)
+  if (Reader == Members->state().Self.Id)
     return;
   ++Nonce;
   AskedBoot = EventLoop::bootClock();
--- a/src/vouch_service.h
+++ b/src/vouch_service.h
@@ -35,7 +35,6 @@
 public:
   using VouchFn = std::function<void(const Vouch &)>;
   using ConfigFn = std::function<void(const ConfigHeard &)>;
-  using DutyFn = std::function<void()>;
 
   explicit VouchService(Kernel &K) : Services(K) {}
 
@@ -49,13 +48,11 @@
   void fetchConfig();
   /// \return Whether this node reads for itself.
   bool reads() const;
-  /// Calls \p Fn when this node begins to read for others.
-  void onDuty(DutyFn Fn) { Duties.push_back(std::move(Fn)); }
-  /// \return How long this node waits before it repeats a failed call that a
-  /// node alone would repeat after \p Alone.
-  /// \param Knows it knows something already, and the reader tells what
-  /// changed.
-  Duration retryPause(Duration Alone, bool Knows) const;
+  /// \return How many times longer than alone this node waits before it repeats
+  /// a failed call. Who has a reader hears from it when the service is back;
+  /// all nodes of a large fleet that keep trying would be an outage of their
+  /// own.
+  int retryFactor() const;
 
 private:
   void ask();
@@ -74,9 +71,6 @@
   TimePoint AskedAt{};               ///< When it was sent.
   std::uint64_t FetchNonce = 0;      ///< Of the latest wish for a copy.
   Duration FetchedBoot{};            ///< When it was sent.
-  TimePoint HeardAt{};               ///< When the reader answered last.
-  bool OnDuty = false;               ///< This node read for others lately.
-  std::vector<DutyFn> Duties;        ///< Subscribers.
   std::vector<VouchFn> Hear;         ///< Subscribers.
   std::vector<ConfigFn> HearConfig;  ///< Subscribers.
 };
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -341,28 +341,3 @@
   CHECK(Written <= 30);
   CHECK(B.LeftOut == static_cast<std::uint64_t>(1000 - Written));
 }
-
-SCENARIO("the key-value service is away for a large fleet") {
-  // Symptom: an outage of 8 s costs a fleet of 295 nodes 2,300 calls, a quarter
-  // of its whole day.
-  // Sequence: the service is away; the readers ask it again and again; all
-  // other nodes do so as well, each twice in three seconds.
-  // Cause: the pause of a node that is told by a reader grew to two seconds at
-  // most, however many nodes there are.
-  constexpr Duration Alone = std::chrono::milliseconds(60);
-  for (std::size_t Nodes : {9, 30, 60, 295, 2000}) {
-    CAPTURE(Nodes);
-    Duration Told = fleetRetryPause(Alone, Nodes, /*Told=*/true);
-    Duration Untold = fleetRetryPause(Alone, Nodes, /*Told=*/false);
-    THEN("all nodes together ask as often as a fleet of thirty") {
-      CHECK(static_cast<double>(Nodes) * 1e3 / toMs(Told) < 180);
-    }
-    THEN("a node whose reader is silent asks within a second") {
-      CHECK(Untold <= std::chrono::seconds(1));
-    }
-    THEN("no node asks sooner than it would alone") {
-      CHECK(Told >= Alone);
-      CHECK(Untold >= Alone);
-    }
-  }
-}
