--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -122,7 +122,7 @@
   if (R.Arrived + R.Expected > R.OnTimeBy)
     R.Expected = latePath(R);
   if (R.Arrived + R.Expected > R.FirstBy) {
-    R.RetryIn = std::max(R.Arrived + R.Expected - R.OnTimeBy, LeastComeBack);
+    R.RetryIn = std::max(R.Expected - R.Route->Target, LeastComeBack);
     return ResultCode::StageHopeless;
   }
   return ResultCode::Complete;
