--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -206,7 +206,10 @@
 
 /// Learns how many pieces a call carries while more of them wait than it could.
 /// Space for results bounds it: results lie until the next stage has read them,
-/// so behind a pool that is full the one before it sends calls of a third.
+/// so behind a pool that is full the one before it sends calls of a half. With
+/// the times of full calls such a pool told 0.7 s where it took 2.5 s, and
+/// requests were let in that waited in vain (test "the next stage is behind,
+/// and results lie").
 static void learnFill(BatchPool &P, int Waiting, std::size_t Size) {
   if (Waiting < P.Spec.MaxPieces)
     return;
