A forecast walks what waits once; a doc comment has its lines back

Each ask's forecast ranked all waiting jobs twice, once for its own sums and once for the pieces that can be on time, which is the difference of two of these sums. The formatter had made prose of the \param and \return lines of batchCoordinator.

--- a/src/batch_coordinator.h
+++ b/src/batch_coordinator.h
@@ -45,9 +45,9 @@
 /// Upstreams take as long for one piece as for many, so calls have to be formed
 /// out of the pieces of the whole fleet. Every node chooses the same
 /// coordinator from the same members; while they differ, two nodes form calls
-/// for a while, which costs fuller calls and nothing else. \param Silent nodes
-/// that did not answer lately. \return Its id; this node's own when there is no
-/// other.
+/// for a while, which costs fuller calls and nothing else.
+/// \param Silent nodes that did not answer lately.
+/// \return Its id; this node's own when there is no other.
 std::string batchCoordinator(const Membership &M, const std::string &Pool,
                              const std::set<std::string> &Silent);
 
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -85,16 +85,20 @@
   return Pieces;
 }
 
-/// \return The part of a pool that is left for what is late.
+/// \return The part of a pool that is left for what is late, beside so many
+/// waiting pieces that can be on time.
 static double lateShare(const BatchPool &P, const PoolPace &Pace,
-                        TimePoint Now) {
+                        double OnTimePieces) {
   // The next call is full without it; what was sent lately shows a burst late.
-  if (onTimeWaiting(P, Now) >= P.Spec.MaxPieces)
+  if (OnTimePieces >= P.Spec.MaxPieces)
     return LeastLateShare;
   return std::max(LeastLateShare, 1 - sharesSentRate(P.Shares) / rateOf(Pace));
 }
 
-PoolPace batchPace(const BatchPool &P, TimePoint Now) {
+/// \return How fast a pool does what waits, of which so many pieces can be on
+/// time.
+static PoolPace paceWith(const BatchPool &P, double OnTimePieces,
+                         TimePoint Now) {
   PoolPace Pace;
   Pace.Fill = P.CallFill > 0 ? P.CallFill : P.Spec.MaxPieces;
   Pace.CallMs = toMs(P.Spec.CallTime) + toMs(P.Spec.PieceTime) * Pace.Fill;
@@ -110,10 +114,14 @@
     Any = true;
   }
   if (Any)
-    Pace.LateShare = lateShare(P, Pace, Now);
+    Pace.LateShare = lateShare(P, Pace, OnTimePieces);
   return Pace;
 }
 
+PoolPace batchPace(const BatchPool &P, TimePoint Now) {
+  return paceWith(P, onTimeWaiting(P, Now), Now);
+}
+
 Duration batchWait(const PoolPace &Pace, double Ahead, double AheadLate) {
   // A pool that is behind ends one call each call's time over its upstreams.
   double StepMs = Pace.CallMs / std::max(1.0, Pace.Upstreams);
@@ -131,9 +139,6 @@
 
 std::optional<BatchForecast> batchForecast(const BatchPool &P, int Pieces,
                                            int Priority, TimePoint Now) {
-  PoolPace Pace = batchPace(P, Now);
-  if (Pace.Upstreams == 0)
-    return std::nullopt;
   WaitOrder Mine{WaitRank::OnTime, Priority, TimePoint::max()};
   double Ahead = 0;
   double All = 0;
@@ -146,6 +151,9 @@
     AllLate += Order.Rank == WaitRank::Late ? Job.Waiting : 0;
     Ahead += Order <= Mine ? Job.Waiting : 0;
   }
+  PoolPace Pace = paceWith(P, All - AllLate, Now);
+  if (Pace.Upstreams == 0)
+    return std::nullopt;
   BatchForecast Out;
   // Behind others a job has to reach its call with the time that counts there.
   Out.OnTime = batchWait(Pace, Ahead, 0) + (Ahead < P.Spec.MaxPieces
