A failure domain that an operator drains gets nothing new

Change: the feed of the configuration reads and follows all that the operator writes, so an order comes by the same call, the same wait and the same answers of the node that reads for others. Each state has its place in the service's one order of changes; of two, the later one holds, whoever told it. Upstreams of a drained domain count as leaving in the one place where pools are brought up to date, so engines, plain upstreams, pieces, hedges and repeats all leave them out, and forecasts and admission see the loss at once. The revision of a read in several pages is that of its first page: a change between two pages was missed.

Weighed: an age of its own for the orders (two proofs of freshness to keep); the list of upstreams as carrier (a node that is told of a list by another one would hear a domain's order only with a change of the list).

--- /dev/null
+++ b/src/domain_drain.cpp
@@ -0,0 +1,35 @@
+/// \file domain_drain.cpp Which upstreams a drained failure domain leaves.
+#include "domain_drain_func.h"
+
+namespace fulmar {
+
+void domainDrainChange(DrainedDomains &Known, const std::string &Domain,
+                       bool Drained, std::uint64_t Revision) {
+  if (Revision <= Known.Revision)
+    return;
+  Known.Revision = Revision;
+  if (Drained)
+    Known.Names.insert(Domain);
+  else
+    Known.Names.erase(Domain);
+}
+
+bool domainDrainTake(DrainedDomains &Known, const DrainedDomains &Heard) {
+  if (Heard.Revision <= Known.Revision)
+    return false;
+  Known = Heard;
+  return true;
+}
+
+std::map<std::string, UpstreamEntry>
+domainDrainApply(const std::map<std::string, UpstreamEntry> &Listed,
+                 const DrainedDomains &Known) {
+  std::map<std::string, UpstreamEntry> Out = Listed;
+  for (auto &[Instance, Entry] : Out) {
+    if (Known.Names.count(Entry.FailureDomain))
+      Entry.Leaving = true;
+  }
+  return Out;
+}
+
+} // namespace fulmar
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -105,6 +105,8 @@
       {"fulmarstep_config_version", "gauge",
        Routes->table() ? static_cast<double>(Routes->table()->Version) : 0},
       {"fulmarstep_config_age_ms", "gauge", Age ? toMs(*Age) : -1},
+      {"fulmarstep_drained_domains", "gauge",
+       static_cast<double>(Routes->drained().Names.size())},
       {"fulmarstep_unreadable_upstream_entries", "gauge",
        static_cast<double>(
            Services.find<UpstreamFeed>(service::Upstreams).unreadable())},
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -1,6 +1,7 @@
 /// \file gateway_service.cpp Passes clients' requests on to upstreams.
 #include "gateway_service.h"
 
+#include "domain_drain_func.h"
 #include "gateway_reply.h"
 #include "log_func.h"
 #include "loop_service.h"
@@ -138,7 +139,9 @@
 }
 
 /// Brings one pool's upstreams and limits up to date.
-void GatewayService::setPool(const ServiceSpec &Spec) {
+void GatewayService::setPool(
+    const ServiceSpec &Spec,
+    const std::map<std::string, UpstreamEntry> &Entries) {
   Pool &P = Pools[Spec.Name];
   P.Spec.Name = Spec.Name;
   P.Declared = true;
@@ -146,7 +149,7 @@
   P.Spec.MaxLimit = std::max<std::int64_t>(1, static_cast<std::int64_t>(Share));
   P.Spec.StartLimit = P.Spec.MaxLimit;
   std::vector<UpstreamSpec> Listed;
-  for (const auto &[Instance, Entry] : Upstreams->book().Entries) {
+  for (const auto &[Instance, Entry] : Entries) {
     if (Entry.Pool == Spec.Name)
       Listed.push_back({Entry.Address, Entry.Pool, Entry.FailureDomain,
                         Entry.Leaving, Entry.incarnation()});
@@ -160,14 +163,18 @@
   const RouteTablePtr &Table = Routes->table();
   if (!Table || !Upstreams->book().Known)
     return;
+  // Everybody who chooses an upstream goes by these, so that a drained failure
+  // domain gets no request, repeat, hedge or piece, whoever sends it.
+  std::map<std::string, UpstreamEntry> Entries =
+      domainDrainApply(Upstreams->book().Entries, Routes->drained());
   for (const ServiceSpec &Spec : Table->Services) {
     if (!Spec.Batch)
-      setPool(Spec);
+      setPool(Spec, Entries);
   }
   DomainOf.clear();
-  for (const auto &[Instance, Entry] : Upstreams->book().Entries)
+  for (const auto &[Instance, Entry] : Entries)
     DomainOf[Entry.Address] = Entry.FailureDomain;
-  OwnPools->update(*Table, Upstreams->book().Entries, allowance());
+  OwnPools->update(*Table, Entries, allowance());
 }
 
 void GatewayService::sweep() {
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -129,7 +129,8 @@
   // gateway_service.cpp: the rest.
   void configChanged();
   void upstreamsChanged();
-  void setPool(const ServiceSpec &Spec);
+  void setPool(const ServiceSpec &Spec,
+               const std::map<std::string, UpstreamEntry> &Entries);
   void sweep();
   void deadline(RequestSerial Serial);
   void clientLeft(RequestSerial Serial);
--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -1,6 +1,9 @@
-/// \file route_feed.cpp Keeps the configuration in force and knows its age.
+/// \file route_feed.cpp Keeps what the operator has set.
 #include "route_feed.h"
 
+#include <algorithm>
+
+#include "domain_drain_func.h"
 #include "event_loop.h"
 #include "log_func.h"
 #include "node_services.h"
@@ -78,15 +81,20 @@
   Fallback = TimerId{};
   Fetching = false;
   Duration Sent = EventLoop::bootClock();
-  Tree->range(Wire.routesKey(), [this, Sent](const KvItems &Found) {
+  Tree->range(Wire.operatorPrefix(), [this, Sent](const KvItems &Found) {
     if (Found.Status != KvStatus::Ok)
       return retry(Found.Why);
     heard();
     Revision = Found.Revision;
+    DrainedDomains Read{{}, Found.Revision};
     for (const KvItem &Item : Found.Items) {
       if (Item.Key == Wire.routesKey())
         take(Item.Value);
+      else if (std::string Domain = Wire.drainedDomain(Item.Key);
+               !Domain.empty())
+        Read.Names.insert(Domain);
     }
+    takeDrained(Read, "store");
     if (!Table)
       return follow();
     freshnessConfirm(Fresh, Sent);
@@ -113,6 +121,7 @@
 /// Takes in what a reader knows. While it tells that nothing has changed, this
 /// node does not ask the service itself.
 void RouteFeed::vouched(const Vouch &Heard) {
+  takeDrained(Heard.Answer.Drained, "peer");
   // A read of our own is under way, or we follow the service ourselves.
   if (Fallback == TimerId{} || !Table)
     return;
@@ -151,7 +160,7 @@
 
 void RouteFeed::follow() {
   Duration Sent = EventLoop::bootClock();
-  Tree->follow(Wire.routesKey(), Revision, Table ? FollowWait : FirstWait,
+  Tree->follow(Wire.operatorPrefix(), Revision, Table ? FollowWait : FirstWait,
                [this, Sent](const KvItems &Found) {
                  if (Found.HistoryLost) {
                    logEvent(LogLevel::Debug, "config_history_lost",
@@ -164,11 +173,7 @@
                  // An empty answer does not move the revision: a service whose
                  // watches hear nothing for a while would otherwise have us
                  // skip what they missed. It says that history is lost instead.
-                 for (const KvItem &Item : Found.Items) {
-                   Revision = std::max(Revision, Item.Revision);
-                   if (Item.Key == Wire.routesKey() && !Item.Deleted)
-                     take(Item.Value);
-                 }
+                 takeEvents(Found.Items);
                  if (!Table)
                    return follow();
                  freshnessConfirm(Fresh, Sent);
@@ -176,6 +181,19 @@
                });
 }
 
+/// Takes in changes that a wait has told, in their order.
+void RouteFeed::takeEvents(const std::vector<KvItem> &Events) {
+  DrainedDomains Next = Drained;
+  for (const KvItem &Item : Events) {
+    Revision = std::max(Revision, Item.Revision);
+    if (Item.Key == Wire.routesKey() && !Item.Deleted)
+      take(Item.Value);
+    if (std::string Domain = Wire.drainedDomain(Item.Key); !Domain.empty())
+      domainDrainChange(Next, Domain, !Item.Deleted, Item.Revision);
+  }
+  takeDrained(Next, "store");
+}
+
 void RouteFeed::heard() {
   if (Failures > 0)
     logEvent(LogLevel::Info, "config_source_regained",
@@ -216,6 +234,36 @@
             {"bytes", Value.size()}});
   Table = std::move(Next);
   Text = Value.size() <= LongestCopy ? Value : std::string();
+  tell();
+}
+
+/// Takes in which failure domains are drained, if that is newer than what is
+/// known.
+void RouteFeed::takeDrained(const DrainedDomains &Heard,
+                            std::string_view Source) {
+  std::set<std::string> Before = Drained.Names;
+  if (!domainDrainTake(Drained, Heard) || Drained.Names == Before)
+    return;
+  auto Log = [&](std::string_view Event, const std::string &Domain) {
+    logEvent(LogLevel::Info, Event,
+             {{"failure_domain", Domain},
+              {"revision", Drained.Revision},
+              {"source", Source},
+              {"config_age_ms", age() ? toMs(*age()) : -1}});
+  };
+  for (const std::string &Domain : Drained.Names) {
+    if (!Before.count(Domain))
+      Log("domain_drained", Domain);
+  }
+  for (const std::string &Domain : Before) {
+    if (!Drained.Names.count(Domain))
+      Log("domain_taken_back", Domain);
+  }
+  if (Table)
+    tell();
+}
+
+void RouteFeed::tell() const {
   for (const auto &Fn : Changes)
     Fn();
 }
--- a/src/route_feed.h
+++ b/src/route_feed.h
@@ -1,10 +1,12 @@
-/// \file route_feed.h Keeps the configuration in force and knows its age.
+/// \file route_feed.h Keeps what the operator has set: the configuration, with
+/// its age, and which failure domains are drained.
 #ifndef FULMARSTEP_ROUTE_FEED_H
 #define FULMARSTEP_ROUTE_FEED_H
 
 #include <functional>
 
 #include "core/random.h"
+#include "domain_drain_type.h"
 #include "freshness.h"
 #include "kernel.h"
 #include "kv_tree.h"
@@ -14,7 +16,11 @@
 
 namespace fulmar {
 
-/// Follows the configuration in the key-value service.
+/// Follows what the operator writes to the key-value service.
+///
+/// Which failure domains are drained comes with the configuration, by the same
+/// calls and the same answers of other nodes: so it is in force as soon as a
+/// new configuration would be, on nodes that cannot read the service too.
 class RouteFeed : public Service {
 public:
   RouteFeed(Kernel &K, const WireFormat &W, FreshnessBounds B,
@@ -22,13 +28,16 @@
 
   void start() override;
 
-  /// Calls \p Fn whenever another version comes into force.
+  /// Calls \p Fn whenever another version comes into force, or a failure domain
+  /// is drained or taken back.
   void onChange(std::function<void()> Fn) { Changes.push_back(std::move(Fn)); }
 
   /// \return The version in force; null until there is one.
   const RouteTablePtr &table() const { return Table; }
   /// \return Its text, to be sent to other nodes; empty when it is too long.
   const std::string &text() const { return Text; }
+  /// \return Which failure domains are drained.
+  const DrainedDomains &drained() const { return Drained; }
   /// \return Whether requests with keys may be accepted now.
   bool keysFresh() const;
   /// \return Whether this node should be given out as an entry.
@@ -50,6 +59,9 @@
   void retry(const std::string &Why);
   void heard();
   void take(const std::string &Value);
+  void takeDrained(const DrainedDomains &Heard, std::string_view Source);
+  void takeEvents(const std::vector<KvItem> &Events);
+  void tell() const;
 
   Kernel &Services;                           ///< Finds the others.
   const WireFormat &Wire;                     ///< Reads the configuration.
@@ -60,6 +72,7 @@
   RouteTablePtr Table;                        ///< In force.
   std::string Text;                           ///< Of it, if it is short.
   Freshness Fresh;                            ///< Its age.
+  DrainedDomains Drained;                     ///< Failure domains.
   std::uint64_t Revision = 0;                 ///< Changes up to it are known.
   VouchService *Readers = nullptr;            ///< Tells what others read.
   TimerId Fallback;                           ///< Reads when nobody tells.
--- a/src/vouch_service.cpp
+++ b/src/vouch_service.cpp
@@ -100,6 +100,7 @@
   if (Routes->table())
     Out.ConfigVersion = Routes->table()->Version;
   Out.ConfigAge = Routes->age().value_or(Never);
+  Out.Drained = Routes->drained();
   const UpstreamBook &Book = Upstreams->book();
   Out.ListDigest = Book.Digest;
   Out.ListAge = Book.Known ? Timers->now() - Book.ReadAt : Never;
--- a/src/vouch_type.h
+++ b/src/vouch_type.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "core/time_type.h"
+#include "domain_drain_type.h"
 #include "upstream_book.h"
 
 namespace fulmar {
@@ -23,6 +24,7 @@
   std::uint64_t ListDigest = 0;         ///< Of the listed upstreams.
   Duration ListAge{};                   ///< Since they were read.
   std::optional<BookChange> ListChange; ///< What the asker's list lacks.
+  DrainedDomains Drained;               ///< As known there.
 };
 
 /// Ask a node for the configuration that it has in force.
--- a/src/wire_format.h
+++ b/src/wire_format.h
@@ -20,6 +20,11 @@
 public:
   virtual ~WireFormat() = default;
 
+  /// \return What the keys of all that the operator writes begin with.
+  virtual std::string operatorPrefix() const = 0;
+  /// \return The failure domain that is drained while \p Key is there; empty
+  /// when it is not such a key.
+  virtual std::string drainedDomain(std::string_view Key) const = 0;
   /// \return Key of the configuration in the key-value service.
   virtual std::string routesKey() const = 0;
   /// \return What the keys of all listed upstreams begin with.
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -35,6 +35,7 @@
   HttpClient Client{Loop};
   int LastId = 0;
   int Version = 0;
+  std::map<std::string, std::string> DomainOf; ///< Of upstreams, by name.
   std::string Keys = "\"key-a\""; ///< API keys of the organisation.
   int TimeoutMs = 2000;           ///< Of each route.
   int TargetMs = 500;             ///< Of each route.
@@ -43,6 +44,7 @@
   int CallMs = 20;                ///< Of a call for pieces, as configured.
   double RoomMb = 8;              ///< For results at an upstream.
   WallMs BornMs = 1;              ///< Start of upstreams that are listed next.
+  std::string ListDomain = "z1";  ///< Of upstreams that are added next.
   std::string StoreAddress;       ///< Of nodes added next; empty: the store's.
 
   /// Adds an upstream and lists it.
@@ -51,6 +53,7 @@
     auto Made = std::make_unique<platform::StandinRunner>(Loop, Timers, Shape);
     platform::StandinRunner &Ref = *Made;
     Runners[Shape.Instance] = std::move(Made);
+    DomainOf[Shape.Instance] = ListDomain;
     list(Pool, Shape.Instance, "ready");
     return Ref;
   }
@@ -60,7 +63,7 @@
             const std::string &State) {
     Json Entry;
     Entry.set("service", Pool).set("address", Runners[Instance]->address());
-    Entry.set("zone", "z1").set("slots", 4).set("state", State);
+    Entry.set("zone", DomainOf[Instance]).set("slots", 4).set("state", State);
     Entry.set("version", "v1").set("cold_remaining_ms", 0);
     Entry.set("sequence", 0).set("born", BornMs);
     Store.put("servers/" + Instance, writeJson(Entry));
--- /dev/null
+++ b/tests/test_domain_drain.cpp
@@ -0,0 +1,210 @@
+/// \file test_domain_drain.cpp A failure domain takes nothing new.
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "domain_drain_func.h"
+#include "gateway_world.h"
+#include "node_services.h"
+#include "route_feed.h"
+#include "tcp_proxy.h"
+
+using namespace fulmar;
+using platform::RunnerShape;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Nodes before upstreams of every kind in two failure domains.
+struct TwoDomains : GatewayWorld {
+  TwoDomains() {
+    for (const char *Domain : {"z1", "z2"}) {
+      ListDomain = Domain;
+      std::string End = std::string("-") + Domain;
+      addRunner("plain", {"p" + End});
+      addRunner("batch", {"b" + End});
+      addRunner("engine", {"e" + End, milliseconds(5), 3});
+    }
+    configure();
+  }
+
+  void drain(const std::string &Domain) {
+    Store.put("op/evacuate/" + Domain, "{}");
+  }
+  void takeBack(const std::string &Domain) {
+    Store.erase("op/evacuate/" + Domain);
+  }
+
+  void pass(Duration Time) {
+    TimePoint End = Timers.now() + Time;
+    runUntil(
+        Loop, [&] { return Timers.now() >= End; }, Time + seconds(1));
+  }
+
+  const std::set<std::string> &drainedAt(std::size_t Node) const {
+    return Nodes[Node]
+        ->services()
+        .find<RouteFeed>(service::Routes)
+        .drained()
+        .Names;
+  }
+
+  /// Waits until \p Node knows these, for as long as an order may take.
+  bool knows(std::size_t Node, const std::set<std::string> &Domains) {
+    return runUntil(
+        Loop, [&] { return drainedAt(Node) == Domains; }, seconds(4));
+  }
+
+  /// Sends requests of every kind. \return How many ended well.
+  int serve(int Count, std::size_t Node = 0) {
+    std::vector<std::shared_ptr<ClientResult>> Sent;
+    for (int I = 0; I < Count; ++I) {
+      Sent.push_back(send("/post/x", {}, Node));
+      Sent.push_back(send("/stream/x", {}, Node));
+      Sent.push_back(send("/staged/x", {{"X-Pieces", "1,1,1"}}, Node));
+    }
+    auto Ended = [](const auto &R) { return R->Ended; };
+    runUntil(
+        Loop, [&] { return std::all_of(Sent.begin(), Sent.end(), Ended); },
+        seconds(6));
+    return static_cast<int>(
+        std::count_if(Sent.begin(), Sent.end(), [](const auto &R) {
+          return R->Answer.Status == HttpOk;
+        }));
+  }
+
+  /// \return Requests and calls that came to a domain's upstreams so far.
+  int workIn(const std::string &Domain) {
+    int Sum = Runners["b-" + Domain]->BatchCalls;
+    for (const char *Pool : {"p-", "e-"})
+      Sum += static_cast<int>(Runners[Pool + Domain]->Seen.size());
+    return Sum;
+  }
+};
+
+} // namespace
+
+SCENARIO("an operator drains a failure domain") {
+  // Symptom: requests still reach upstreams of a domain long after the operator
+  // was told that it takes nothing new.
+  // Sequence: the order is written; nodes go on choosing among all upstreams.
+  // Cause: nodes followed the key of the configuration only.
+  TwoDomains W;
+  W.addNode();
+  CHECK(W.serve(8) == 24);
+  REQUIRE(W.workIn("z1") > 0);
+  REQUIRE(W.workIn("z2") > 0);
+  W.drain("z2");
+  REQUIRE(W.knows(0, {"z2"}));
+  int Before = W.workIn("z2");
+  THEN("neither requests nor pieces go there, and all are served elsewhere") {
+    CHECK(W.serve(8) == 24);
+    CHECK(W.workIn("z2") == Before);
+  }
+  THEN("a node that starts in the midst of it sends nothing there") {
+    W.addNode();
+    CHECK(W.serve(8, 1) == 24);
+    CHECK(W.workIn("z2") == Before);
+  }
+  THEN("it is used again once it is taken back") {
+    W.takeBack("z2");
+    REQUIRE(W.knows(0, {}));
+    CHECK(W.serve(8) == 24);
+    CHECK(W.workIn("z2") > Before);
+  }
+  THEN("a change of the configuration does not bring it back") {
+    W.configure();
+    W.pass(seconds(1));
+    CHECK(W.serve(8) == 24);
+    CHECK(W.workIn("z2") == Before);
+  }
+  THEN("an order that was given while history was lost is known") {
+    W.Store.put("op/evacuate/z1", "{}");
+    W.takeBack("z2");
+    W.Store.dropHistory();
+    CHECK(W.knows(0, {"z1"}));
+  }
+}
+
+SCENARIO("every failure domain is drained") {
+  // Symptom: callers wait for their whole time for an answer that is certain.
+  // Sequence: both domains are drained; a request is taken in and waits.
+  // Cause: none seen; nothing can be served, and callers must hear so at once.
+  TwoDomains W;
+  W.addNode();
+  W.drain("z1");
+  W.drain("z2");
+  REQUIRE(W.knows(0, {"z1", "z2"}));
+  for (const char *Path : {"/post/x", "/get/x", "/stream/x", "/staged/x"}) {
+    TimePoint Asked = W.Timers.now();
+    ClientResult Got = W.ask(Path, {{"X-Pieces", "1,1,1"}});
+    CHECK(Got.Answer.Status == 503);
+    CHECK(!Got.Answer.header("Retry-After").empty());
+    CHECK(W.Timers.now() - Asked < milliseconds(60));
+    CHECK(W.runsOfLast() == 0);
+  }
+  CHECK(W.workIn("z1") + W.workIn("z2") == 0);
+}
+
+SCENARIO("orders to drain reach nodes by every way") {
+  TwoDomains W;
+  W.addNode();
+  TcpProxy Link(W.Loop, "127.0.0.1", 0, W.Store.address());
+  W.StoreAddress = "127.0.0.1:" + std::to_string(Link.port());
+  W.addNode();
+  GIVEN("a node that the key-value service turns away") {
+    Link.setMode(ProxyMode::Reset);
+    W.pass(seconds(3)); // It is known as unfit, so the other reads for it.
+    W.drain("z2");
+    THEN("it hears from the node that reads for it, of the end too") {
+      CHECK(W.knows(1, {"z2"}));
+      W.takeBack("z2");
+      CHECK(W.knows(1, {}));
+    }
+  }
+  GIVEN("orders given and taken back several times a second") {
+    for (int I = 0; I < 10; ++I) {
+      W.drain("z2");
+      W.pass(milliseconds(40));
+      W.takeBack("z2");
+      W.drain("z1");
+      W.pass(milliseconds(60));
+      W.takeBack("z1");
+    }
+    W.drain("z1");
+    THEN("all nodes end with the last one") {
+      CHECK(W.knows(0, {"z1"}));
+      CHECK(W.knows(1, {"z1"}));
+      W.pass(seconds(2));
+      CHECK(W.drainedAt(0) == std::set<std::string>{"z1"});
+      CHECK(W.drainedAt(1) == std::set<std::string>{"z1"});
+    }
+  }
+}
+
+TEST_CASE("nodes that hear changes in any order and number end with the latest "
+          "(property)") {
+  CHECK(rc::check("drained domains", [] {
+    // What is in force after each change.
+    std::vector<DrainedDomains> After(1);
+    int Changes = *rc::gen::inRange(1, 12);
+    for (int I = 1; I <= Changes; ++I) {
+      DrainedDomains Next = After.back();
+      domainDrainChange(Next, *rc::gen::element<std::string>("a", "b", "c"),
+                        *rc::gen::arbitrary<bool>(),
+                        static_cast<std::uint64_t>(I));
+      After.push_back(Next);
+    }
+    DrainedDomains Known;
+    int Heard = *rc::gen::inRange(0, 20);
+    for (int I = 0; I < Heard; ++I) {
+      auto Index = *rc::gen::inRange<std::size_t>(0, After.size());
+      std::uint64_t Before = Known.Revision;
+      domainDrainTake(Known, After[Index]);
+      RC_ASSERT(Known.Revision >= Before);
+      RC_ASSERT(Known == After[Known.Revision]);
+    }
+    domainDrainTake(Known, After.back());
+    RC_ASSERT(Known == After.back());
+  }));
+}
