A cold upstream gets what it bears, from all nodes together

Cause: how much longer an upstream is cold was read and used nowhere.

Change: each node sends to a cold upstream at an even pace: half of what it bears over the most nodes it has ever known, the first time at random. One that may get nothing yet is not eligible, so a session goes to the same other one and comes back when its own is warm. Whether an upstream is cold is part of what makes two lists differ, so nodes that are told of the list hear it.

Permits from one node: not built.

Tests: 10 checks and the property fail without the pace.

--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -76,6 +76,7 @@
   if (!R->Route->repeatable())
     Call.Reuse = HttpReuse::Recent;
   ++U.InFlight;
+  coldPaceSent(U.Pace, Now);
   R->Tried.push_back(U.Id);
   R->LastUpstream = U.Address;
   R->Attempt.emplace();
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -152,11 +152,16 @@
   for (const auto &[Instance, Entry] : Entries) {
     if (Entry.Pool == Spec.Name)
       Listed.push_back({Entry.Address, Entry.Pool, Entry.FailureDomain,
-                        Entry.Leaving, Entry.incarnation()});
+                        Entry.Leaving, Entry.incarnation(), Entry.cold()});
   }
   updateUpstreams(P, Listed, Config.FailureDomain, LastUpstream);
-  for (Upstream &U : P.Upstreams)
+  MostNodes = std::max(MostNodes, allowance().Nodes);
+  Duration Interval = coldInterval(Spec.ColdRate, MostNodes);
+  for (Upstream &U : P.Upstreams) {
     U.Limit.Max = static_cast<double>(P.Spec.MaxLimit);
+    coldPaceSet(U.Pace, U.Cold ? Interval : Duration::zero(), Rng,
+                Timers->now());
+  }
 }
 
 void GatewayService::upstreamsChanged() {
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -163,9 +163,11 @@
   std::map<RequestSerial, ForwardRequest> Requests; ///< In progress.
   std::uint64_t LastSerial = 0;                     ///< Counts requests.
   std::uint32_t LastUpstream = 0;                   ///< Counts upstreams.
-  ReadWait InputsRead;    ///< Until upstreams have read a run's inputs.
-  TimePoint RefuseAt{};   ///< While draining; zero: not draining.
-  TimePoint EndsAt{};     ///< When the process will be ended.
+  double MostNodes = 1; ///< That were known at any time. Nodes that are cut off
+                        ///< from each other still send to the same upstreams.
+  ReadWait InputsRead;  ///< Until upstreams have read a run's inputs.
+  TimePoint RefuseAt{}; ///< While draining; zero: not draining.
+  TimePoint EndsAt{};   ///< When the process will be ended.
   GatewayMetrics Metrics; ///< For operators.
 };
 
--- a/src/route_type.h
+++ b/src/route_type.h
@@ -80,8 +80,10 @@
 
 /// A pool of interchangeable upstreams.
 struct ServiceSpec {
-  std::string Name;                 ///< Unique.
-  int ConnectionLimit = 0;          ///< Of one upstream, from all nodes.
+  std::string Name;        ///< Unique.
+  int ConnectionLimit = 0; ///< Of one upstream, from all nodes.
+  double ColdRate = 0; ///< Requests a second that one upstream bears while it
+                       ///< is cold, from all nodes; 0: not limited.
   std::optional<BatchSpec> Batch;   ///< If it works on batches of pieces.
   std::optional<EngineSpec> Engine; ///< If it consists of model engines.
 };
@@ -133,11 +135,13 @@
   std::string FailureDomain; ///< Where it runs.
   int Slots = 1;             ///< Requests at once.
   bool Leaving = false;      ///< Gets nothing new.
-  Duration ColdFor{};        ///< How much longer it is slow after its start.
+  Duration ColdFor{};        ///< How much longer it bears little; zero: warm.
   std::int64_t BornMs = 0;   ///< Unix time of its start, ms; 0: not told.
 
   bool operator==(const UpstreamEntry &) const = default;
 
+  /// \return Whether it has just started and bears little.
+  bool cold() const { return ColdFor > Duration::zero(); }
   /// \return Which start of which upstream this entry is of.
   Incarnation incarnation() const { return {Instance, BornMs}; }
 };
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -32,7 +32,9 @@
 
 bool upstreamEligible(const Upstream &U, const RouterPolicy &Policy,
                       TimePoint Now) {
-  if (!U.Listed || U.Leaving)
+  // A cold one that may get nothing yet is left out here and not only where
+  // there is no room, so that all requests of a session go to the same other.
+  if (!U.Listed || U.Leaving || !coldPaceAllows(U.Pace, Now))
     return false;
   return !Policy.Ejection || U.EjectedUntil <= Now;
 }
@@ -315,6 +317,7 @@
     if (!U.Listed)
       continue;
     U.Leaving = Found->second->Leaving;
+    U.Cold = Found->second->Cold;
     New.erase(Found);
   }
   // Calls in progress still refer to an upstream that is no longer listed.
@@ -329,6 +332,7 @@
     U.Start = Spec.Start;
     U.FailureDomain = Spec.FailureDomain;
     U.Leaving = Spec.Leaving;
+    U.Cold = Spec.Cold;
     U.Local = Spec.FailureDomain == OwnDomain;
     U.Limit.Limit = static_cast<double>(P.Spec.StartLimit);
     U.Limit.Max = static_cast<double>(P.Spec.MaxLimit);
--- a/src/upstream_base.h
+++ b/src/upstream_base.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "bundle_type.h"
+#include "cold_pace.h"
 #include "core/random.h"
 #include "core/strong_id.h"
 #include "core/time_type.h"
@@ -26,6 +27,7 @@
   std::string FailureDomain; ///< Where it runs.
   bool Leaving = false;      ///< Gets nothing new.
   Incarnation Start;         ///< Which start; no instance: not known.
+  bool Cold = false;         ///< It has just started, and bears little.
 
   bool operator==(const UpstreamSpec &) const = default;
 };
@@ -38,6 +40,8 @@
   std::string FailureDomain; ///< Where it runs.
   bool Listed = true;        ///< Still in the host list.
   bool Leaving = false;      ///< Gets nothing new.
+  bool Cold = false;         ///< It has just started, and bears little.
+  ColdPace Pace;             ///< While it is cold.
   bool Local = false;        ///< In this node's failure domain.
   int InFlight = 0;          ///< Calls of this node.
   ConcurrencyLimit Limit;    ///< Calls at once.
--- a/src/upstream_book.cpp
+++ b/src/upstream_book.cpp
@@ -21,7 +21,7 @@
   for (const auto &[Instance, Entry] : List) {
     Text += Instance + '\n' + std::to_string(Entry.BornMs) + '\n' + Entry.Pool +
             '\n' + Entry.Address + '\n' + Entry.FailureDomain +
-            (Entry.Leaving ? "\n1\n" : "\n0\n");
+            (Entry.Leaving ? "\n1" : "\n0") + (Entry.cold() ? "1\n" : "0\n");
   }
   // A list that was read is never taken for none.
   return std::max<std::uint64_t>(hash64(Text), NoBook + 1);
@@ -44,8 +44,8 @@
   Book.Entries = std::move(Next);
   Book.Digest = digestOf(Book.Entries);
   Change.To = Book.Digest;
-  // What is not part of the digest, as how cold an upstream still is, is news
-  // for nobody else.
+  // What is not part of the digest, as for how long an upstream is still cold,
+  // is news for nobody else.
   if (Change.To == Change.From)
     return;
   Book.Latest.push_back(std::move(Change));
--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -144,6 +144,9 @@
       Log(Entry, Entry.Leaving ? "listed_leaving" : "listed");
     else if (Old->second.Leaving != Entry.Leaving)
       Log(Entry, Entry.Leaving ? "leaving" : "back");
+    bool WasCold = Old != Before.end() && Old->second.cold();
+    if (Entry.cold() != WasCold)
+      Log(Entry, Entry.cold() ? "cold" : "warm");
   }
   for (const auto &[Instance, Entry] : Before) {
     if (!Book.Entries.count(Instance))
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -41,6 +41,8 @@
   int TargetMs = 500;             ///< Of each route.
   double RevokeMs = 5000;         ///< Set before nodes are added.
   std::string Attempts = "2";     ///< Of each route.
+  double ColdPerS = 0;            ///< That a cold upstream bears; 0: any.
+  int ColdMs = 0;                 ///< Of upstreams that are listed next.
   int CallMs = 20;                ///< Of a call for pieces, as configured.
   double RoomMb = 8;              ///< For results at an upstream.
   WallMs BornMs = 1;              ///< Start of upstreams that are listed next.
@@ -64,7 +66,7 @@
     Json Entry;
     Entry.set("service", Pool).set("address", Runners[Instance]->address());
     Entry.set("zone", DomainOf[Instance]).set("slots", 4).set("state", State);
-    Entry.set("version", "v1").set("cold_remaining_ms", 0);
+    Entry.set("version", "v1").set("cold_remaining_ms", ColdMs);
     Entry.set("sequence", 0).set("born", BornMs);
     Store.put("servers/" + Instance, writeJson(Entry));
   }
@@ -95,7 +97,10 @@
               "\"after\":[],\"bytes\":800000},{\"service\":\"batch\","
               "\"after\":[],\"bytes\":100},{\"service\":\"batch\",\"after\":["
               "1],\"bytes\":100}]") +
-        "],\"services\":[{\"name\":\"plain\",\"connection_limit\":40},"
+        "],\"services\":[{\"name\":\"plain\",\"connection_limit\":40,"
+        "\"cold_per_s\":" +
+        std::to_string(ColdPerS) +
+        "},"
         "{\"name\":\"engine\",\"connection_limit\":40,\"engine\":{\"slots\":"
         "8}},{\"name\":\"batch\",\"connection_limit\":40,\"pieces\":{"
         "\"slots\":1,\"queue\":2,\"batch\":4,\"call_ms\":" +
--- /dev/null
+++ b/tests/test_cold.cpp
@@ -0,0 +1,220 @@
+/// \file test_cold.cpp Upstreams that have just started and bear little.
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "gateway_world.h"
+#include "upstream_book.h"
+#include "upstream_func.h"
+
+using namespace fulmar;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr double ColdRate = 9; ///< Requests a second that a cold one bears.
+
+/// One node's view of a pool.
+struct View {
+  Pool P;
+  Random Rng;
+  double Nodes = 1; ///< That it believes there are.
+};
+
+/// A fleet before one pool whose first upstream is cold, in virtual time.
+struct ColdFleet {
+  RouterPolicy Policy;
+  std::vector<View> Views;
+  std::vector<TimePoint> Sent; ///< To the cold upstream.
+  TimePoint Now{seconds(100)};
+
+  /// \param Known part of the nodes that each node knows.
+  ColdFleet(std::size_t Nodes, double Known, std::uint64_t Seed)
+      : Views(Nodes) {
+    Policy.Limit = LimitRule::Fixed;
+    Random Rng(Seed);
+    for (View &V : Views) {
+      V.Rng.seed(Rng());
+      V.Nodes = std::max(1.0, static_cast<double>(Nodes) * Known);
+      V.P.Spec.MaxLimit = V.P.Spec.StartLimit = 100;
+      std::uint32_t LastId = 0;
+      std::vector<UpstreamSpec> Listed;
+      for (int I = 0; I < 10; ++I)
+        Listed.push_back(
+            {"10.0.0.1:" + std::to_string(I + 1), "pool", "z1", false, {}});
+      updateUpstreams(V.P, Listed, "z1", LastId);
+      setCold(V, true);
+    }
+  }
+
+  void setCold(View &V, bool Cold) const {
+    coldPaceSet(V.P.Upstreams[0].Pace,
+                Cold ? coldInterval(ColdRate, V.Nodes) : Duration::zero(),
+                V.Rng, Now);
+  }
+
+  /// \return A session whose upstream is the cold one.
+  std::uint64_t session() const {
+    std::uint64_t Hash = 1;
+    Pool P = Views[0].P;
+    P.Upstreams[0].Pace = ColdPace();
+    while (affineUpstream(P, Policy, Hash, Now) != &P.Upstreams[0])
+      ++Hash;
+    return Hash;
+  }
+
+  /// Sends one request of a session. \return Where to, or nothing.
+  std::optional<std::size_t> send(View &V, std::uint64_t Session) {
+    ChoiceHints Hints;
+    Hints.Affinity = Session;
+    auto Index = chooseUpstream(V.P, Policy, Hints, V.Rng, Now);
+    if (!Index)
+      return Index;
+    coldPaceSent(V.P.Upstreams[*Index].Pace, Now);
+    if (*Index == 0)
+      Sent.push_back(Now);
+    return Index;
+  }
+
+  /// \return The most that came to the cold upstream within any second.
+  std::size_t mostInASecond() const {
+    std::size_t Most = 0;
+    for (std::size_t First = 0, Last = 0; Last < Sent.size(); ++Last) {
+      while (Sent[Last] - Sent[First] > seconds(1))
+        ++First;
+      Most = std::max(Most, Last - First + 1);
+    }
+    return Most;
+  }
+};
+
+} // namespace
+
+SCENARIO("much of the load is one session, and its upstream has just started") {
+  // Symptom: an upstream that comes back falls over again at once.
+  // Sequence: it starts; its session is asked for 60 times a second, at random
+  // nodes.
+  // Cause: nothing bounded what all nodes together send to a cold upstream; a
+  // node alone sends it less than one request a second.
+  for (std::size_t Nodes : {9, 85, 295, 2000}) {
+    ColdFleet Fleet(Nodes, 1, 4711 + Nodes);
+    std::uint64_t Session = Fleet.session();
+    Random Rng(Nodes);
+    std::set<std::size_t> Others;
+    for (int I = 0; I < 60 * 10; ++I) {
+      Fleet.Now += fromMs(1e3 / 60);
+      View &V = Fleet.Views[randomIndex(Rng, Nodes)];
+      auto Where = Fleet.send(V, Session);
+      REQUIRE(Where);
+      if (*Where != 0)
+        Others.insert(*Where);
+    }
+    INFO(Nodes << " nodes");
+    CHECK(static_cast<double>(Fleet.mostInASecond()) <= ColdRate);
+    // The session's part of the prompt is read once elsewhere, not everywhere.
+    CHECK(Others.size() == 1);
+    // Once its upstream is warm, the session comes back.
+    for (View &V : Fleet.Views)
+      Fleet.setCold(V, false);
+    CHECK(Fleet.send(Fleet.Views[0], Session) == 0U);
+  }
+}
+
+SCENARIO("every upstream of a pool has just started") {
+  // Symptom: a pool that comes back whole serves nothing while it is cold.
+  ColdFleet Fleet(9, 1, 5);
+  for (View &V : Fleet.Views) {
+    for (Upstream &U : V.P.Upstreams)
+      coldPaceSet(U.Pace, coldInterval(ColdRate, V.Nodes), V.Rng, Fleet.Now);
+  }
+  int Served = 0;
+  Random Rng(6);
+  for (int I = 0; I < 20 * 10; ++I) {
+    Fleet.Now += milliseconds(50);
+    View &V = Fleet.Views[randomIndex(Rng, 9)];
+    Served += Fleet.send(V, Rng()).has_value() ? 1 : 0;
+  }
+  // They bear 90 requests a second, and 20 are asked.
+  CHECK(Served >= 190);
+  CHECK(static_cast<double>(Fleet.mostInASecond()) <= ColdRate);
+}
+
+TEST_CASE("cold upstreams get no more than they bear, however few of the nodes "
+          "each node knows (property)") {
+  CHECK(rc::check("cold upstreams", [] {
+    auto Nodes = *rc::gen::element<std::size_t>(9, 85, 295);
+    double Known = *rc::gen::element(0.5, 0.7, 1.0);
+    double PerSecond = *rc::gen::element(5.0, 60.0, 300.0);
+    ColdFleet Fleet(Nodes, Known, *rc::gen::arbitrary<std::uint64_t>());
+    std::uint64_t Session = Fleet.session();
+    Random Rng(*rc::gen::arbitrary<std::uint64_t>());
+    TimePoint End = Fleet.Now + seconds(4);
+    while (Fleet.Now < End) {
+      Fleet.Now += fromMs(1e3 / PerSecond * 2 * randomUnit(Rng));
+      Fleet.send(Fleet.Views[randomIndex(Rng, Nodes)], Session);
+    }
+    // The users' bound: half as much again, and a few.
+    RC_ASSERT(static_cast<double>(Fleet.mostInASecond()) <= ColdRate * 1.5 + 5);
+  }));
+}
+
+SCENARIO("nodes tell each other which upstreams are cold") {
+  // Symptom: most nodes of a fleet send to a cold upstream as to any other.
+  // Sequence: one node reads that an upstream has turned cold; the others ask
+  // it what has changed in the list.
+  // Cause: how cold an upstream is was no part of what makes two lists differ.
+  UpstreamEntry Entry{"a", "pool", "10.0.0.1:1", "z1"};
+  UpstreamBook Reader;
+  UpstreamBook Listener;
+  TimePoint Now{seconds(1)};
+  bookRead(Reader, {Entry}, Now);
+  auto Tell = [&] {
+    auto Change = bookChangesSince(Reader, Listener.Digest);
+    return Change && bookApply(Listener, *Change, Now);
+  };
+  REQUIRE(Tell());
+  Entry.ColdFor = seconds(3);
+  bookRead(Reader, {Entry}, Now + seconds(1));
+  REQUIRE(Reader.Digest != Listener.Digest);
+  REQUIRE(Tell());
+  CHECK(Listener.Entries.at("a").cold());
+  WHEN("it is a little less cold") {
+    std::uint64_t Digest = Reader.Digest;
+    Entry.ColdFor = seconds(2);
+    bookRead(Reader, {Entry}, Now + seconds(2));
+    THEN("that is no news") { CHECK(Reader.Digest == Digest); }
+  }
+  WHEN("it is warm") {
+    Entry.ColdFor = Duration::zero();
+    bookRead(Reader, {Entry}, Now + seconds(3));
+    REQUIRE(Tell());
+    CHECK_FALSE(Listener.Entries.at("a").cold());
+  }
+}
+
+SCENARIO("an upstream of a node has just started") {
+  GatewayWorld W;
+  W.ColdPerS = 0.2;
+  W.addRunner("plain", {"i-a"});
+  W.addRunner("plain", {"i-b"});
+  W.configure();
+  W.addNode();
+  W.ColdMs = 3000;
+  W.list("plain", "i-a", "ready");
+  auto Read = [&](Duration Time) {
+    TimePoint End = W.Timers.now() + Time;
+    runUntil(
+        W.Loop, [&] { return W.Timers.now() >= End; }, Time + seconds(1));
+  };
+  Read(seconds(2));
+  std::size_t Before = W.Runners["i-a"]->Seen.size();
+  for (int I = 0; I < 20; ++I)
+    CHECK(W.ask("/post/x").Answer.Status == HttpOk);
+  CHECK(W.Runners["i-a"]->Seen.size() <= Before + 1);
+  W.ColdMs = 0;
+  W.list("plain", "i-a", "ready");
+  Read(seconds(2));
+  for (int I = 0; I < 20; ++I)
+    CHECK(W.ask("/post/x").Answer.Status == HttpOk);
+  CHECK(W.Runners["i-a"]->Seen.size() >= Before + 4);
+}
