--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -128,9 +128,9 @@
   auto Forecast = batchForecast(P, Ask.Pieces, Ask.Priority, Now);
   if (!Forecast)
     return refuse(P, BatchEnd::NoUpstream, AvoidTime, Out);
-  // What cannot be on time waits behind all that can. Without the second time
-  // a request was let in for the first one, waited 2.3 s while others passed
-  // it, and was told then to come back in 30 ms.
+  // What cannot be on time waits behind all that can. Let in for the first of
+  // the two times, a request would wait while others pass it, and be refused in
+  // the end.
   bool OnTime = Forecast->OnTime <= Ask.Due;
   if ((OnTime ? Forecast->OnTime : Forecast->Late) > Ask.Dead)
     return refuse(P, BatchEnd::Hopeless, comeBackTime(*Forecast, Ask.Due), Out);
@@ -454,12 +454,11 @@
 
 /// Tells whose inputs have been read. Their space is scarce at their makers,
 /// and a call takes hundreds of ms after it has read them: with the space taken
-/// until its end, the pool before it ran at two thirds of its rate.
+/// until its end, the pool before it waits for space.
 ///
 /// A call that waits at its upstream has read nothing. While nodes differ about
-/// who forms the calls, two of them use the same upstreams; inputs that were
-/// given back then were gone at the calls' turn, and all of 12,000 pieces of a
-/// day had to be made again.
+/// who forms the calls, two of them use the same upstreams; inputs that are
+/// given back then are gone at the calls' turn, and must be made again.
 static void tellRead(BatchPool &P, TimePoint Now, BatchActions &Out) {
   for (auto &[Id, Job] : P.Jobs) {
     if (!Job.Ask.TellRead || Job.InputsRead || !Job.AtOnce || Job.Waiting > 0 ||
--- a/src/batch_coordinator.cpp
+++ b/src/batch_coordinator.cpp
@@ -17,9 +17,9 @@
 /// calls: one that cannot read the list of upstreams would form them for
 /// upstreams that are gone. When most are unfit, the key-value service is away
 /// for everyone, and all strong nodes stay. Without that, each node of a fleet
-/// whose last fit node went would take itself for the coordinator, and 75 of
-/// them send calls of one or two pieces to the same few upstreams, which refuse
-/// them.
+/// whose last fit node went would take itself for the coordinator, and all of
+/// them would send calls of one or two pieces to the same few upstreams, which
+/// refuse them.
 static constexpr double FitShare = 0.5;
 
 std::string batchPartName(const std::string &Pool, std::size_t Part) {
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -58,12 +58,11 @@
 /// \return Waiting jobs in the order in which they are sent.
 std::vector<PlacedJob> batchPlaced(BatchPool &P, TimePoint Now);
 
-/// Results that cross between failure domains cost the network: those of 3 MB
-/// each, or inputs that every piece of a call reads, are most of what upstreams
-/// send each other. A job waits for an upstream of its own domain while it
-/// would still be on time there. At half load, 15 in 100 pieces were made in
-/// another domain without it, none with it, and as many jobs were on time (test
-/// "a load of results that are used in one failure domain").
+/// Results that cross between failure domains cost the network: large ones, or
+/// inputs that every piece of a call reads, are most of what upstreams send
+/// each other. A job waits for an upstream of its own domain while it would
+/// still be on time there (test "a load of results that are used in one failure
+/// domain").
 ///
 /// \return Whether a job may be made at \p U.
 bool batchMayGoTo(const BatchPool &P, const PlacedJob &Placed,
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -24,13 +24,11 @@
 /// for calls are full when a pool is behind, and the time until the next one,
 /// which often carries its last pieces.
 ///
-/// With the time of the smallest call, an overloaded pool always served the job
-/// that was just about to be late, and ended it late: of requests in a burst of
-/// 1.3 times what a pool can do, of the more urgent ones 49 in 100 were on time
-/// instead of 85 (test "a burst that is more than the pool can do"). With half
-/// a call more, requests whose target is twice a call are late once they have
-/// waited for a moment, and the pool serves them in the order of their age: 195
-/// of 403 that it could do were on time instead of 333 (test "a burst whose
+/// With the time of the smallest call, an overloaded pool would always serve
+/// the job that is just about to be late, and end it late (test "a burst that
+/// is more than the pool can do"). With half a call more, requests whose target
+/// is twice a call would be late once they have waited for a moment, and the
+/// pool would serve them in the order of their age (test "a burst whose
 /// refusals come at once").
 static Duration onTimeNeeds(const BatchPool &P) {
   auto Places = static_cast<double>(P.Upstreams.size()) * P.Spec.Slots;
--- a/src/batch_place.cpp
+++ b/src/batch_place.cpp
@@ -8,9 +8,8 @@
 
 /// A job waits for its own failure domain while it would be done there this
 /// many full calls' times before it is due: others that come later and are more
-/// urgent may still go first. Of 28,000 requests with 700 ms, sent to nine
-/// nodes in bursts of 2.5 times the usual, 1.3 in 100 more were late with none;
-/// with 1.4, 1.6 times the bytes crossed.
+/// urgent may still go first. With less it is late too often, with more its
+/// results cross for nothing.
 static constexpr double WaitMarginCalls = 0.9;
 /// A job that is late in any case is made elsewhere if that ends it this many
 /// full calls' times earlier.
--- a/src/batch_relay.cpp
+++ b/src/batch_relay.cpp
@@ -28,8 +28,8 @@
 /// took. After that a request is let in to find out.
 static constexpr Duration ViewLife = std::chrono::milliseconds(1500);
 /// An ask is held for this long by a node that does not know the others yet.
-/// It usually does 200 ms after its start; a call to the key-value service that
-/// is repeated once makes that 600.
+/// It usually does a fraction of a second after its start, and somewhat later
+/// when a call to the key-value service has to be repeated.
 static constexpr Duration MostHold = std::chrono::milliseconds(600);
 /// A silent node is not asked for this long.
 static constexpr Duration SilentTime = std::chrono::seconds(2);
@@ -74,9 +74,9 @@
 
 /// Gives an ask to the node that forms its pool's calls. A node that has just
 /// started does not know the others yet, and would take that duty for its own;
-/// it holds the ask for a moment. After a restart of nine nodes each sent calls
-/// with one piece, which take as long as full ones: upstreams were busy with
-/// them for half a second, and 35 calls of others found them full.
+/// it holds the ask for a moment. Else after a restart of the fleet each node
+/// sends calls of one piece, which take nearly as long as full ones, and other
+/// nodes' calls find the upstreams full.
 void BatchRelay::place(BatchTicket Ticket) {
   OwnAsk &Mine = Own.at(Ticket);
   Mine.Held = !Members->settled() && Timers->now() - Mine.Asked < MostHold;
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -17,15 +17,14 @@
 /// Calls of a pool begin this many times as far apart as its upstreams would
 /// end them in turn. Without it upstreams that happen to be free together are
 /// given calls together, are free together again, and all pieces in between
-/// wait for that: at 0.6 of what 8 upstreams can do, 9 in 10 asks were done
-/// within 590 ms instead of 470 (test "calls begin one after the other").
+/// wait for that (test "calls begin one after the other").
 static constexpr double PaceFactor = 1.1;
 /// With more than this part of the upstreams free, nothing waits for long
 /// anyway.
 static constexpr double PacedFree = 0.5;
 
 /// An upstream that said a call ago that it has nothing else to do most likely
-/// still has not. Full calls take 450 ms.
+/// still has not. Longer than a full call takes.
 static constexpr Duration HeardLately = std::chrono::milliseconds(1500);
 
 /// Weight of the newest call in the pieces that a call carries.
@@ -206,10 +205,9 @@
 
 /// Learns how many pieces a call carries while more of them wait than it could.
 /// Space for results bounds it: results lie until the next stage has read them,
-/// so behind a pool that is full the one before it sends calls of a half. With
-/// the times of full calls such a pool told 0.7 s where it took 2.5 s, and
-/// requests were let in that waited in vain (test "the next stage is behind,
-/// and results lie").
+/// so behind a pool that is full the one before it sends calls of a half. If it
+/// told the times of full calls, requests would be let in that wait in vain
+/// (test "the next stage is behind, and results lie").
 static void learnFill(BatchPool &P, int Waiting, std::size_t Size) {
   if (Waiting < P.Spec.MaxPieces)
     return;
--- a/src/caller_time.h
+++ b/src/caller_time.h
@@ -31,9 +31,7 @@
 /// less time. Taken for new, it is served before requests that really are:
 /// these are then late in their turn, are refused and come back, and a burst
 /// that a pool could nearly bear makes twice as many requests late. One sees it
-/// in callers that count far more late answers than the nodes do: 900 and 295
-/// in five seconds in which a pool of 60 nodes was asked for 1.1 times what it
-/// does.
+/// in callers that count far more late answers than the nodes do.
 ///
 /// Callers of two programs may wait for different times. Their requests would
 /// all be taken for returning ones; nothing is said while more seem to come
--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -45,10 +45,9 @@
 static constexpr int RoutePriorities = 10;
 
 /// The organisation's priority goes before the route's; between requests of
-/// equal organisations the route's decides. Where that was left out, and most
-/// organisations had the same priority, requests of the most urgent kind shared
-/// a burst equally with those of the least: 70 in 100 of both were on time, and
-/// 88 and 57 with it.
+/// equal organisations the route's decides. Without the second, and with most
+/// organisations at the same priority, the most urgent kind of request would
+/// share a burst equally with the least urgent one.
 int urgencyOf(int Organisation, int Route) {
   return Organisation * RoutePriorities +
          std::clamp(Route, 0, RoutePriorities - 1);
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -97,8 +97,8 @@
 }
 
 /// Gives the results of the stages back when the upstream has read them, where
-/// their space is scarce. Its first event comes much later: it reads a prompt
-/// of 12,000 tokens for 250 ms before.
+/// their space is scarce. Its first event comes much later, for it reads the
+/// prompt before.
 void GatewayService::planFree(ForwardRequest &R) {
   if (!holdsScarceSpace(R))
     return;
--- a/src/member.cpp
+++ b/src/member.cpp
@@ -18,19 +18,17 @@
 /// Seeds asked for their members by a node that joins.
 static constexpr std::size_t JoinFanOut = 16;
 /// Seeds that it tells of itself. In a fleet up to this size every pair of
-/// nodes that start together knows each other after one message. Told by gossip
-/// alone, 75 nodes that all lost their power took two seconds, in which each
-/// took other nodes' duties for its own.
+/// nodes that start together knows each other after one message. Gossip alone
+/// takes seconds, in which each node takes other nodes' duties for its own.
 static constexpr std::size_t JoinAnnounced = 128;
 /// After it has joined, a node asks some other one for all members after this
 /// time, and again after pauses that double up to the last one.
 ///
 /// Of nodes that start together, each reads a list with those that were quicker
-/// only, and announces itself to a part of a large fleet. What gossip then told
-/// took half a minute: a quarter of 295 nodes were unknown to each of them 16 s
-/// after their start, so nodes chose different coordinators, and a coordinator
-/// could not answer who it did not know. With three lists pulled in two seconds
-/// all know all (test "a large fleet starts at once").
+/// only, and announces itself to a part of a large fleet. Gossip takes long to
+/// tell the rest; meanwhile nodes choose different coordinators, and a
+/// coordinator cannot answer who it does not know (test "a large fleet starts
+/// at once").
 static constexpr Duration FirstPull = std::chrono::milliseconds(300);
 static constexpr Duration LastPullPause = std::chrono::seconds(40);
 /// Each news item is passed on this many times the logarithm of the fleet.
--- a/src/priority_share.h
+++ b/src/priority_share.h
@@ -13,8 +13,7 @@
 /// the bursts of several seconds that the rule is for.
 inline constexpr Duration ShareHalfLife = std::chrono::seconds(2);
 /// A priority that gets less than this part of what the mean gets goes first.
-/// With 0.9 the urgent have no advantage left: 71 and 70 in 100 of both are on
-/// time in the burst below.
+/// Close to one, the urgent would have no advantage left.
 inline constexpr double LeastShare = 0.8;
 
 /// How much of what is asked at one priority was sent lately.
@@ -29,9 +28,8 @@
 /// Work that waits goes by priority. While a pool gets more than it can do, the
 /// least urgent priority would get nothing at all for as long as that lasts,
 /// and its requests, which no refusal has told to come back, end late or fail
-/// together. In a burst of 1.35 times what a pool can do, 4 in 100 of the least
-/// urgent requests were on time without this rule and 59 with it; of the urgent
-/// ones 80 and 72 (test "a burst in which the least urgent are not forgotten").
+/// together (test "a burst in which the least urgent are not forgotten"). With
+/// its share kept, the urgent ones lose far less than the others gain.
 struct PriorityShares {
   std::map<int, PriorityShare> ByPriority; ///< 0 is the most urgent.
   TimePoint AgedAt{};                      ///< When they were last aged.
--- a/src/read_wait.h
+++ b/src/read_wait.h
@@ -26,10 +26,9 @@
 /// How long results are kept after the work that needs them was sent.
 ///
 /// Upstreams do not say when they have read them. Too late costs space that the
-/// next call needs: at pools whose results fill their space, calls carried 31
-/// pieces of 46 while hundreds waited. Too early, and the work finds them gone
-/// and all of it is done again; regions may be far apart, and the wait finds
-/// that out.
+/// next call needs: where results fill the space of a pool, its calls are far
+/// from full while much waits. Too early, and the work finds them gone and all
+/// of it is done again; regions may be far apart, and the wait finds that out.
 struct ReadWait {
   Duration Wait = LeastReadWait; ///< At present.
 };
--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -12,12 +12,11 @@
 
 /// One wait for changes. Each answered wait proves that the version was the
 /// newest when the wait began, so a node that loses the service knows its
-/// configuration to be this much older than the loss, twice over. Keys of 5 s
-/// are accepted for 3.9 s: a node that was cut off 3 s ago still serves.
+/// configuration to be up to twice this older than the loss; the longer it is,
+/// the sooner such a node has to refuse keys.
 static constexpr Duration FollowWait = std::chrono::milliseconds(400);
 /// The same while there is no configuration at all, as when a whole fleet
-/// starts for the first time. Asked again and again instead, 75 nodes made 590
-/// calls within a second.
+/// starts for the first time, and would ask again and again.
 static constexpr Duration FirstWait = std::chrono::milliseconds(1500);
 /// Without word from a reader for this long, a node reads itself: two questions
 /// were lost, or the reader is gone.
--- a/src/vouch.cpp
+++ b/src/vouch.cpp
@@ -12,9 +12,9 @@
 
 /// \return The nodes that may read for others. When none is fit, the key-value
 /// service is away for all of them: the same few go on trying, and the others
-/// hear from them. With each node on its own, 75 of them call a service that is
-/// down a thousand times a second, and each finds out by itself, seconds apart,
-/// that it is back.
+/// hear from them. With each node on its own, a fleet would call a service that
+/// is down a thousand times a second, and each node would find out by itself,
+/// seconds apart, that it is back.
 static std::vector<const MemberInfo *> readerCandidates(const Membership &M) {
   std::vector<const MemberInfo *> Nodes;
   auto Consider = [&](const MemberInfo &Info) {
--- a/src/vouch_func.h
+++ b/src/vouch_func.h
@@ -15,9 +15,8 @@
 ///
 /// Each call to the service costs, a waiting one too, and its rates grow more
 /// slowly than the fleet. That nothing has changed can be told by whoever has
-/// looked. With a reader in each failure domain nine nodes in three domains
-/// made 1,120 calls in 45 s of a day with faults, with one reader 700. A node
-/// whose reader is silent reads itself after 650 ms.
+/// looked, so few nodes do, and not one of each failure domain. A node whose
+/// reader is silent soon reads itself.
 /// \return Its id; this node's own when it reads for itself.
 std::string chooseReader(const Membership &M);
 
