Log lines say when a refused caller was told to come back

Cause: request_refused printed the time before it was spread and defaulted, often 0, and request_done none at all; the time of stage_failed is the pool's own.

Change: the time that the caller gets is computed before the line is written, and both lines have it; stage_failed calls its time pool_retry_in_ms.

--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -142,6 +142,7 @@
 
 void GatewayService::refuseAdmission(const ForwardRequest &R, ResultCode Code) {
   auto Age = Routes->age();
+  Duration RetryIn = comeBackIn(Code, R.RetryIn);
   logEvent(LogLevel::Info, "request_refused",
            {{"id", R.Ask.RequestId},
             {"code", resultInfo(Code).Name},
@@ -150,12 +151,12 @@
             {"organisation", R.Organisation},
             {"used_before_ms", toMs(R.UsedBefore)},
             {"expected_ms", toMs(R.Expected)},
-            {"retry_in_ms", toMs(R.RetryIn)},
+            {"retry_in_ms", toMs(RetryIn)},
             {"config", R.Table ? R.Table->Version : 0},
             {"config_age_ms", Age ? toMs(*Age) : -1}});
   if (R.Route)
     callerTimeRefused(timesOf(R).Callers);
-  replyCode(*R.Exchange, Code, R.Ask.RequestId, comeBackIn(Code, R.RetryIn));
+  replyCode(*R.Exchange, Code, R.Ask.RequestId, RetryIn);
   gatewayCount(Metrics, R.Organisation, R.Route ? R.Route->Name : "", Code);
 }
 
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -229,13 +229,16 @@
   HttpExchangePtr Exchange = R.Exchange;
   bool Begun = R.HeadSent;
   std::string Id = R.Ask.RequestId;
-  if (!Begun)
+  if (!Begun) {
     callerTimeRefused(timesOf(R).Callers);
+    RetryIn = comeBackIn(Code, RetryIn);
+    R.RetryIn = RetryIn;
+  }
   conclude(R, Code, resultInfo(Code).HttpStatus);
   if (Begun)
     Exchange->abort();
   else
-    replyCode(*Exchange, Code, Id, comeBackIn(Code, RetryIn));
+    replyCode(*Exchange, Code, Id, RetryIn);
 }
 
 void GatewayService::finishWith(ForwardRequest &R, const HttpAnswer &Answer) {
@@ -284,6 +287,7 @@
       {"first_ms",
        R.FirstEvent > TimePoint{} ? toMs(R.FirstEvent - R.Arrived) : -1.0},
       {"took_ms", toMs(Now - R.Arrived)},
+      {"retry_in_ms", toMs(R.RetryIn)},
       {"failure", R.LastFailure}};
   // Of requests that ended well one may do without the line, of others not.
   if (Code == ResultCode::Complete)
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -154,7 +154,7 @@
               {"pool", R->Route->Stages[Index].Pool},
               {"end", batchEndName(Result.End)},
               {"waited_ms", toMs(Took)},
-              {"retry_in_ms", toMs(Result.RetryIn)}});
+              {"pool_retry_in_ms", toMs(Result.RetryIn)}});
     Stage.State = StageState::Done;
     R->LastFailure = batchEndName(Result.End);
     if (mayRedo(*R, Index, Result.End))
