A bundle can drain a failure domain

Cause: on our own interface only the owner of the host list could empty a domain, upstream by upstream.

Change: a section drained_domains (name, reason); upstreams there count as leaving where the host list comes into force. Test: a bundle drains a failure domain, and takes it back.

--- a/src/bundle.cpp
+++ b/src/bundle.cpp
@@ -16,7 +16,8 @@
 static constexpr std::size_t MaxStages = 16;
 
 static const std::vector<std::string_view> SectionNames = {
-    "organisations", "models", "adapters", "pools", "pipelines", "shares"};
+    "organisations", "models",    "adapters", "drained_domains",
+    "pools",         "pipelines", "shares"};
 
 /// A parsed part with the lines that its errors point to.
 template <typename Spec> struct Located {
@@ -26,12 +27,13 @@
 
 /// Everything read from a source, before it is cross-checked.
 struct BundleDraft {
-  std::vector<Located<OrganisationSpec>> Organisations; ///< In file order.
-  std::vector<Located<ModelSpec>> Models;               ///< In file order.
-  std::vector<Located<AdapterSpec>> Adapters;           ///< In file order.
-  std::vector<Located<PoolSpec>> Pools;                 ///< In file order.
-  std::vector<Located<PipelineSpec>> Pipelines;         ///< In file order.
-  ShareSpec Shares;                                     ///< One.
+  std::vector<Located<OrganisationSpec>> Organisations;   ///< In file order.
+  std::vector<Located<ModelSpec>> Models;                 ///< In file order.
+  std::vector<Located<AdapterSpec>> Adapters;             ///< In file order.
+  std::vector<Located<DrainedDomainSpec>> DrainedDomains; ///< In file order.
+  std::vector<Located<PoolSpec>> Pools;                   ///< In file order.
+  std::vector<Located<PipelineSpec>> Pipelines;           ///< In file order.
+  ShareSpec Shares;                                       ///< One.
 };
 
 static void readStages(const Json &Object, PipelineSpec &Out,
@@ -64,6 +66,11 @@
 static void readPart(const Json &Object, AdapterSpec &Out, FieldCheck &Check) {
   readFields<AdapterSpec>(Object, AdapterTable, Out, Check);
 }
+
+static void readPart(const Json &Object, DrainedDomainSpec &Out,
+                     FieldCheck &Check) {
+  readFields<DrainedDomainSpec>(Object, DrainedDomainTable, Out, Check);
+}
 static void readPart(const Json &Object, PoolSpec &Out, FieldCheck &Check) {
   readFields<PoolSpec>(Object, PoolTable, Out, Check);
 }
@@ -188,6 +195,7 @@
   readSection(Root, "organisations", Draft.Organisations, Wrong);
   readSection(Root, "models", Draft.Models, Wrong);
   readSection(Root, "adapters", Draft.Adapters, Wrong);
+  readSection(Root, "drained_domains", Draft.DrainedDomains, Wrong);
   readSection(Root, "pools", Draft.Pools, Wrong);
   readSection(Root, "pipelines", Draft.Pipelines, Wrong);
   if (const Json *Shares = Root.find("shares")) {
@@ -267,6 +275,7 @@
   Out->Organisations = sortedParts(Draft.Organisations);
   Out->Models = sortedParts(Draft.Models);
   Out->Adapters = sortedParts(Draft.Adapters);
+  Out->DrainedDomains = sortedParts(Draft.DrainedDomains);
   Out->Pools = sortedParts(Draft.Pools);
   Out->Pipelines = sortedParts(Draft.Pipelines);
   Out->Shares = Draft.Shares;
@@ -281,6 +290,8 @@
          fieldsMarkdown<OrganisationSpec>(OrganisationTable) +
          "\n## models\n\n" + fieldsMarkdown<ModelSpec>(ModelTable) +
          "\n## adapters\n\n" + fieldsMarkdown<AdapterSpec>(AdapterTable) +
+         "\n## drained_domains\n\n" +
+         fieldsMarkdown<DrainedDomainSpec>(DrainedDomainTable) +
          "\n## pools\n\n" + fieldsMarkdown<PoolSpec>(PoolTable) +
          "\n## pipelines\n\nBesides these fields, `stages` is a list of 1 to " +
          std::to_string(MaxStages) + " stages.\n\n" +
--- a/src/bundle_base.h
+++ b/src/bundle_base.h
@@ -56,13 +56,14 @@
 /// A parsed bundle; never changed once made, shared by the requests that began
 /// under it.
 struct Bundle {
-  std::uint64_t Version = 0;                   ///< From the seal.
-  std::vector<OrganisationSpec> Organisations; ///< Sorted by name.
-  std::vector<ModelSpec> Models;               ///< Sorted by name.
-  std::vector<AdapterSpec> Adapters;           ///< Sorted by name.
-  std::vector<PoolSpec> Pools;                 ///< Sorted by name.
-  std::vector<PipelineSpec> Pipelines;         ///< Sorted by name.
-  ShareSpec Shares;                            ///< How capacity is shared.
+  std::uint64_t Version = 0;                     ///< From the seal.
+  std::vector<OrganisationSpec> Organisations;   ///< Sorted by name.
+  std::vector<ModelSpec> Models;                 ///< Sorted by name.
+  std::vector<AdapterSpec> Adapters;             ///< Sorted by name.
+  std::vector<DrainedDomainSpec> DrainedDomains; ///< Sorted by name.
+  std::vector<PoolSpec> Pools;                   ///< Sorted by name.
+  std::vector<PipelineSpec> Pipelines;           ///< Sorted by name.
+  ShareSpec Shares;                              ///< How capacity is shared.
 
   /// \return The part called \p Name in a sorted \p List, or nullptr.
   template <typename Spec>
--- a/src/bundle_type.h
+++ b/src/bundle_type.h
@@ -55,6 +55,13 @@
   std::string Model; ///< The model it belongs to.
 };
 
+/// A failure domain whose upstreams get nothing new, for as long as it stands
+/// in the bundle. What they work on ends there.
+struct DrainedDomainSpec {
+  std::string Name;   ///< Of the failure domain, as the host list has it.
+  std::string Reason; ///< For other operators.
+};
+
 /// A pool of upstreams that are interchangeable.
 struct PoolSpec {
   std::string Name;                ///< Unique; hosts name it in the host list.
--- a/src/router_pool.cpp
+++ b/src/router_pool.cpp
@@ -47,11 +47,18 @@
   pumpTouched(State, Now, Out);
 }
 
+/// \return Whether the bundle says that a failure domain gets nothing new.
+static bool drained(const RouterState &State, const std::string &Domain) {
+  return State.InForce && Bundle::find(State.InForce->DrainedDomains, Domain);
+}
+
 void hostListChanged(RouterState &State, std::span<const UpstreamSpec> Listed,
                      TimePoint Now, RouterActions &Out) {
   std::map<std::string, std::vector<UpstreamSpec>> ByPool;
-  for (const UpstreamSpec &Spec : Listed)
-    ByPool[Spec.Pool].push_back(Spec);
+  for (const UpstreamSpec &Spec : Listed) {
+    UpstreamSpec &Used = ByPool[Spec.Pool].emplace_back(Spec);
+    Used.Leaving = Used.Leaving || drained(State, Spec.FailureDomain);
+  }
   for (auto &[Name, P] : State.Pools) {
     updateUpstreams(P, ByPool[Name], State.OwnDomain, State.LastUpstream);
     State.Touched.push_back(&P);
--- a/src/table/bundle_fields.h
+++ b/src/table/bundle_fields.h
@@ -76,6 +76,14 @@
      "Model that it belongs to."},
 };
 
+inline const Field<DrainedDomainSpec> DrainedDomainTable[] = {
+    {"name", &DrainedDomainSpec::Name, "", 1, 64, FieldNeed::Required,
+     "Failure domain whose upstreams get nothing new; what they work on ends "
+     "there. Named as in the host list."},
+    {"reason", &DrainedDomainSpec::Reason, "", 0, 256, FieldNeed::Optional,
+     "Why, for other operators."},
+};
+
 inline const Field<PoolSpec> PoolTable[] = {
     {"name", &PoolSpec::Name, "", 1, 64, FieldNeed::Required,
      "Unique name; the host list says which host belongs to which pool."},
--- a/tests/test_domain_drain.cpp
+++ b/tests/test_domain_drain.cpp
@@ -2,10 +2,12 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include "bundle_func.h"
 #include "domain_drain_func.h"
 #include "gateway_world.h"
 #include "node_services.h"
 #include "route_feed.h"
+#include "router_func.h"
 #include "tcp_proxy.h"
 
 using namespace fulmar;
@@ -182,6 +184,50 @@
   }
 }
 
+SCENARIO("a bundle drains a failure domain") {
+  // Symptom: a domain cannot be emptied without the host list's owner.
+  // Cause: a bundle had no word for it.
+  const std::string Parts = R"(
+      "organisations": [ { "name": "o", "pipelines": ["ask"] } ],
+      "pools": [ { "name": "enc", "kind": "stage" } ],
+      "pipelines": [ { "name": "ask", "hedge": false,
+        "stages": [ { "name": "e", "pool": "enc" } ] } ])";
+  RouterState S;
+  RouterActions Out;
+  TimePoint Now{seconds(1)};
+  auto PutInForce = [&](std::uint64_t Version, const std::string &More) {
+    Diagnostics Wrong;
+    BundleItems Items = parseBundleSource("{" + Parts + More + "}", Wrong);
+    REQUIRE(Wrong.empty());
+    bundleInForce(S, buildBundle(Items, Version), Now, Out);
+    hostListChanged(S,
+                    std::vector<UpstreamSpec>{{"a:1", "enc", "fd1", false, {}},
+                                              {"a:2", "enc", "fd2", false, {}}},
+                    Now, Out);
+  };
+  auto SentTo = [&](const std::string &Address) {
+    return std::count_if(Out.begin(), Out.end(), [&](const RouterAction &A) {
+      const auto *D = std::get_if<DispatchAction>(&A);
+      return D && D->Address == Address;
+    });
+  };
+  PutInForce(
+      1, R"(, "drained_domains": [ { "name": "fd1", "reason": "power" } ])");
+  for (int I = 0; I < 8; ++I) {
+    RequestInput Input;
+    Input.Id = "id" + std::to_string(I);
+    Input.HasKey = true;
+    Input.Organisation = "o";
+    Input.Pipeline = "ask";
+    submitRequest(S, Input, Now, Out);
+  }
+  CHECK(SentTo("a:1") == 0);
+  CHECK(SentTo("a:2") > 0);
+  // What waits goes there as soon as it is taken back.
+  PutInForce(2, "");
+  CHECK(SentTo("a:1") > 0);
+}
+
 TEST_CASE("nodes that hear changes in any order and number end with the latest "
           "(property)") {
   CHECK(rc::check("drained domains", [] {
