--- a/src/verdict.cpp
+++ b/src/attempt_decision.cpp
@@ -1,13 +1,13 @@
-/// \file verdict.cpp Decides what follows one attempt.
-#include "verdict_func.h"
+/// \file attempt_decision.cpp Decides what follows one attempt.
+#include "attempt_decision_func.h"
 
 #include "core/enum_names.h"
 
 namespace fulmar {
 
-static constexpr EnumNames<Verdict> Names = {"pass_on",        "retry",
-                                             "refuse_not_run", "fail_unknown",
-                                             "fail_late",      "break_off"};
+static constexpr EnumNames<AttemptDecision> Names = {
+    "pass_on",      "retry",     "refuse_not_run",
+    "fail_unknown", "fail_late", "break_off"};
 
 static constexpr EnumNames<AttemptEffect> EffectNames = {
     "not_sent", "said_not_run", "may_have_run", "ran"};
@@ -16,7 +16,9 @@
   return nameIn(EffectNames, Effect);
 }
 
-std::string_view verdictName(Verdict V) { return nameIn(Names, V); }
+std::string_view attemptDecisionName(AttemptDecision V) {
+  return nameIn(Names, V);
+}
 
 /// \return Whether the client may be told that nothing has run. One attempt
 /// that may have run is enough to make that a guess.
@@ -44,20 +46,20 @@
   return false;
 }
 
-Verdict verdictAfter(const AttemptFacts &F) {
+AttemptDecision attemptDecisionAfter(const AttemptFacts &F) {
   if (F.Outcome == AttemptOutcome::Success)
-    return Verdict::PassOn;
+    return AttemptDecision::PassOn;
   if (mayRetry(F))
-    return Verdict::Retry;
+    return AttemptDecision::Retry;
   if (F.Delivered)
-    return Verdict::BreakOff;
+    return AttemptDecision::BreakOff;
   if (provablyNotRun(F))
-    return Verdict::RefuseNotRun;
+    return AttemptDecision::RefuseNotRun;
   // The upstream's own failure says more than ours could. One that claims not
   // to have run is not passed on after an attempt that may have.
   if (F.Outcome == AttemptOutcome::Failure && F.Effect == AttemptEffect::Ran)
-    return Verdict::PassOn;
-  return F.Expired ? Verdict::FailLate : Verdict::FailUnknown;
+    return AttemptDecision::PassOn;
+  return F.Expired ? AttemptDecision::FailLate : AttemptDecision::FailUnknown;
 }
 
 } // namespace fulmar
--- a/src/verdict_func.h
+++ b/src/attempt_decision_func.h
@@ -1,10 +1,10 @@
-/// \file verdict_func.h Decides what follows one attempt.
-#ifndef FULMARSTEP_VERDICT_FUNC_H
-#define FULMARSTEP_VERDICT_FUNC_H
+/// \file attempt_decision_func.h Decides what follows one attempt.
+#ifndef FULMARSTEP_ATTEMPT_DECISION_FUNC_H
+#define FULMARSTEP_ATTEMPT_DECISION_FUNC_H
 
 #include <string_view>
 
-#include "verdict_type.h"
+#include "attempt_decision_type.h"
 
 namespace fulmar {
 
@@ -14,13 +14,13 @@
 inline constexpr int MaxRefusedSends = 2;
 
 /// Decides what follows an attempt that has ended.
-Verdict verdictAfter(const AttemptFacts &Facts);
+AttemptDecision attemptDecisionAfter(const AttemptFacts &Facts);
 
 /// \return The written name of \p Effect, for logs.
 std::string_view attemptEffectName(AttemptEffect Effect);
 
 /// \return The written name of \p V, for logs.
-std::string_view verdictName(Verdict V);
+std::string_view attemptDecisionName(AttemptDecision V);
 
 } // namespace fulmar
 
--- a/src/verdict_type.h
+++ b/src/attempt_decision_type.h
@@ -1,6 +1,6 @@
-/// \file verdict_type.h What may be said and done after one attempt.
-#ifndef FULMARSTEP_VERDICT_TYPE_H
-#define FULMARSTEP_VERDICT_TYPE_H
+/// \file attempt_decision_type.h What may be said and done after one attempt.
+#ifndef FULMARSTEP_ATTEMPT_DECISION_TYPE_H
+#define FULMARSTEP_ATTEMPT_DECISION_TYPE_H
 
 #include "core/time_type.h"
 
@@ -43,15 +43,15 @@
 };
 
 /// What to do next.
-enum class Verdict {
+enum class AttemptDecision {
   PassOn,       ///< Give the client the upstream's answer.
   Retry,        ///< Try another upstream.
   RefuseNotRun, ///< Tell the client that it has not run: 503.
   FailUnknown,  ///< Tell the client that it failed: 502.
   FailLate,     ///< Tell the client that its time is over: 504.
   BreakOff,     ///< Close: part of an answer is out and cannot be completed.
-  Count,        ///< Number of verdicts.
-  Invalid,      ///< Not a verdict.
+  Count,        ///< Number of decisions.
+  Invalid,      ///< Not a decision.
 };
 
 } // namespace fulmar
--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -34,7 +34,7 @@
 /// another upstream too. Ordinary calls vary by a few per cent.
 static constexpr double HedgeFactor = 1.8;
 /// Space for results counts as scarce in a pool above this part of it.
-static constexpr double TightShare = 0.55;
+static constexpr double ScarceShare = 0.55;
 
 static constexpr EnumNames<BatchEnd> EndNames = {
     "done",        "hopeless", "full",       "no_upstream",
@@ -43,30 +43,31 @@
 std::string_view batchEndName(BatchEnd End) { return nameIn(EndNames, End); }
 
 /// \return Whether some upstream is short of space for results.
-static bool isTight(const BatchPool &P) {
+static bool isSpaceScarce(const BatchPool &P) {
   for (const auto &[Start, U] : P.Upstreams) {
-    if (U.RoomUsed > P.Spec.RoomBytes * TightShare)
+    if (U.RoomUsed > P.Spec.RoomBytes * ScarceShare)
       return true;
   }
   return false;
 }
 
 /// Gives the final answer to an ask, and forgets it.
-static void answer(BatchPool &P, std::map<BatchAskId, BatchJob>::iterator It,
+static void answer(BatchPool &P,
+                   std::map<BatchRequestId, BatchJob>::iterator It,
                    BatchEnd End, Duration RetryIn, BatchActions &Out) {
   BatchJob &Job = It->second;
   BatchResult Result;
   Result.End = End;
   Result.Ran = Job.Ran;
   Result.RetryIn = RetryIn;
-  Result.Tight = isTight(P);
+  Result.SpaceScarce = isSpaceScarce(P);
   for (const BatchPiece &Piece : Job.Pieces) {
     if (End == BatchEnd::Done)
       Result.Handles.push_back(Piece.Handle);
     else if (!Piece.Handle.empty())
       Out.push_back(FreeBatchAction{Piece.Handle});
   }
-  BatchAskId Id = It->first;
+  BatchRequestId Id = It->first;
   P.Jobs.erase(It);
   Out.push_back(AnswerBatchAction{Id, std::move(Result)});
 }
@@ -84,10 +85,10 @@
 }
 
 /// Refuses an ask at once.
-static BatchAskId refuse(BatchPool &P, BatchEnd End, Duration RetryIn,
-                         BatchActions &Out) {
+static BatchRequestId refuse(BatchPool &P, BatchEnd End, Duration RetryIn,
+                             BatchActions &Out) {
   ++P.Counts.Refused;
-  BatchAskId Id{++P.LastAsk};
+  BatchRequestId Id{++P.LastRequest};
   BatchResult Result;
   Result.End = End;
   Result.RetryIn = RetryIn;
@@ -96,17 +97,18 @@
 }
 
 /// Makes the job of an ask.
-static BatchJob &addJob(BatchPool &P, const BatchAsk &Ask, TimePoint Now) {
-  BatchAskId Id{++P.LastAsk};
+static BatchJob &addJob(BatchPool &P, const BatchRequest &Request,
+                        TimePoint Now) {
+  BatchRequestId Id{++P.LastRequest};
   BatchJob &Job = P.Jobs[Id];
   Job.Id = Id;
-  Job.Ask = Ask;
+  Job.Request = Request;
   Job.Asked = Now;
-  Job.Due = Now + Ask.Due;
-  Job.Dead = Now + Ask.Dead;
-  Job.Pieces.resize(static_cast<std::size_t>(Ask.Pieces));
-  Job.Left = Job.Waiting = Ask.Pieces;
-  P.Shares.ByPriority[Ask.Priority].Asked += Ask.Pieces;
+  Job.Due = Now + Request.Due;
+  Job.Deadline = Now + Request.Deadline;
+  Job.Pieces.resize(static_cast<std::size_t>(Request.Pieces));
+  Job.Left = Job.Waiting = Request.Pieces;
+  P.Shares.ByPriority[Request.Priority].Asked += Request.Pieces;
   // Upstreams see pieces; who counts what counts a request once.
   retryWindowRequest(P.Repeats, Now);
   return Job;
@@ -119,27 +121,28 @@
                   LeastComeBack);
 }
 
-BatchAskId batchAsk(BatchPool &P, const BatchAsk &Ask, TimePoint Now,
-                    BatchActions &Out) {
-  assert(Ask.Pieces > 0);
+BatchRequestId batchSubmit(BatchPool &P, const BatchRequest &Request,
+                           TimePoint Now, BatchActions &Out) {
+  assert(Request.Pieces > 0);
   ++P.Counts.Asks;
   if (P.Jobs.size() >= MaxJobs)
     return refuse(P, BatchEnd::Full, P.Spec.CallTime, Out);
-  auto Forecast = batchForecast(P, Ask.Pieces, Ask.Priority, Now);
+  auto Forecast = batchForecast(P, Request.Pieces, Request.Priority, Now);
   if (!Forecast)
     return refuse(P, BatchEnd::NoUpstream, AvoidTime, Out);
   // What cannot be on time waits behind all that can. Let in for the first of
   // the two times, a request would wait while others pass it, and be refused in
   // the end.
-  bool OnTime = Forecast->OnTime <= Ask.Due;
-  if ((OnTime ? Forecast->OnTime : Forecast->Late) > Ask.Dead)
-    return refuse(P, BatchEnd::Hopeless, comeBackTime(*Forecast, Ask.Due), Out);
-  BatchAskId Id = addJob(P, Ask, Now).Id;
+  bool OnTime = Forecast->OnTime <= Request.Due;
+  if ((OnTime ? Forecast->OnTime : Forecast->Late) > Request.Deadline)
+    return refuse(P, BatchEnd::Hopeless, comeBackTime(*Forecast, Request.Due),
+                  Out);
+  BatchRequestId Id = addJob(P, Request, Now).Id;
   batchPump(P, Now, Out);
   return Id;
 }
 
-void batchCancel(BatchPool &P, BatchAskId Id, TimePoint Now,
+void batchCancel(BatchPool &P, BatchRequestId Id, TimePoint Now,
                  BatchActions &Out) {
   auto Found = P.Jobs.find(Id);
   if (Found == P.Jobs.end())
@@ -162,7 +165,7 @@
   const BatchItem &Item = Call.Items[Index];
   P.Kept[Result.Handle] = {Call.Upstream, Call.Bytes[Index],
                            Now + P.Spec.ResultLife};
-  auto Found = P.Jobs.find(Item.Ask);
+  auto Found = P.Jobs.find(Item.Request);
   if (Found == P.Jobs.end() ||
       !Found->second.Pieces[static_cast<std::size_t>(Item.Piece)]
            .Handle.empty()) {
@@ -196,7 +199,7 @@
 static void pieceFailed(BatchPool &P, const BatchItem &Item,
                         const PieceFailure &Failure, TimePoint Now,
                         BatchActions &Out) {
-  auto Found = P.Jobs.find(Item.Ask);
+  auto Found = P.Jobs.find(Item.Request);
   if (Found == P.Jobs.end())
     return;
   BatchJob &Job = Found->second;
@@ -314,7 +317,7 @@
   int Missed = 0;
   for (std::size_t I = 0; I < Call.Items.size(); ++I) {
     const BatchItem &Item = Call.Items[I];
-    auto Job = P.Jobs.find(Item.Ask);
+    auto Job = P.Jobs.find(Item.Request);
     bool Early = Job != P.Jobs.end() && Job->second.InputsRead;
     if (Job != P.Jobs.end())
       --Job->second.Pieces[static_cast<std::size_t>(Item.Piece)].Running;
@@ -354,12 +357,12 @@
 void batchRemake(BatchPool &P, std::span<const std::string> Lost, TimePoint Now,
                  BatchActions &Out) {
   std::set<std::string> Handles(Lost.begin(), Lost.end());
-  std::vector<BatchAskId> Failed;
+  std::vector<BatchRequestId> Failed;
   for (auto &[Id, Job] : P.Jobs) {
     if (!remakePieces(P, Job, Handles, Now))
       Failed.push_back(Id);
   }
-  for (BatchAskId Id : Failed)
+  for (BatchRequestId Id : Failed)
     answer(P, P.Jobs.find(Id), BatchEnd::Failed, P.Spec.CallTime, Out);
   batchPump(P, Now, Out);
 }
@@ -391,17 +394,17 @@
 /// Gives up what is of no use any more, and what waits so far back that it
 /// will be of none when its turn comes: its client can come back meanwhile, and
 /// the work that its later stages would take goes to others.
-static void dropDead(BatchPool &P, TimePoint Now, BatchActions &Out) {
+static void dropExpired(BatchPool &P, TimePoint Now, BatchActions &Out) {
   PoolPace Pace = batchPace(P, Now);
   double Ahead = 0;
   double AheadLate = 0;
-  std::vector<BatchAskId> Hopeless;
+  std::vector<BatchRequestId> Hopeless;
   for (const BatchJob *Job : batchWaiting(P, Now)) {
     bool IsLate = batchOrder(P, *Job, Now).Rank == WaitRank::Late;
     Ahead += Job->Waiting;
     AheadLate += IsLate ? Job->Waiting : 0;
-    Duration Late =
-        batchWait(Pace, Ahead, AheadLate) + P.Spec.CallTime - (Job->Dead - Now);
+    Duration Late = batchWait(Pace, Ahead, AheadLate) + P.Spec.CallTime -
+                    (Job->Deadline - Now);
     if (Late <= Duration::zero())
       continue;
     Ahead -= Job->Waiting;
@@ -409,12 +412,12 @@
     Hopeless.push_back(Job->Id);
   }
   for (const auto &[Id, Job] : P.Jobs) {
-    if (Job.Waiting == 0 && Job.Dead < Now)
+    if (Job.Waiting == 0 && Job.Deadline < Now)
       Hopeless.push_back(Id);
   }
   // When what stays has been done.
   Duration RetryIn = std::max(batchWait(Pace, Ahead, AheadLate), LeastComeBack);
-  for (BatchAskId Id : Hopeless) {
+  for (BatchRequestId Id : Hopeless) {
     ++P.Counts.Dropped;
     answer(P, P.Jobs.find(Id), BatchEnd::Hopeless, RetryIn, Out);
   }
@@ -436,7 +439,7 @@
           std::max(Slow->second.Slowness, toMs(Now - Call.Sent) / toMs(Usual));
     bool Any = false;
     for (const BatchItem &Item : Call.Items) {
-      auto Job = P.Jobs.find(Item.Ask);
+      auto Job = P.Jobs.find(Item.Request);
       if (Job == P.Jobs.end() || Job->second.InputsRead ||
           !retryWindowAllows(P.Repeats, P.Allowance, Now))
         continue;
@@ -461,8 +464,8 @@
 /// given back then are gone at the calls' turn, and must be made again.
 static void tellRead(BatchPool &P, TimePoint Now, BatchActions &Out) {
   for (auto &[Id, Job] : P.Jobs) {
-    if (!Job.Ask.TellRead || Job.InputsRead || !Job.AtOnce || Job.Waiting > 0 ||
-        Now - Job.StartedAt < P.InputsRead.Wait)
+    if (!Job.Request.TellRead || Job.InputsRead || !Job.AtOnce ||
+        Job.Waiting > 0 || Now - Job.StartedAt < P.InputsRead.Wait)
       continue;
     Job.InputsRead = true;
     Out.push_back(InputsReadAction{Id});
@@ -482,7 +485,7 @@
       U.Slowness += (1 - U.Slowness) * SlownessForgotten;
   }
   sharesAge(P.Shares, Now);
-  dropDead(P, Now, Out);
+  dropExpired(P, Now, Out);
   hedge(P, Now);
   tellRead(P, Now, Out);
   batchPump(P, Now, Out);
--- a/src/batch_backend.h
+++ b/src/batch_backend.h
@@ -16,12 +16,12 @@
 
   /// Asks. \p Done is called once, not before this returns.
   /// \param Read is called if the inputs are read before that.
-  virtual BatchTicket ask(const std::string &Pool, const BatchAsk &Ask,
+  virtual BatchTicket ask(const std::string &Pool, const BatchRequest &Request,
                           DoneFn Done, ReadFn Read) = 0;
   /// Estimates what pieces that are asked for now would take.
   /// \return Nothing when it is not known.
-  virtual std::optional<BatchForecast> forecast(const std::string &Pool,
-                                                const BatchAsk &Ask) const = 0;
+  virtual std::optional<BatchForecast>
+  forecast(const std::string &Pool, const BatchRequest &Request) const = 0;
   /// Nobody waits any more; \p Done is not called.
   virtual void cancel(BatchTicket Ticket) = 0;
   /// Results of \p Pool are not needed any more.
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -51,11 +51,11 @@
 
 /// An ask in progress.
 struct BatchJob {
-  BatchAskId Id;                  ///< Its name here.
-  BatchAsk Ask;                   ///< What is asked.
+  BatchRequestId Id;              ///< Its name here.
+  BatchRequest Request;           ///< What is asked.
   TimePoint Asked{};              ///< When.
   TimePoint Due{};                ///< Done by then, it can be on time.
-  TimePoint Dead{};               ///< Done later, it is of no use.
+  TimePoint Deadline{};           ///< Done later, it is of no use.
   std::vector<BatchPiece> Pieces; ///< In order.
   int Left = 0;                   ///< Pieces without a result.
   int Waiting = 0;                ///< Pieces that wait.
@@ -102,7 +102,7 @@
   RetryAllowance Allowance; ///< Of repeated pieces.
   RetryWindow Repeats;      ///< Of pieces.
   std::map<Incarnation, BatchUpstream> Upstreams;   ///< By start.
-  std::map<BatchAskId, BatchJob> Jobs;              ///< In progress, by age.
+  std::map<BatchRequestId, BatchJob> Jobs;          ///< In progress, by age.
   std::map<BatchCallId, BatchCall> Calls;           ///< In progress.
   std::unordered_map<std::string, KeptResult> Kept; ///< By handle.
   ReadWait InputsRead;                              ///< Of calls' pieces.
@@ -111,9 +111,9 @@
                         ///< was sent so far.
   TimePoint LastSent{}; ///< Of the latest call.
   TimePoint PumpAt{};   ///< Pieces are held back until then; zero: none are.
-  std::uint64_t LastAsk = 0;  ///< Counts asks.
-  std::uint64_t LastCall = 0; ///< Counts calls.
-  BatchCounts Counts;         ///< For operators.
+  std::uint64_t LastRequest = 0; ///< Counts asks.
+  std::uint64_t LastCall = 0;    ///< Counts calls.
+  BatchCounts Counts;            ///< For operators.
 };
 
 /// Send a call.
@@ -128,13 +128,13 @@
 
 /// Tell who asked.
 struct AnswerBatchAction {
-  BatchAskId Ask;     ///< Which ask.
-  BatchResult Result; ///< What it came to.
+  BatchRequestId Request; ///< Which ask.
+  BatchResult Result;     ///< What it came to.
 };
 
 /// Tell who asked that the inputs are not needed any more.
 struct InputsReadAction {
-  BatchAskId Ask; ///< Which ask.
+  BatchRequestId Request; ///< Which ask.
 };
 
 /// Let an upstream drop results.
--- a/src/batch_func.h
+++ b/src/batch_func.h
@@ -12,11 +12,12 @@
 /// Takes in the pieces of one stage of one request.
 /// \return Its name here. It may have been refused: then the answer is among
 /// \p Out.
-BatchAskId batchAsk(BatchPool &P, const BatchAsk &Ask, TimePoint Now,
-                    BatchActions &Out);
+BatchRequestId batchSubmit(BatchPool &P, const BatchRequest &Request,
+                           TimePoint Now, BatchActions &Out);
 
 /// Nobody wants the results any more.
-void batchCancel(BatchPool &P, BatchAskId Id, TimePoint Now, BatchActions &Out);
+void batchCancel(BatchPool &P, BatchRequestId Id, TimePoint Now,
+                 BatchActions &Out);
 
 /// A call has ended.
 void batchCallEnded(BatchPool &P, BatchCallId Id, const BatchCallResult &Result,
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -55,13 +55,13 @@
 /// requests that cannot go on: calls shrink to a third while hundreds of pieces
 /// wait.
 static WaitRank rankOf(const BatchPool &P, const BatchJob &Job, TimePoint Now) {
-  if (Job.Left < Job.Ask.Pieces || Job.Waiting < Job.Left)
+  if (Job.Left < Job.Request.Pieces || Job.Waiting < Job.Left)
     return WaitRank::Begun;
-  return freshRank(P, Job.Ask.Priority, Job.Due, Now);
+  return freshRank(P, Job.Request.Priority, Job.Due, Now);
 }
 
 WaitOrder batchOrder(const BatchPool &P, const BatchJob &Job, TimePoint Now) {
-  return {rankOf(P, Job, Now), Job.Ask.Priority, Job.Due};
+  return {rankOf(P, Job, Now), Job.Request.Priority, Job.Due};
 }
 
 /// What is late gets at least this part of a pool, for estimates: bursts end,
--- a/src/batch_place.cpp
+++ b/src/batch_place.cpp
@@ -56,7 +56,7 @@
     Upstreams += Domain.Upstreams;
   std::vector<PlacedJob> Out;
   for (BatchJob *Job : batchWaiting(P, Now)) {
-    auto Own = Domains.find(Job->Ask.Domain);
+    auto Own = Domains.find(Job->Request.Domain);
     if (Own != Domains.end()) {
       Out.push_back({Job, doneIn(P, Own->second, Job->Waiting)});
       Own->second.PiecesAhead += Job->Waiting;
@@ -72,14 +72,14 @@
 bool batchMayGoTo(const BatchPool &P, const PlacedJob &Placed,
                   const BatchUpstream &U, TimePoint Now) {
   const BatchJob &Job = *Placed.Job;
-  if (!Placed.DoneInDomain || Job.Ask.Domain == U.Entry.FailureDomain)
+  if (!Placed.DoneInDomain || Job.Request.Domain == U.Entry.FailureDomain)
     return true;
   Duration Full = batchCallTime(P.Spec, P.Spec.MaxPieces);
   if (*Placed.DoneInDomain + fromMs(toMs(Full) * WaitMarginCalls) <= Job.Due)
     return false;
   int Size = std::min(P.Spec.MaxPieces, Job.Waiting);
   TimePoint Here = Now + batchExpectedAt(P, U, Size);
-  return Here <= Job.Due || *Placed.DoneInDomain > Job.Dead ||
+  return Here <= Job.Due || *Placed.DoneInDomain > Job.Deadline ||
          *Placed.DoneInDomain - Here > fromMs(toMs(Full) * LateGainCalls);
 }
 
--- a/src/batch_relay.cpp
+++ b/src/batch_relay.cpp
@@ -42,8 +42,8 @@
   Pools = &Services.find<BatchService>(service::Batches);
   Members = &Services.find<MemberService>(service::Members);
   Peers = &Services.find<PeerService>(service::Peers);
-  Peers->on<BatchAskMessage>(
-      [this](const PeerMessage &From, const BatchAskMessage &Message) {
+  Peers->on<BatchRequestMessage>(
+      [this](const PeerMessage &From, const BatchRequestMessage &Message) {
         serve(From.Sender, Message);
       });
   Peers->on<BatchAnswerMessage>(
@@ -58,13 +58,14 @@
   Timers->every(TickPeriod, [this] { tick(); });
 }
 
-BatchTicket BatchRelay::ask(const std::string &Pool, const BatchAsk &Ask,
-                            DoneFn Done, ReadFn Read) {
+BatchTicket BatchRelay::ask(const std::string &Pool,
+                            const BatchRequest &Request, DoneFn Done,
+                            ReadFn Read) {
   BatchTicket Ticket{++LastTicket};
-  OwnAsk &Mine = Own[Ticket];
+  OwnRequest &Mine = Own[Ticket];
   Mine.Service = Pool;
-  Mine.Pool = partFor(Pool, Ask.RequestId);
-  Mine.Ask = Ask;
+  Mine.Pool = partFor(Pool, Request.RequestId);
+  Mine.Request = Request;
   Mine.Asked = Timers->now();
   Mine.Done = std::move(Done);
   Mine.Read = std::move(Read);
@@ -78,7 +79,7 @@
 /// sends calls of one piece, which take nearly as long as full ones, and other
 /// nodes' calls find the upstreams full.
 void BatchRelay::place(BatchTicket Ticket) {
-  OwnAsk &Mine = Own.at(Ticket);
+  OwnRequest &Mine = Own.at(Ticket);
   Mine.Held = !Members->settled() && Timers->now() - Mine.Asked < MostHold;
   if (Mine.Held)
     return;
@@ -96,13 +97,13 @@
   }
   ++Counts.Local;
   Mine.Coordinator.clear();
-  BatchAsk Ask = Mine.Ask;
-  Ask.Due -= Timers->now() - Mine.Asked;
-  Ask.Dead -= Timers->now() - Mine.Asked;
-  if (auto Forecast = Pools->forecast(Mine.Pool, Ask))
-    learn(Mine.Service, Ask.Priority, *Forecast);
+  BatchRequest Request = Mine.Request;
+  Request.Due -= Timers->now() - Mine.Asked;
+  Request.Deadline -= Timers->now() - Mine.Asked;
+  if (auto Forecast = Pools->forecast(Mine.Pool, Request))
+    learn(Mine.Service, Request.Priority, *Forecast);
   Mine.Local = Pools->ask(
-      Mine.Pool, Ask,
+      Mine.Pool, Request,
       [this, Ticket](const BatchResult &Result) { ended(Ticket, Result); },
       [this, Ticket] { inputsRead(Ticket); });
 }
@@ -122,10 +123,10 @@
   return Found->second.Forecast;
 }
 
-void BatchRelay::send(BatchTicket Ticket, OwnAsk &Mine) {
-  BatchAskMessage Message{Ticket.Value, Mine.Pool, Mine.Ask};
-  Message.Ask.Due -= Timers->now() - Mine.Asked;
-  Message.Ask.Dead -= Timers->now() - Mine.Asked;
+void BatchRelay::send(BatchTicket Ticket, OwnRequest &Mine) {
+  BatchRequestMessage Message{Ticket.Value, Mine.Pool, Mine.Request};
+  Message.Request.Due -= Timers->now() - Mine.Asked;
+  Message.Request.Deadline -= Timers->now() - Mine.Asked;
   ++Mine.Unanswered;
   Mine.NextSend = Timers->now() + ResendAfter * Mine.Unanswered;
   Peers->sendTo(Mine.Coordinator, std::move(Message));
@@ -153,7 +154,7 @@
   auto Found = Own.find(Ticket);
   if (Found == Own.end())
     return;
-  OwnAsk Gone = std::move(Found->second);
+  OwnRequest Gone = std::move(Found->second);
   Own.erase(Found);
   if (Gone.Coordinator.empty())
     return Pools->cancel(Gone.Local);
@@ -219,12 +220,13 @@
   Found->second.Unanswered = 0;
   if (Message.InputsRead)
     return inputsRead(Ticket);
-  learn(Found->second.Service, Found->second.Ask.Priority, Message.Forecast);
+  learn(Found->second.Service, Found->second.Request.Priority,
+        Message.Forecast);
   Found->second.NextSend = Timers->now() + AskAgainAfter;
 }
 
 void BatchRelay::serve(const std::string &Node,
-                       const BatchAskMessage &Message) {
+                       const BatchRequestMessage &Message) {
   ServedKey Key{Node, Message.Ticket};
   auto [Found, Fresh] = Served.try_emplace(Key);
   if (!Fresh && Found->second.Local.Value == 0)
@@ -233,14 +235,14 @@
   Known.Ticket = Message.Ticket;
   Known.Pending = true;
   Known.Forecast =
-      Pools->forecast(Message.Pool, Message.Ask).value_or(BatchForecast());
+      Pools->forecast(Message.Pool, Message.Request).value_or(BatchForecast());
   Peers->sendTo(Node, Known);
   if (!Fresh)
     return;
   ++Counts.Served;
   Found->second.Pool = Message.Pool;
   Found->second.Local = Pools->ask(
-      Message.Pool, Message.Ask,
+      Message.Pool, Message.Request,
       [this, Key](const BatchResult &Result) {
         auto Ended = Served.find(Key);
         if (Ended == Served.end())
@@ -260,7 +262,7 @@
       });
 }
 
-void BatchRelay::sendResult(const ServedKey &Key, ServedAsk &Ended) {
+void BatchRelay::sendResult(const ServedKey &Key, ServedRequest &Ended) {
   ++Ended.Sends;
   Ended.NextSend = Timers->now() + ResendAfter;
   Peers->sendTo(Key.first,
@@ -292,7 +294,7 @@
       Due.push_back(Ticket);
   }
   for (BatchTicket Ticket : Due) {
-    OwnAsk &Mine = Own.at(Ticket);
+    OwnRequest &Mine = Own.at(Ticket);
     if (Mine.Held) {
       place(Ticket);
       continue;
@@ -304,14 +306,14 @@
     logEvent(LogLevel::Warning, "coordinator_silent",
              {{"node", Mine.Coordinator},
               {"pool", Mine.Pool},
-              {"id", Mine.Ask.RequestId},
+              {"id", Mine.Request.RequestId},
               {"sends", Mine.Unanswered}});
     Silent[Mine.Coordinator] = Now + SilentTime;
     ++Counts.Moved;
     place(Ticket);
   }
   for (auto It = Served.begin(); It != Served.end();) {
-    ServedAsk &Ended = It->second;
+    ServedRequest &Ended = It->second;
     bool Over = Ended.Local.Value == 0 &&
                 (Ended.ForgetAt <= Now || Ended.Sends > MaxResultSends);
     if (!Over && Ended.Local.Value == 0 && Ended.NextSend <= Now)
--- a/src/batch_relay.h
+++ b/src/batch_relay.h
@@ -30,8 +30,8 @@
 
   /// Asks for pieces. \p Done is called once, not before this returns.
   /// \param Read is called if the inputs are read before that.
-  BatchTicket ask(const std::string &Pool, const BatchAsk &Ask, DoneFn Done,
-                  ReadFn Read);
+  BatchTicket ask(const std::string &Pool, const BatchRequest &Request,
+                  DoneFn Done, ReadFn Read);
   /// Nobody waits for these pieces any more; \p Done is not called.
   void cancel(BatchTicket Ticket);
   /// Results that \p Service made for a request are not needed any more.
@@ -48,10 +48,10 @@
 
 private:
   /// An ask of this node.
-  struct OwnAsk {
+  struct OwnRequest {
     std::string Service;     ///< Which pool.
     std::string Pool;        ///< Which part of it.
-    BatchAsk Ask;            ///< What is asked.
+    BatchRequest Request;    ///< What is asked.
     TimePoint Asked{};       ///< When; its times count from then.
     DoneFn Done;             ///< Hears the result.
     ReadFn Read;             ///< Hears that the inputs were read.
@@ -62,7 +62,7 @@
     int Unanswered = 0;      ///< Sends in a row that nobody answered.
   };
   /// An ask of another node.
-  struct ServedAsk {
+  struct ServedRequest {
     std::string Pool;     ///< Which pool.
     BatchTicket Local;    ///< Name at this node's own pools; 0: ended.
     BatchResult Result;   ///< Once it has ended.
@@ -83,11 +83,11 @@
   void place(BatchTicket Ticket);
   void learn(const std::string &Pool, int Priority,
              const BatchForecast &Forecast);
-  void send(BatchTicket Ticket, OwnAsk &Own);
+  void send(BatchTicket Ticket, OwnRequest &Own);
   void ended(BatchTicket Ticket, const BatchResult &Result);
   void inputsRead(BatchTicket Ticket);
-  void serve(const std::string &Node, const BatchAskMessage &Message);
-  void sendResult(const ServedKey &Key, ServedAsk &Served);
+  void serve(const std::string &Node, const BatchRequestMessage &Message);
+  void sendResult(const ServedKey &Key, ServedRequest &Served);
   void answered(const std::string &Node, const BatchAnswerMessage &Message);
   void released(const std::string &Node, const BatchReleaseMessage &Message);
   void release(const std::string &Node, const std::string &Pool,
@@ -96,14 +96,14 @@
   void tick();
   void membersChanged();
 
-  Kernel &Services;                        ///< Finds the others.
-  TimerService *Timers = nullptr;          ///< Time.
-  BatchService *Pools = nullptr;           ///< This node's own pools.
-  MemberService *Members = nullptr;        ///< The other nodes.
-  PeerService *Peers = nullptr;            ///< Carries messages.
-  std::map<BatchTicket, OwnAsk> Own;       ///< In progress.
-  std::map<ServedKey, ServedAsk> Served;   ///< In progress or just ended.
-  std::map<std::string, TimePoint> Silent; ///< Nodes left out until then.
+  Kernel &Services;                          ///< Finds the others.
+  TimerService *Timers = nullptr;            ///< Time.
+  BatchService *Pools = nullptr;             ///< This node's own pools.
+  MemberService *Members = nullptr;          ///< The other nodes.
+  PeerService *Peers = nullptr;              ///< Carries messages.
+  std::map<BatchTicket, OwnRequest> Own;     ///< In progress.
+  std::map<ServedKey, ServedRequest> Served; ///< In progress or just ended.
+  std::map<std::string, TimePoint> Silent;   ///< Nodes left out until then.
   std::map<std::pair<std::string, std::string>, BatchReleaseMessage>
       Releases; ///< To be sent, by node and pool.
   std::map<std::pair<std::string, int>, PoolView> Views; ///< By priority too.
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -48,14 +48,14 @@
     if (Piece.State != PieceState::Waiting)
       continue;
     if (static_cast<int>(Call.Items.size()) >= Call.Most ||
-        Job.Ask.ResultBytes > Call.Room)
+        Job.Request.ResultBytes > Call.Room)
       return;
-    Call.Room -= Job.Ask.ResultBytes;
+    Call.Room -= Job.Request.ResultBytes;
     if (Piece.Tries++ > 0) {
       retryWindowRepeat(P.Repeats, Now);
       ++P.Counts.Repeats;
     } else if (OnTime) {
-      ++P.Shares.ByPriority[Job.Ask.Priority].Sent;
+      ++P.Shares.ByPriority[Job.Request.Priority].Sent;
     }
     Piece.State = PieceState::Running;
     ++Piece.Sends;
@@ -65,15 +65,15 @@
     Job.StartedAt = Now;
     Job.AtOnce = Job.AtOnce && Call.AtOnce;
     BatchItem Item;
-    Item.Ask = Job.Id;
-    Item.RequestId = Job.Ask.RequestId;
-    Item.Stage = Job.Ask.Stage;
+    Item.Request = Job.Id;
+    Item.RequestId = Job.Request.RequestId;
+    Item.Stage = Job.Request.Stage;
     Item.Piece = static_cast<int>(I);
-    Item.Key = Job.Ask.Key;
-    Item.Inputs = Job.Ask.Inputs;
-    Item.Left = Job.Dead - Now;
+    Item.Key = Job.Request.Key;
+    Item.Inputs = Job.Request.Inputs;
+    Item.Left = Job.Deadline - Now;
     Call.Items.push_back(std::move(Item));
-    Call.Bytes.push_back(Job.Ask.ResultBytes);
+    Call.Bytes.push_back(Job.Request.ResultBytes);
   }
 }
 
@@ -82,7 +82,8 @@
 static void fillCall(BatchPool &P, const std::vector<PlacedJob> &Order,
                      const BatchUpstream &U, CallDraft &Call, TimePoint Now) {
   for (const PlacedJob &Placed : Order) {
-    if (!Placed.DoneInDomain || Placed.Job->Ask.Domain == U.Entry.FailureDomain)
+    if (!Placed.DoneInDomain ||
+        Placed.Job->Request.Domain == U.Entry.FailureDomain)
       takePieces(P, *Placed.Job, Call, Now);
   }
   for (const PlacedJob &Placed : Order) {
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -96,8 +96,9 @@
   return Found == Sizes.end() ? 0 : Found->second;
 }
 
-BatchTicket BatchService::ask(const std::string &Pool, const BatchAsk &Ask,
-                              DoneFn Done, ReadFn Read) {
+BatchTicket BatchService::ask(const std::string &Pool,
+                              const BatchRequest &Request, DoneFn Done,
+                              ReadFn Read) {
   auto Found = Pools.find(Pool);
   if (Found == Pools.end()) {
     BatchTicket Ticket =
@@ -108,19 +109,21 @@
     return Ticket;
   }
   BatchActions Out;
-  BatchAskId Id = batchAsk(Found->second, Ask, Timers->now(), Out);
+  BatchRequestId Id = batchSubmit(Found->second, Request, Timers->now(), Out);
   BatchTicket Ticket =
       Tickets.add({Pool, Id}, std::move(Done), std::move(Read));
   perform(Found->second, Out);
   return Ticket;
 }
 
-std::optional<BatchForecast> BatchService::forecast(const std::string &Pool,
-                                                    const BatchAsk &Ask) const {
+std::optional<BatchForecast>
+BatchService::forecast(const std::string &Pool,
+                       const BatchRequest &Request) const {
   auto Found = Pools.find(Pool);
   if (Found == Pools.end())
     return std::nullopt;
-  return batchForecast(Found->second, Ask.Pieces, Ask.Priority, Timers->now());
+  return batchForecast(Found->second, Request.Pieces, Request.Priority,
+                       Timers->now());
 }
 
 void BatchService::cancel(BatchTicket Ticket) {
@@ -129,7 +132,7 @@
   if (Pool == Pools.end())
     return;
   BatchActions Out;
-  batchCancel(Pool->second, Gone->Ask, Timers->now(), Out);
+  batchCancel(Pool->second, Gone->Request, Timers->now(), Out);
   perform(Pool->second, Out);
 }
 
@@ -148,12 +151,12 @@
     if (const auto *Send = std::get_if<SendBatchAction>(&Action))
       send(P, *Send);
     else if (const auto *Answer = std::get_if<AnswerBatchAction>(&Action))
-      Tickets.answer({P.Name, Answer->Ask}, Answer->Result,
+      Tickets.answer({P.Name, Answer->Request}, Answer->Result,
                      [this, Pool = P.Name](const BatchResult &Unwanted) {
                        free(Pool, Unwanted.Handles);
                      });
     else if (const auto *Read = std::get_if<InputsReadAction>(&Action))
-      Tickets.inputsRead({P.Name, Read->Ask});
+      Tickets.inputsRead({P.Name, Read->Request});
     else
       queueFree(std::get<FreeBatchAction>(Action).Handle);
   }
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -21,10 +21,10 @@
 
   void start() override;
 
-  BatchTicket ask(const std::string &Pool, const BatchAsk &Ask, DoneFn Done,
-                  ReadFn Read) override;
-  std::optional<BatchForecast> forecast(const std::string &Pool,
-                                        const BatchAsk &Ask) const override;
+  BatchTicket ask(const std::string &Pool, const BatchRequest &Request,
+                  DoneFn Done, ReadFn Read) override;
+  std::optional<BatchForecast>
+  forecast(const std::string &Pool, const BatchRequest &Request) const override;
   void cancel(BatchTicket Ticket) override;
   void free(const std::string &Pool,
             const std::vector<std::string> &Handles) override;
--- a/src/batch_tickets.cpp
+++ b/src/batch_tickets.cpp
@@ -3,17 +3,17 @@
 
 namespace fulmar {
 
-BatchTicket BatchTickets::add(const BatchAskName &Name, DoneFn Done,
+BatchTicket BatchTickets::add(const BatchRequestName &Name, DoneFn Done,
                               ReadFn Read) {
   BatchTicket Ticket{++LastTicket};
   Waiters[Ticket] = {Name, std::move(Done), std::move(Read)};
-  if (Name.Ask.Value != 0)
+  if (Name.Request.Value != 0)
     ByName[Name] = Ticket;
   return Ticket;
 }
 
-void BatchTickets::answer(const BatchAskName &Name, const BatchResult &Result,
-                          DoneFn Unwanted) {
+void BatchTickets::answer(const BatchRequestName &Name,
+                          const BatchResult &Result, DoneFn Unwanted) {
   Loop->defer([this, Name, Result, Unwanted = std::move(Unwanted)] {
     auto Found = ByName.find(Name);
     if (Found == ByName.end())
@@ -37,7 +37,7 @@
   });
 }
 
-void BatchTickets::inputsRead(const BatchAskName &Name) const {
+void BatchTickets::inputsRead(const BatchRequestName &Name) const {
   auto Found = ByName.find(Name);
   if (Found == ByName.end())
     return;
@@ -46,11 +46,11 @@
     Read();
 }
 
-std::optional<BatchAskName> BatchTickets::remove(BatchTicket Ticket) {
+std::optional<BatchRequestName> BatchTickets::remove(BatchTicket Ticket) {
   auto Found = Waiters.find(Ticket);
   if (Found == Waiters.end())
     return std::nullopt;
-  BatchAskName Name = std::move(Found->second.Name);
+  BatchRequestName Name = std::move(Found->second.Name);
   Waiters.erase(Found);
   ByName.erase(Name);
   return Name;
--- a/src/batch_tickets.h
+++ b/src/batch_tickets.h
@@ -12,11 +12,11 @@
 namespace fulmar {
 
 /// An ask as its pool knows it.
-struct BatchAskName {
-  std::string Pool; ///< Which pool.
-  BatchAskId Ask;   ///< Its name there.
+struct BatchRequestName {
+  std::string Pool;       ///< Which pool.
+  BatchRequestId Request; ///< Its name there.
 
-  auto operator<=>(const BatchAskName &) const = default;
+  auto operator<=>(const BatchRequestName &) const = default;
 };
 
 /// Remembers who waits for the asks of some pools.
@@ -29,32 +29,32 @@
   void start(EventLoop &L) { Loop = &L; }
 
   /// \return The ticket of an ask; \p Done and \p Read may be empty.
-  BatchTicket add(const BatchAskName &Name, DoneFn Done, ReadFn Read);
+  BatchTicket add(const BatchRequestName &Name, DoneFn Done, ReadFn Read);
   /// Answers an ask from the loop: whoever asked may not know the ticket yet,
   /// and may ask again at once.
   /// \param Unwanted is called when nobody waits any more.
-  void answer(const BatchAskName &Name, const BatchResult &Result,
+  void answer(const BatchRequestName &Name, const BatchResult &Result,
               DoneFn Unwanted);
   /// Answers an ask that no pool knows.
   void answer(BatchTicket Ticket, const BatchResult &Result);
   /// Tells that an ask's inputs have been read.
-  void inputsRead(const BatchAskName &Name) const;
+  void inputsRead(const BatchRequestName &Name) const;
   /// Forgets who waits.
   /// \return The ask, or nothing when it was answered.
-  std::optional<BatchAskName> remove(BatchTicket Ticket);
+  std::optional<BatchRequestName> remove(BatchTicket Ticket);
 
 private:
   /// Who waits for an ask.
   struct Waiter {
-    BatchAskName Name; ///< Which ask.
-    DoneFn Done;       ///< Hears the result.
-    ReadFn Read;       ///< Hears that the inputs were read.
+    BatchRequestName Name; ///< Which ask.
+    DoneFn Done;           ///< Hears the result.
+    ReadFn Read;           ///< Hears that the inputs were read.
   };
 
-  EventLoop *Loop = nullptr;                  ///< Calls back.
-  std::map<BatchTicket, Waiter> Waiters;      ///< By ticket.
-  std::map<BatchAskName, BatchTicket> ByName; ///< Back.
-  std::uint64_t LastTicket = 0;               ///< Counts asks.
+  EventLoop *Loop = nullptr;                      ///< Calls back.
+  std::map<BatchTicket, Waiter> Waiters;          ///< By ticket.
+  std::map<BatchRequestName, BatchTicket> ByName; ///< Back.
+  std::uint64_t LastTicket = 0;                   ///< Counts asks.
 };
 
 } // namespace fulmar
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
+#include "attempt_decision_type.h"
 #include "core/strong_id.h"
 #include "core/time_type.h"
 #include "forward_type.h"
-#include "verdict_type.h"
 
 namespace fulmar {
 
@@ -18,15 +18,15 @@
 /// later a pool that is full is as full as before.
 inline constexpr Duration LeastComeBack = std::chrono::milliseconds(200);
 
-struct BatchAskTag {};
+struct BatchRequestTag {};
 struct BatchCallTag {};
 struct BatchTicketTag {};
-using BatchAskId = StrongId<BatchAskTag>;     ///< One stage of one request.
-using BatchCallId = StrongId<BatchCallTag>;   ///< One call to an upstream.
-using BatchTicket = StrongId<BatchTicketTag>; ///< Of who asked; 0: none.
+using BatchRequestId = StrongId<BatchRequestTag>; ///< One stage of one request.
+using BatchCallId = StrongId<BatchCallTag>;       ///< One call to an upstream.
+using BatchTicket = StrongId<BatchTicketTag>;     ///< Of who asked; 0: none.
 
 /// The pieces of one stage of one request.
-struct BatchAsk {
+struct BatchRequest {
   std::string RequestId;           ///< As the client named it.
   int Stage = 0;                   ///< Which stage of its route.
   int Pieces = 0;                  ///< How many; numbered from 0.
@@ -36,8 +36,8 @@
   double ResultBytes = 0;          ///< Size of one result, about.
   std::string Domain;              ///< Best made there; empty: anywhere.
   bool TellRead = false;           ///< Tell when the inputs have been read.
-  Duration Due{};  ///< From now: done by then, the request can be on time.
-  Duration Dead{}; ///< From now: done later, it is of no use.
+  Duration Due{};      ///< From now: done by then, the request can be on time.
+  Duration Deadline{}; ///< From now: done later, it is of no use.
 };
 
 /// How an ask ended.
@@ -58,7 +58,7 @@
   BatchEnd End = BatchEnd::Invalid; ///< How it ended.
   std::vector<std::string> Handles; ///< By piece, when Done.
   bool Ran = false;                 ///< Some piece ran or may have run.
-  bool Tight = false;               ///< Space for results is scarce.
+  bool SpaceScarce = false;         ///< Space for results is scarce.
   Duration RetryIn{}; ///< When there may be room, if it was refused.
 };
 
@@ -69,11 +69,11 @@
                      ///< and can be on time.
 };
 
-/// Ask another node for pieces.
-struct BatchAskMessage {
+/// Asks another node for pieces.
+struct BatchRequestMessage {
   std::uint64_t Ticket = 0; ///< The asking node's name for it.
   std::string Pool;         ///< Which pool.
-  BatchAsk Ask;             ///< What is asked.
+  BatchRequest Request;     ///< What is asked.
 };
 
 /// Answer to it: at once that it is known, later what it came to.
@@ -95,7 +95,7 @@
 
 /// One piece in a call.
 struct BatchItem {
-  BatchAskId Ask;                  ///< Whose piece.
+  BatchRequestId Request;          ///< Whose piece.
   std::string RequestId;           ///< Whose request.
   int Stage = 0;                   ///< Which stage.
   int Piece = 0;                   ///< Which piece.
--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -80,7 +80,7 @@
 ResultCode GatewayService::admit(ForwardRequest &R) {
   if (R.Exchange->TooLarge)
     return ResultCode::BodyTooLarge;
-  if (!R.Table || !Upstreams->book().Known)
+  if (!R.Table || !Upstreams->registry().Known)
     return ResultCode::NotReady;
   R.Route = findRoute(*R.Table, R.Ask.Host, R.Exchange->Path);
   if (!R.Route)
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <cassert>
 
+#include "attempt_decision_func.h"
 #include "core/hash.h"
 #include "gateway_service.h"
 #include "log_func.h"
@@ -9,7 +10,6 @@
 #include "retry_window.h"
 #include "route_func.h"
 #include "upstream_func.h"
-#include "verdict_func.h"
 
 namespace fulmar {
 
@@ -91,7 +91,7 @@
 /// \return Whether some of a request's results lie where space is scarce.
 static bool holdsScarceSpace(const ForwardRequest &R) {
   auto Scarce = [](const StageProgress &Stage) {
-    return Stage.Tight && !Stage.Handles.empty();
+    return Stage.SpaceScarce && !Stage.Handles.empty();
   };
   return std::any_of(R.Stages.begin(), R.Stages.end(), Scarce);
 }
@@ -314,15 +314,16 @@
   Facts.Elsewhere = R.Attempt && hasElsewhere(R);
   Facts.TimeLeft = R.Deadline - Timers->now() > LeastRetryTime;
   Facts.Expired = Expired;
-  Verdict Next = verdictAfter(Facts);
-  bool Quiet = Next == Verdict::PassOn && Outcome == AttemptOutcome::Success;
+  AttemptDecision Next = attemptDecisionAfter(Facts);
+  bool Quiet =
+      Next == AttemptDecision::PassOn && Outcome == AttemptOutcome::Success;
   if (!Quiet)
     logEvent(LogLevel::Info, "attempt_failed",
              {{"id", R.Ask.RequestId},
               {"upstream", R.LastUpstream},
               {"why", Expired ? "time over" : R.LastFailure},
               {"effect", attemptEffectName(Effect)},
-              {"verdict", verdictName(Next)},
+              {"decision", attemptDecisionName(Next)},
               {"sends", R.Sends},
               {"runs", R.Runs},
               {"budget", Facts.Budget ? 1 : 0},
@@ -332,25 +333,25 @@
   bool Streaming = R.Attempt && R.Attempt->Streaming;
   closeAttempt(R);
   switch (Next) {
-  case Verdict::PassOn:
+  case AttemptDecision::PassOn:
     return Streaming ? finishStream(R) : finishWith(R, Answer);
-  case Verdict::Retry:
+  case AttemptDecision::Retry:
     if (!R.Stages.empty() && (R.HeadSent || R.InputsFreed))
       return redoStages(R);
     return sendAttempt(R.Serial);
-  case Verdict::RefuseNotRun:
+  case AttemptDecision::RefuseNotRun:
     if (Expired)
       return finish(R, ResultCode::DeadlineInQueue);
     return finish(R, Effect == AttemptEffect::SaidNotRun
                          ? ResultCode::UpstreamsBusy
                          : ResultCode::NoUpstream);
-  case Verdict::FailUnknown:
+  case AttemptDecision::FailUnknown:
     return finish(R, ResultCode::AnswerLost);
-  case Verdict::FailLate:
+  case AttemptDecision::FailLate:
     return finish(R, ResultCode::OutcomeUnknown);
-  case Verdict::BreakOff:
-  case Verdict::Count:
-  case Verdict::Invalid:
+  case AttemptDecision::BreakOff:
+  case AttemptDecision::Count:
+  case AttemptDecision::Invalid:
     return finish(R, ResultCode::StreamBroken);
   }
 }
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -15,8 +15,8 @@
 #include "node_services.h"
 #include "peer_service.h"
 #include "route_feed.h"
+#include "state_sync_service.h"
 #include "upstream_feed.h"
-#include "vouch_service.h"
 
 namespace fulmar {
 
@@ -60,7 +60,8 @@
                std::make_unique<RouteFeed>(Services, Wire, Bounds, Seed + 3));
   Services.add(service::Upstreams,
                std::make_unique<UpstreamFeed>(Services, Wire, Seed + 4));
-  Services.add(service::Vouch, std::make_unique<VouchService>(Services));
+  Services.add(service::StateSync,
+               std::make_unique<StateSyncService>(Services));
   Services.add(service::Batches,
                std::make_unique<BatchService>(Services, Wire));
   Services.add(service::Relay, std::make_unique<BatchRelay>(Services));
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -29,10 +29,10 @@
   StageState State = StageState::Pending; ///< How far it is.
   int Pieces = 0;                         ///< How many it has.
   BatchTicket Ticket;                     ///< While Running.
-  bool InputsRead = false; ///< It does not need the results of others more.
-  bool Tight = false;      ///< Space for its results is scarce.
-  TimePoint Asked{};       ///< When its pieces were asked for.
-  TimePoint DoneAt{};      ///< When its results came.
+  bool InputsRead = false;  ///< It does not need the results of others more.
+  bool SpaceScarce = false; ///< Space for its results is scarce.
+  TimePoint Asked{};        ///< When its pieces were asked for.
+  TimePoint DoneAt{};       ///< When its results came.
   std::vector<std::string> Handles; ///< Its results, until they are freed.
 };
 
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -72,7 +72,7 @@
 
 bool GatewayService::ready() const {
   return RefuseAt == TimePoint{} && Routes->table() != nullptr &&
-         Upstreams->book().Known && Members->settled();
+         Upstreams->registry().Known && Members->settled();
 }
 
 void GatewayService::drain(TimePoint RefuseFrom, TimePoint Ends) {
@@ -166,12 +166,12 @@
 
 void GatewayService::upstreamsChanged() {
   const RouteTablePtr &Table = Routes->table();
-  if (!Table || !Upstreams->book().Known)
+  if (!Table || !Upstreams->registry().Known)
     return;
   // Everybody who chooses an upstream goes by these, so that a drained failure
   // domain gets no request, repeat, hedge or piece, whoever sends it.
   std::map<std::string, UpstreamEntry> Entries =
-      domainDrainApply(Upstreams->book().Entries, Routes->drained());
+      domainDrainApply(Upstreams->registry().Entries, Routes->drained());
   for (const ServiceSpec &Spec : Table->Services) {
     if (!Spec.Batch)
       setPool(Spec, Entries);
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -2,6 +2,7 @@
 #ifndef FULMARSTEP_GATEWAY_SERVICE_H
 #define FULMARSTEP_GATEWAY_SERVICE_H
 
+#include "attempt_decision_type.h"
 #include "caller_time.h"
 #include "gateway_metrics.h"
 #include "gateway_request.h"
@@ -9,7 +10,6 @@
 #include "policy_type.h"
 #include "read_wait.h"
 #include "restart_func.h"
-#include "verdict_type.h"
 
 namespace fulmar {
 
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -87,7 +87,7 @@
   Stage.State = StageState::Running;
   Stage.Asked = Timers->now();
   Duration Rest = restAfter(R, Index);
-  BatchAsk Ask;
+  BatchRequest Ask;
   Ask.RequestId = R.Ask.RequestId;
   Ask.Stage = static_cast<int>(Index);
   Ask.Pieces = Stage.Pieces;
@@ -95,16 +95,16 @@
   Ask.ResultBytes = Spec.ResultBytes;
   Ask.Domain = bestDomain(R, Index);
   Ask.Due = R.OnTimeBy - Rest - Timers->now();
-  Ask.Dead = R.FirstBy - quickRest(Rest) - Timers->now();
+  Ask.Deadline = R.FirstBy - quickRest(Rest) - Timers->now();
   if (Spec.After.empty())
     Ask.Key = R.Ask.PieceKey;
   for (int Needed : Spec.After) {
     const StageProgress &Input = R.Stages[static_cast<std::size_t>(Needed)];
     Ask.Inputs.insert(Ask.Inputs.end(), Input.Handles.begin(),
                       Input.Handles.end());
-    Ask.TellRead = Ask.TellRead || Input.Tight;
+    Ask.TellRead = Ask.TellRead || Input.SpaceScarce;
   }
-  Ask.Dead = std::min(Ask.Dead, inputsLast(R, Index) - Timers->now());
+  Ask.Deadline = std::min(Ask.Deadline, inputsLast(R, Index) - Timers->now());
   Stage.Ticket = Batches->ask(
       Spec.Pool, Ask,
       [this, Serial = R.Serial, Index](const BatchResult &Result) {
@@ -164,7 +164,7 @@
   Stage.State = StageState::Done;
   Stage.Handles = Result.Handles;
   Stage.DoneAt = Timers->now();
-  Stage.Tight = Result.Tight;
+  Stage.SpaceScarce = Result.SpaceScarce;
   RouteTimes &Route = timesOf(*R);
   smoothTime(Route.Stages[Index], Took);
   Metrics.StageTime.add(toMs(Took));
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -9,7 +9,7 @@
 #include "bundle_base.h"
 #include "ledger_type.h"
 #include "member_type.h"
-#include "vouch_type.h"
+#include "state_sync_type.h"
 
 namespace fulmar {
 
@@ -32,9 +32,9 @@
 /// What a message is about.
 using PeerBody =
     std::variant<MemberMessage, LedgerEntry, LedgerResult, BundleFetch,
-                 BundleDelta, DemandReport, DemandTotal, BatchAskMessage,
-                 BatchAnswerMessage, BatchReleaseMessage, VouchAsk, VouchAnswer,
-                 ConfigFetch, ConfigCopy>;
+                 BundleDelta, DemandReport, DemandTotal, BatchRequestMessage,
+                 BatchAnswerMessage, BatchReleaseMessage, StateSyncRequest,
+                 StateSyncResponse, ConfigFetch, ConfigCopy>;
 
 /// A message between nodes, with what every message says.
 struct PeerMessage {
--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -20,10 +20,10 @@
 static constexpr Duration FirstWait = std::chrono::milliseconds(1500);
 /// Without word from a reader for this long, a node reads itself: two questions
 /// were lost, or the reader is gone.
-static constexpr Duration VouchPatience = std::chrono::milliseconds(650);
+static constexpr Duration SyncPatience = std::chrono::milliseconds(650);
 /// A reader that has not confirmed its own version for this long has lost the
 /// service; who asks it looks for itself.
-static constexpr Duration MostVouchedAge = std::chrono::milliseconds(1100);
+static constexpr Duration MostSyncedAge = std::chrono::milliseconds(1100);
 /// Without a copy of a newer version after this time, a node reads it itself.
 /// Ten kilobytes on a link of 20 Mbit/s take 4 ms, and a reader has up to 75
 /// nodes to serve.
@@ -52,8 +52,8 @@
 void RouteFeed::start() {
   Timers = &Services.find<TimerService>(service::Timers);
   Tree = &Services.find<KvTree>(service::Kv);
-  Readers = &Services.find<VouchService>(service::Vouch);
-  Readers->onVouch([this](const Vouch &Heard) { vouched(Heard); });
+  Readers = &Services.find<StateSyncService>(service::StateSync);
+  Readers->onSync([this](const StateSync &Heard) { synced(Heard); });
   Readers->onConfig([this](const ConfigHeard &Heard) { copied(Heard); });
   read();
 }
@@ -108,7 +108,7 @@
     return follow();
   if (Failures > 0 && Timers->now() >= ProbeAt)
     return read();
-  readAfter(VouchPatience);
+  readAfter(SyncPatience);
 }
 
 /// Reads after \p Pause, unless somebody tells enough before.
@@ -119,12 +119,12 @@
 
 /// Takes in what a reader knows. While it tells that nothing has changed, this
 /// node does not ask the service itself.
-void RouteFeed::vouched(const Vouch &Heard) {
+void RouteFeed::synced(const StateSync &Heard) {
   takeDrained(Heard.Answer.Drained, "peer");
   // A read of our own is under way, or we follow the service ourselves.
   if (Fallback == TimerId{} || !Table)
     return;
-  if (Heard.Answer.ConfigAge > MostVouchedAge)
+  if (Heard.Answer.ConfigAge > MostSyncedAge)
     return;
   if (Heard.Answer.ConfigVersion < Table->Version)
     return;
@@ -147,7 +147,7 @@
 }
 
 void RouteFeed::copied(const ConfigHeard &Heard) {
-  if (!Fetching || !Table || Heard.Copy.Age > MostVouchedAge)
+  if (!Fetching || !Table || Heard.Copy.Age > MostSyncedAge)
     return;
   Fetching = false;
   take(Heard.Copy.Text);
--- a/src/route_feed.h
+++ b/src/route_feed.h
@@ -10,8 +10,8 @@
 #include "freshness.h"
 #include "kernel.h"
 #include "kv_tree.h"
+#include "state_sync_service.h"
 #include "timer_base.h"
-#include "vouch_service.h"
 #include "wire_format.h"
 
 namespace fulmar {
@@ -53,7 +53,7 @@
   void follow();
   void next();
   void readAfter(Duration Pause);
-  void vouched(const Vouch &Heard);
+  void synced(const StateSync &Heard);
   void fetch();
   void copied(const ConfigHeard &Heard);
   void retry(const std::string &Why);
@@ -74,7 +74,7 @@
   Freshness Fresh;                            ///< Its age.
   DrainedDomains Drained;                     ///< Failure domains.
   std::uint64_t Revision = 0;                 ///< Changes up to it are known.
-  VouchService *Readers = nullptr;            ///< Tells what others read.
+  StateSyncService *Readers = nullptr;        ///< Tells what others read.
   TimerId Fallback;                           ///< Reads when nobody tells.
   bool Fetching = false;                      ///< A copy was asked for.
   int Failures = 0;                           ///< Calls in a row that failed.
--- a/src/vouch.cpp
+++ b/src/state_sync.cpp
@@ -1,9 +1,9 @@
-/// \file vouch.cpp Which nodes read the key-value service for the others.
+/// \file state_sync.cpp Which nodes read the key-value service for the others.
 #include <algorithm>
 
 #include "core/hash.h"
 #include "member_func.h"
-#include "vouch_func.h"
+#include "state_sync_func.h"
 
 namespace fulmar {
 
--- a/src/vouch_func.h
+++ b/src/state_sync_func.h
@@ -1,6 +1,7 @@
-/// \file vouch_func.h Which nodes read the key-value service for the others.
-#ifndef FULMARSTEP_VOUCH_FUNC_H
-#define FULMARSTEP_VOUCH_FUNC_H
+/// \file state_sync_func.h Which nodes read the key-value service for the
+/// others.
+#ifndef FULMARSTEP_STATE_SYNC_FUNC_H
+#define FULMARSTEP_STATE_SYNC_FUNC_H
 
 #include "member_base.h"
 
--- a/src/vouch_service.cpp
+++ b/src/state_sync_service.cpp
@@ -1,5 +1,5 @@
-/// \file vouch_service.cpp Asks another node whether anything has changed.
-#include "vouch_service.h"
+/// \file state_sync_service.cpp Asks another node whether anything has changed.
+#include "state_sync_service.h"
 
 #include <algorithm>
 
@@ -8,8 +8,8 @@
 #include "node_services.h"
 #include "peer_service.h"
 #include "route_feed.h"
+#include "state_sync_func.h"
 #include "upstream_feed.h"
-#include "vouch_func.h"
 
 namespace fulmar {
 
@@ -22,21 +22,22 @@
 static constexpr int NodesPerFactor = 10;
 static constexpr int MostFactor = 12;
 
-void VouchService::start() {
+void StateSyncService::start() {
   Timers = &Services.find<TimerService>(service::Timers);
   Members = &Services.find<MemberService>(service::Members);
   Peers = &Services.find<PeerService>(service::Peers);
   Routes = &Services.find<RouteFeed>(service::Routes);
   Upstreams = &Services.find<UpstreamFeed>(service::Upstreams);
-  Peers->on<VouchAsk>([this](const PeerMessage &From, const VouchAsk &Asked) {
-    Peers->sendTo(From.Sender, ownAnswer(Asked));
-  });
-  Peers->on<VouchAnswer>(
-      [this](const PeerMessage &, const VouchAnswer &Answer) {
+  Peers->on<StateSyncRequest>(
+      [this](const PeerMessage &From, const StateSyncRequest &Asked) {
+        Peers->sendTo(From.Sender, ownAnswer(Asked));
+      });
+  Peers->on<StateSyncResponse>(
+      [this](const PeerMessage &, const StateSyncResponse &Answer) {
         if (Answer.Nonce != Nonce)
           return; // The answer to an earlier question is too old to use.
-        for (const VouchFn &Fn : Hear)
-          Fn(Vouch{AskedBoot, AskedAt, Answer});
+        for (const StateSyncFn &Fn : Hear)
+          Fn(StateSync{AskedBoot, AskedAt, Answer});
       });
   Peers->on<ConfigFetch>(
       [this](const PeerMessage &From, const ConfigFetch &Asked) {
@@ -51,18 +52,19 @@
   Timers->every(AskPeriod, [this] { ask(); });
 }
 
-std::string VouchService::reader() const {
+std::string StateSyncService::reader() const {
   return chooseReader(Members->state());
 }
 
-void VouchService::fetchConfig() {
+void StateSyncService::fetchConfig() {
   ++FetchNonce;
   FetchedBoot = EventLoop::bootClock();
   Peers->sendTo(reader(), ConfigFetch{FetchNonce});
 }
 
 /// A configuration that is too long is not sent: who asks reads it itself.
-void VouchService::sendCopy(const std::string &Node, const ConfigFetch &Asked) {
+void StateSyncService::sendCopy(const std::string &Node,
+                                const ConfigFetch &Asked) {
   auto Age = Routes->age();
   if (!Routes->table() || !Age || Routes->text().empty())
     return;
@@ -70,18 +72,18 @@
   Peers->sendTo(Node, std::move(Copy));
 }
 
-bool VouchService::reads() const {
+bool StateSyncService::reads() const {
   return !Members->settled() || reader() == Members->state().Self.Id;
 }
 
-int VouchService::retryFactor() const {
+int StateSyncService::retryFactor() const {
   if (reads())
     return 1;
   auto Nodes = static_cast<int>(Members->ids().size());
   return std::clamp(Nodes / NodesPerFactor, 1, MostFactor);
 }
 
-void VouchService::ask() {
+void StateSyncService::ask() {
   if (!Members->settled())
     return;
   std::string Reader = reader();
@@ -90,22 +92,23 @@
   ++Nonce;
   AskedBoot = EventLoop::bootClock();
   AskedAt = Timers->now();
-  Peers->sendTo(Reader, VouchAsk{Nonce, Upstreams->book().Digest});
+  Peers->sendTo(Reader, StateSyncRequest{Nonce, Upstreams->registry().Digest});
 }
 
-VouchAnswer VouchService::ownAnswer(const VouchAsk &Asked) const {
+StateSyncResponse
+StateSyncService::ownAnswer(const StateSyncRequest &Asked) const {
   constexpr Duration Never = std::chrono::hours(1);
-  VouchAnswer Out;
+  StateSyncResponse Out;
   Out.Nonce = Asked.Nonce;
   if (Routes->table())
     Out.ConfigVersion = Routes->table()->Version;
   Out.ConfigAge = Routes->age().value_or(Never);
   Out.Drained = Routes->drained();
-  const UpstreamBook &Book = Upstreams->book();
-  Out.ListDigest = Book.Digest;
-  Out.ListAge = Book.Known ? Timers->now() - Book.ReadAt : Never;
-  if (Book.Known && Asked.ListDigest != Book.Digest)
-    Out.ListChange = bookChangesSince(Book, Asked.ListDigest);
+  const UpstreamRegistry &Registry = Upstreams->registry();
+  Out.ListDigest = Registry.Digest;
+  Out.ListAge = Registry.Known ? Timers->now() - Registry.ReadAt : Never;
+  if (Registry.Known && Asked.ListDigest != Registry.Digest)
+    Out.ListChange = registryChangesSince(Registry, Asked.ListDigest);
   return Out;
 }
 
--- a/src/vouch_service.h
+++ b/src/state_sync_service.h
@@ -1,12 +1,12 @@
-/// \file vouch_service.h Asks another node whether anything has changed.
-#ifndef FULMARSTEP_VOUCH_SERVICE_H
-#define FULMARSTEP_VOUCH_SERVICE_H
+/// \file state_sync_service.h Asks another node whether anything has changed.
+#ifndef FULMARSTEP_STATE_SYNC_SERVICE_H
+#define FULMARSTEP_STATE_SYNC_SERVICE_H
 
 #include <functional>
 
 #include "kernel.h"
+#include "state_sync_type.h"
 #include "timer_base.h"
-#include "vouch_type.h"
 
 namespace fulmar {
 
@@ -16,12 +16,12 @@
 class UpstreamFeed;
 
 /// An answer, with when it was asked for.
-struct Vouch {
-  Duration AskedBoot{}; ///< Boot-time clock, when the question was sent.
-  TimePoint AskedAt{};  ///< The same on the monotonic clock.
-  VouchAnswer Answer;   ///< What the reader knows. Its ages count from when it
-                        ///< answered, which is later: taken from the question
-                        ///< on, they are never too small.
+struct StateSync {
+  Duration AskedBoot{};     ///< Boot-time clock, when the question was sent.
+  TimePoint AskedAt{};      ///< The same on the monotonic clock.
+  StateSyncResponse Answer; ///< What the reader knows. Its ages count from when
+                            ///< it answered, which is later: taken from the
+                            ///< question on, they are never too small.
 };
 
 /// A copy of the configuration, with when it was asked for.
@@ -31,17 +31,17 @@
 };
 
 /// Lets most nodes follow the key-value service through one that reads it.
-class VouchService : public Service {
+class StateSyncService : public Service {
 public:
-  using VouchFn = std::function<void(const Vouch &)>;
+  using StateSyncFn = std::function<void(const StateSync &)>;
   using ConfigFn = std::function<void(const ConfigHeard &)>;
 
-  explicit VouchService(Kernel &K) : Services(K) {}
+  explicit StateSyncService(Kernel &K) : Services(K) {}
 
   void start() override;
 
   /// Calls \p Fn with each answer.
-  void onVouch(VouchFn Fn) { Hear.push_back(std::move(Fn)); }
+  void onSync(StateSyncFn Fn) { Hear.push_back(std::move(Fn)); }
   /// Calls \p Fn with each copy of the configuration that was asked for.
   void onConfig(ConfigFn Fn) { HearConfig.push_back(std::move(Fn)); }
   /// Asks the node that reads for this one for its configuration.
@@ -58,7 +58,7 @@
   void ask();
   std::string reader() const;
   void sendCopy(const std::string &Node, const ConfigFetch &Asked);
-  VouchAnswer ownAnswer(const VouchAsk &Asked) const;
+  StateSyncResponse ownAnswer(const StateSyncRequest &Asked) const;
 
   Kernel &Services;                  ///< Finds the others.
   TimerService *Timers = nullptr;    ///< Time.
@@ -71,7 +71,7 @@
   TimePoint AskedAt{};               ///< When it was sent.
   std::uint64_t FetchNonce = 0;      ///< Of the latest wish for a copy.
   Duration FetchedBoot{};            ///< When it was sent.
-  std::vector<VouchFn> Hear;         ///< Subscribers.
+  std::vector<StateSyncFn> Hear;     ///< Subscribers.
   std::vector<ConfigFn> HearConfig;  ///< Subscribers.
 };
 
--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -11,7 +11,7 @@
 /// its entry says so; the rest is for a read that is slow.
 static constexpr Duration ReadPeriod = std::chrono::milliseconds(900);
 /// A reader whose list is older than this has lost the service.
-static constexpr Duration MostVouchedAge = std::chrono::milliseconds(1300);
+static constexpr Duration MostSyncedAge = std::chrono::milliseconds(1300);
 /// Before a failed read is repeated.
 static constexpr Duration RetryPause = std::chrono::milliseconds(150);
 /// Each pause varies by this part, so that nodes do not read together.
@@ -26,8 +26,8 @@
 void UpstreamFeed::start() {
   Timers = &Services.find<TimerService>(service::Timers);
   Tree = &Services.find<KvTree>(service::Kv);
-  Readers = &Services.find<VouchService>(service::Vouch);
-  Readers->onVouch([this](const Vouch &Heard) { vouched(Heard); });
+  Readers = &Services.find<StateSyncService>(service::StateSync);
+  Readers->onSync([this](const StateSync &Heard) { synced(Heard); });
   read();
 }
 
@@ -38,7 +38,7 @@
       answered(Found);
     else if (Failures++ == 0)
       logEvent(LogLevel::Warning, "upstream_list_lost",
-               {{"why", Found.Why}, {"listed", Book.Entries.size()}});
+               {{"why", Found.Why}, {"listed", Registry.Entries.size()}});
     readAfter(Good ? ReadPeriod : RetryPause * Readers->retryFactor());
   });
 }
@@ -54,21 +54,22 @@
 
 /// Takes in what a reader knows. While its list was read lately, this node need
 /// not read it: each change would otherwise be read by the whole fleet.
-void UpstreamFeed::vouched(const Vouch &Heard) {
-  const VouchAnswer &Answer = Heard.Answer;
-  if (NextRead == TimerId{} || Answer.ListAge > MostVouchedAge)
+void UpstreamFeed::synced(const StateSync &Heard) {
+  const StateSyncResponse &Answer = Heard.Answer;
+  if (NextRead == TimerId{} || Answer.ListAge > MostSyncedAge)
     return;
   TimePoint ReadAt = Heard.AskedAt - Answer.ListAge;
-  if (Answer.ListDigest != Book.Digest) {
+  if (Answer.ListDigest != Registry.Digest) {
     // An older list would bring back upstreams that are known to leave.
-    if (Book.Known && ReadAt <= Book.ReadAt)
+    if (Registry.Known && ReadAt <= Registry.ReadAt)
       return;
-    std::map<std::string, UpstreamEntry> Before = Book.Entries;
-    if (!Answer.ListChange || !bookApply(Book, *Answer.ListChange, ReadAt))
+    std::map<std::string, UpstreamEntry> Before = Registry.Entries;
+    if (!Answer.ListChange ||
+        !registryApply(Registry, *Answer.ListChange, ReadAt))
       return readAfter(Duration::zero());
     changed(Before);
   }
-  Book.ReadAt = std::max(Book.ReadAt, ReadAt);
+  Registry.ReadAt = std::max(Registry.ReadAt, ReadAt);
   readAfter(ReadPeriod);
 }
 
@@ -84,8 +85,8 @@
       Listed.push_back(std::move(*Entry));
   }
   Unreadable = std::move(Bad);
-  std::map<std::string, UpstreamEntry> Before = Book.Entries;
-  if (!bookRead(Book, Listed, Timers->now()))
+  std::map<std::string, UpstreamEntry> Before = Registry.Entries;
+  if (!registryRead(Registry, Listed, Timers->now()))
     return;
   changed(Before);
 }
@@ -116,7 +117,7 @@
     const std::map<std::string, UpstreamEntry> &Before) const {
   logChanges(Before);
   for (const UpstreamRestart &Restart : findRestarts(
-           Before, Book.Entries, EventLoop::wallClock(), Timers->now())) {
+           Before, Registry.Entries, EventLoop::wallClock(), Timers->now())) {
     logEvent(LogLevel::Info, "upstream_restarted",
              {{"instance", Restart.Later.Instance},
               {"born_ms", Restart.Later.BornMs},
@@ -138,7 +139,7 @@
               {"address", Entry.Address},
               {"state", State}});
   };
-  for (const auto &[Instance, Entry] : Book.Entries) {
+  for (const auto &[Instance, Entry] : Registry.Entries) {
     auto Old = Before.find(Instance);
     if (Old == Before.end())
       Log(Entry, Entry.Leaving ? "listed_leaving" : "listed");
@@ -149,7 +150,7 @@
       Log(Entry, Entry.cold() ? "cold" : "warm");
   }
   for (const auto &[Instance, Entry] : Before) {
-    if (!Book.Entries.count(Instance))
+    if (!Registry.Entries.count(Instance))
       Log(Entry, "gone");
   }
 }
--- a/src/upstream_feed.h
+++ b/src/upstream_feed.h
@@ -8,9 +8,9 @@
 #include "kernel.h"
 #include "kv_tree.h"
 #include "restart_func.h"
+#include "state_sync_service.h"
 #include "timer_base.h"
-#include "upstream_book.h"
-#include "vouch_service.h"
+#include "upstream_registry.h"
 #include "wire_format.h"
 
 namespace fulmar {
@@ -31,29 +31,29 @@
   }
 
   /// \return What is listed.
-  const UpstreamBook &book() const { return Book; }
+  const UpstreamRegistry &registry() const { return Registry; }
   /// \return Entries of the latest read that name no upstream to use.
   std::size_t unreadable() const { return Unreadable.size(); }
 
 private:
   void read();
   void readAfter(Duration Pause);
-  void vouched(const Vouch &Heard);
+  void synced(const StateSync &Heard);
   void answered(const KvItems &Found);
   std::optional<UpstreamEntry>
   readEntry(const KvItem &Item, std::map<std::string, std::string> &Bad);
   void changed(const std::map<std::string, UpstreamEntry> &Before) const;
   void logChanges(const std::map<std::string, UpstreamEntry> &Before) const;
 
-  Kernel &Services;                ///< Finds the others.
-  const WireFormat &Wire;          ///< Reads entries.
-  Random Rng;                      ///< Spreads reads.
-  TimerService *Timers = nullptr;  ///< Time.
-  KvTree *Tree = nullptr;          ///< The key-value service.
-  UpstreamBook Book;               ///< What is listed.
-  VouchService *Readers = nullptr; ///< Tells what others read.
-  TimerId NextRead;                ///< Of our own; none: one is under way.
-  int Failures = 0;                ///< Reads in a row that failed.
+  Kernel &Services;                    ///< Finds the others.
+  const WireFormat &Wire;              ///< Reads entries.
+  Random Rng;                          ///< Spreads reads.
+  TimerService *Timers = nullptr;      ///< Time.
+  KvTree *Tree = nullptr;              ///< The key-value service.
+  UpstreamRegistry Registry;           ///< What is listed.
+  StateSyncService *Readers = nullptr; ///< Tells what others read.
+  TimerId NextRead;                    ///< Of our own; none: one is under way.
+  int Failures = 0;                    ///< Reads in a row that failed.
   std::map<std::string, std::string> Unreadable; ///< Why, by key.
   std::vector<std::function<void()>> Changes;    ///< Subscribers.
   std::vector<std::function<void(const UpstreamRestart &)>>
--- a/src/upstream_book.cpp
+++ b/src/upstream_registry.cpp
@@ -1,5 +1,5 @@
-/// \file upstream_book.cpp Which upstreams count as listed.
-#include "upstream_book.h"
+/// \file upstream_registry.cpp Which upstreams count as listed.
+#include "upstream_registry.h"
 
 #include <algorithm>
 
@@ -24,93 +24,95 @@
             (Entry.Leaving ? "\n1" : "\n0") + (Entry.cold() ? "1\n" : "0\n");
   }
   // A list that was read is never taken for none.
-  return std::max<std::uint64_t>(hash64(Text), NoBook + 1);
+  return std::max<std::uint64_t>(hash64(Text), EmptyRegistry + 1);
 }
 
 /// Makes \p Next the list, and remembers what changed.
-static void replace(UpstreamBook &Book,
+static void replace(UpstreamRegistry &Registry,
                     std::map<std::string, UpstreamEntry> Next) {
-  BookChange Change;
-  Change.From = Book.Digest;
+  RegistryChange Change;
+  Change.From = Registry.Digest;
   for (const auto &[Instance, Entry] : Next) {
-    auto Old = Book.Entries.find(Instance);
-    if (Old == Book.Entries.end() || Old->second != Entry)
+    auto Old = Registry.Entries.find(Instance);
+    if (Old == Registry.Entries.end() || Old->second != Entry)
       Change.Listed.push_back(Entry);
   }
-  for (const auto &[Instance, Entry] : Book.Entries) {
+  for (const auto &[Instance, Entry] : Registry.Entries) {
     if (!Next.count(Instance))
       Change.Gone.push_back(Instance);
   }
-  Book.Entries = std::move(Next);
-  Book.Digest = digestOf(Book.Entries);
-  Change.To = Book.Digest;
+  Registry.Entries = std::move(Next);
+  Registry.Digest = digestOf(Registry.Entries);
+  Change.To = Registry.Digest;
   // What is not part of the digest, as for how long an upstream is still cold,
   // is news for nobody else.
   if (Change.To == Change.From)
     return;
-  Book.Latest.push_back(std::move(Change));
-  if (Book.Latest.size() > ChangesKept)
-    Book.Latest.pop_front();
+  Registry.Latest.push_back(std::move(Change));
+  if (Registry.Latest.size() > ChangesKept)
+    Registry.Latest.pop_front();
 }
 
 /// \return \p Entry, or what is known already of a later start of the same
 /// upstream. A write of the earlier start may arrive after it, and would bring
 /// back an address and results that are gone.
-static const UpstreamEntry &latestStart(const UpstreamBook &Book,
+static const UpstreamEntry &latestStart(const UpstreamRegistry &Registry,
                                         const UpstreamEntry &Entry) {
-  auto Known = Book.Entries.find(Entry.Instance);
-  if (Known == Book.Entries.end() || Known->second.BornMs <= Entry.BornMs)
+  auto Known = Registry.Entries.find(Entry.Instance);
+  if (Known == Registry.Entries.end() || Known->second.BornMs <= Entry.BornMs)
     return Entry;
   return Known->second;
 }
 
-bool bookRead(UpstreamBook &Book, const std::vector<UpstreamEntry> &Listed,
-              TimePoint Now) {
-  if (Book.Known && Now - Book.ReadAt > ListAway)
-    Book.BackAt = Now;
-  bool Returning =
-      Book.Known && Book.BackAt > TimePoint{} && Now - Book.BackAt < ListReturn;
+bool registryRead(UpstreamRegistry &Registry,
+                  const std::vector<UpstreamEntry> &Listed, TimePoint Now) {
+  if (Registry.Known && Now - Registry.ReadAt > ListAway)
+    Registry.BackAt = Now;
+  bool Returning = Registry.Known && Registry.BackAt > TimePoint{} &&
+                   Now - Registry.BackAt < ListReturn;
   std::map<std::string, UpstreamEntry> Next;
   for (const UpstreamEntry &Entry : Listed)
-    Next[Entry.Instance] = latestStart(Book, Entry);
+    Next[Entry.Instance] = latestStart(Registry, Entry);
   if (Returning) {
-    for (const auto &[Instance, Entry] : Book.Entries)
+    for (const auto &[Instance, Entry] : Registry.Entries)
       Next.try_emplace(Instance, Entry);
   }
-  bool Changed = !Book.Known || Next != Book.Entries;
-  replace(Book, std::move(Next));
-  Book.ReadAt = Now;
-  Book.Known = true;
+  bool Changed = !Registry.Known || Next != Registry.Entries;
+  replace(Registry, std::move(Next));
+  Registry.ReadAt = Now;
+  Registry.Known = true;
   return Changed;
 }
 
 /// \return The whole list as a change from nothing.
-static std::optional<BookChange> wholeBook(const UpstreamBook &Book) {
-  if (Book.Entries.size() > LargestWhole)
+static std::optional<RegistryChange>
+wholeRegistry(const UpstreamRegistry &Registry) {
+  if (Registry.Entries.size() > LargestWhole)
     return std::nullopt;
-  BookChange Whole{NoBook, Book.Digest, {}, {}};
-  for (const auto &[Instance, Entry] : Book.Entries)
+  RegistryChange Whole{EmptyRegistry, Registry.Digest, {}, {}};
+  for (const auto &[Instance, Entry] : Registry.Entries)
     Whole.Listed.push_back(Entry);
   return Whole;
 }
 
-std::optional<BookChange> bookChangesSince(const UpstreamBook &Book,
-                                           std::uint64_t From) {
-  if (From == NoBook)
-    return wholeBook(Book);
-  auto Begins = [From](const BookChange &C) { return C.From == From; };
+std::optional<RegistryChange>
+registryChangesSince(const UpstreamRegistry &Registry, std::uint64_t From) {
+  if (From == EmptyRegistry)
+    return wholeRegistry(Registry);
+  auto Begins = [From](const RegistryChange &C) { return C.From == From; };
   // The latest: a list may have been the same before.
-  auto First = std::find_if(Book.Latest.rbegin(), Book.Latest.rend(), Begins);
-  if (First == Book.Latest.rend())
+  auto First =
+      std::find_if(Registry.Latest.rbegin(), Registry.Latest.rend(), Begins);
+  if (First == Registry.Latest.rend())
     return std::nullopt;
   std::map<std::string, const UpstreamEntry *> Last;
-  for (auto It = First.base() - 1; It != Book.Latest.end(); ++It) {
+  for (auto It = First.base() - 1; It != Registry.Latest.end(); ++It) {
     for (const UpstreamEntry &Entry : It->Listed)
       Last[Entry.Instance] = &Entry;
     for (const std::string &Instance : It->Gone)
       Last[Instance] = nullptr;
   }
-  BookChange Sum{From, Book.Digest, {}, {}};
+  RegistryChange Sum{From, Registry.Digest, {}, {}};
   for (const auto &[Instance, Entry] : Last) {
     if (Entry)
       Sum.Listed.push_back(*Entry);
@@ -120,19 +122,20 @@
   return Sum;
 }
 
-bool bookApply(UpstreamBook &Book, const BookChange &Change, TimePoint ReadAt) {
-  if (Change.From != Book.Digest)
+bool registryApply(UpstreamRegistry &Registry, const RegistryChange &Change,
+                   TimePoint ReadAt) {
+  if (Change.From != Registry.Digest)
     return false;
-  std::map<std::string, UpstreamEntry> Next = Book.Entries;
+  std::map<std::string, UpstreamEntry> Next = Registry.Entries;
   for (const UpstreamEntry &Entry : Change.Listed)
     Next[Entry.Instance] = Entry;
   for (const std::string &Instance : Change.Gone)
     Next.erase(Instance);
   if (digestOf(Next) != Change.To)
     return false;
-  replace(Book, std::move(Next));
-  Book.ReadAt = std::max(Book.ReadAt, ReadAt);
-  Book.Known = true;
+  replace(Registry, std::move(Next));
+  Registry.ReadAt = std::max(Registry.ReadAt, ReadAt);
+  Registry.Known = true;
   return true;
 }
 
--- a/src/upstream_book.h
+++ b/src/upstream_registry.h
@@ -1,7 +1,7 @@
-/// \file upstream_book.h Which upstreams count as listed, outages of the list
-/// included.
-#ifndef FULMARSTEP_UPSTREAM_BOOK_H
-#define FULMARSTEP_UPSTREAM_BOOK_H
+/// \file upstream_registry.h Which upstreams count as listed, outages of the
+/// list included.
+#ifndef FULMARSTEP_UPSTREAM_REGISTRY_H
+#define FULMARSTEP_UPSTREAM_REGISTRY_H
 
 #include <cstdint>
 #include <deque>
@@ -22,7 +22,7 @@
 inline constexpr Duration ListReturn = std::chrono::seconds(2);
 
 /// What leads from one list to another.
-struct BookChange {
+struct RegistryChange {
   std::uint64_t From = 0;            ///< Digest of the list before.
   std::uint64_t To = 0;              ///< Digest of the list after.
   std::vector<UpstreamEntry> Listed; ///< New, or changed.
@@ -30,16 +30,16 @@
 };
 
 /// Digest of a list that was never read.
-inline constexpr std::uint64_t NoBook = 0;
+inline constexpr std::uint64_t EmptyRegistry = 0;
 
 /// Upstreams as they were last read.
-struct UpstreamBook {
+struct UpstreamRegistry {
   std::map<std::string, UpstreamEntry> Entries; ///< By instance.
-  std::uint64_t Digest = NoBook; ///< Equal lists have equal ones.
-  std::deque<BookChange> Latest; ///< Changes, the last one last.
-  TimePoint ReadAt{};            ///< Of the latest read.
-  TimePoint BackAt{};            ///< End of the latest outage.
-  bool Known = false;            ///< It was read at least once.
+  std::uint64_t Digest = EmptyRegistry; ///< Equal lists have equal ones.
+  std::deque<RegistryChange> Latest;    ///< Changes, the last one last.
+  TimePoint ReadAt{};                   ///< Of the latest read.
+  TimePoint BackAt{};                   ///< End of the latest outage.
+  bool Known = false;                   ///< It was read at least once.
 };
 
 /// Takes in a complete list.
@@ -48,18 +48,19 @@
 /// absence were believed at once, a node would have no upstreams left for a
 /// second or two after each outage, and refuse everything.
 /// \return Whether anything changed.
-bool bookRead(UpstreamBook &Book, const std::vector<UpstreamEntry> &Listed,
-              TimePoint Now);
+bool registryRead(UpstreamRegistry &Registry,
+                  const std::vector<UpstreamEntry> &Listed, TimePoint Now);
 
 /// \return What leads from the list with digest \p From to this one; a whole
 /// list for who has none. Nothing when that is too long ago, or too much.
-std::optional<BookChange> bookChangesSince(const UpstreamBook &Book,
-                                           std::uint64_t From);
+std::optional<RegistryChange>
+registryChangesSince(const UpstreamRegistry &Registry, std::uint64_t From);
 
 /// Takes in what another node's list has besides this one.
 /// \param ReadAt when the other node's list was read.
 /// \return Whether it fits: it begins at this list and leads to what it says.
-bool bookApply(UpstreamBook &Book, const BookChange &Change, TimePoint ReadAt);
+bool registryApply(UpstreamRegistry &Registry, const RegistryChange &Change,
+                   TimePoint ReadAt);
 
 } // namespace fulmar
 
--- a/tests/batch_world.h
+++ b/tests/batch_world.h
@@ -68,29 +68,29 @@
                           Factor);
         Running[Send->Call.Value] = {Now + Took, *Send};
       } else if (const auto *Answer = std::get_if<AnswerBatchAction>(&Action)) {
-        Answers[Answer->Ask.Value] = Answer->Result;
+        Answers[Answer->Request.Value] = Answer->Result;
       } else if (const auto *Told = std::get_if<InputsReadAction>(&Action)) {
-        Read.insert(Told->Ask.Value);
+        Read.insert(Told->Request.Value);
       } else {
         Freed.insert(std::get<FreeBatchAction>(Action).Handle);
       }
     }
   }
 
-  BatchAsk makeAsk(int Pieces, int Priority = 0) const {
-    BatchAsk Ask;
-    Ask.RequestId = "r";
-    Ask.Pieces = Pieces;
-    Ask.Priority = Priority;
-    Ask.ResultBytes = 60e3;
-    Ask.Due = std::chrono::milliseconds(1500);
-    Ask.Dead = std::chrono::seconds(6);
-    return Ask;
+  BatchRequest makeAsk(int Pieces, int Priority = 0) const {
+    BatchRequest Request;
+    Request.RequestId = "r";
+    Request.Pieces = Pieces;
+    Request.Priority = Priority;
+    Request.ResultBytes = 60e3;
+    Request.Due = std::chrono::milliseconds(1500);
+    Request.Deadline = std::chrono::seconds(6);
+    return Request;
   }
 
-  std::uint64_t ask(const BatchAsk &Ask) {
+  std::uint64_t ask(const BatchRequest &Request) {
     BatchActions Out;
-    BatchAskId Id = batchAsk(P, Ask, Now, Out);
+    BatchRequestId Id = batchSubmit(P, Request, Now, Out);
     perform(Out);
     return Id.Value;
   }
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -107,12 +107,12 @@
     bool Second = I % 8 >= 5;
     if (I % 8 == 7)
       continue;
-    BatchAsk Ask = W.makeAsk(4, Second ? 2 : 0);
-    Ask.Due = milliseconds(1100);
-    std::uint64_t Id = W.ask(Ask);
-    Due[Id] = W.Now + Ask.Due;
-    Priority[Id] = Ask.Priority;
-    ++OnTime[Ask.Priority].first;
+    BatchRequest Request = W.makeAsk(4, Second ? 2 : 0);
+    Request.Due = milliseconds(1100);
+    std::uint64_t Id = W.ask(Request);
+    Due[Id] = W.Now + Request.Due;
+    Priority[Id] = Request.Priority;
+    ++OnTime[Request.Priority].first;
   }
   double Urgent = 1.0 * OnTime[0].second / OnTime[0].first;
   double Other = 1.0 * OnTime[2].second / OnTime[2].first;
@@ -152,10 +152,10 @@
       RetryMs += toMs(Result.RetryIn);
     }
     // 400 pieces/s; the pool makes 269. All have 700 ms, and leave after 2.7 s.
-    BatchAsk Ask = W.makeAsk(4);
-    Ask.Due = milliseconds(700);
-    Ask.Dead = milliseconds(2700);
-    Asked[W.ask(Ask)] = W.Now;
+    BatchRequest Request = W.makeAsk(4);
+    Request.Due = milliseconds(700);
+    Request.Deadline = milliseconds(2700);
+    Asked[W.ask(Request)] = W.Now;
   }
   REQUIRE(WaitedMs.size() > 50);
   auto Refused = static_cast<double>(WaitedMs.size());
@@ -193,11 +193,11 @@
         ++OnTime[Priority];
     }
     W.Answers.clear();
-    BatchAsk Ask = W.makeAsk(8, I % 8 == 0 ? 2 : 1);
-    Ask.Due = milliseconds(900);
-    ++Asks[Ask.Priority];
-    std::uint64_t Id = W.ask(Ask);
-    Asked[Id] = {Ask.Priority, W.Now + Ask.Due};
+    BatchRequest Request = W.makeAsk(8, I % 8 == 0 ? 2 : 1);
+    Request.Due = milliseconds(900);
+    ++Asks[Request.Priority];
+    std::uint64_t Id = W.ask(Request);
+    Asked[Id] = {Request.Priority, W.Now + Request.Due};
   }
   double Urgent = 1.0 * OnTime[1] / Asks[1];
   double Other = 1.0 * OnTime[2] / Asks[2];
@@ -218,9 +218,9 @@
   Spec.RoomBytes = 1.2e6; // 18 results.
   PoolWorld W(1, Spec);
   for (int I = 0; I < 6; ++I) {
-    BatchAsk Ask = W.makeAsk(8);
-    Ask.Due = milliseconds(3000 - 400 * I);
-    W.ask(Ask);
+    BatchRequest Request = W.makeAsk(8);
+    Request.Due = milliseconds(3000 - 400 * I);
+    W.ask(Request);
   }
   int MostOpen = 0;
   for (int I = 0; I < 400 && W.Answers.size() < 6; ++I) {
@@ -246,9 +246,9 @@
     W.pass(milliseconds(10));
     // 200 pieces/s are asked for; the next stage takes 80.
     if (I % 2 == 0) {
-      BatchAsk Ask = W.makeAsk(4);
-      Ask.Dead = std::chrono::seconds(60);
-      W.ask(Ask);
+      BatchRequest Request = W.makeAsk(4);
+      Request.Deadline = std::chrono::seconds(60);
+      W.ask(Request);
     }
     int Freed = 0;
     for (auto &[Id, Result] : W.Answers) {
@@ -277,11 +277,11 @@
   PoolWorld W(1);
   W.ask(W.makeAsk(1));
   W.pass(milliseconds(260));
-  BatchAsk Ask = W.makeAsk(4);
-  Ask.TellRead = true;
-  Ask.Inputs = {"x/1"};
+  BatchRequest Request = W.makeAsk(4);
+  Request.TellRead = true;
+  Request.Inputs = {"x/1"};
   GIVEN("an upstream that this node alone gives calls") {
-    std::uint64_t Id = W.ask(Ask);
+    std::uint64_t Id = W.ask(Request);
     CHECK(W.Read.empty());
     W.pass(milliseconds(80));
     CHECK(W.Read.count(Id) == 1);
@@ -297,7 +297,7 @@
     W.OtherCalls = 1;
     W.ask(W.makeAsk(1));
     W.pass(milliseconds(260));
-    std::uint64_t Id = W.ask(Ask);
+    std::uint64_t Id = W.ask(Request);
     W.pass(milliseconds(200));
     CHECK(W.Read.count(Id) == 0);
   }
@@ -305,9 +305,9 @@
 
 SCENARIO("inputs are kept where nothing is known of the upstream") {
   PoolWorld W(1);
-  BatchAsk Ask = W.makeAsk(4);
-  Ask.TellRead = true;
-  std::uint64_t Id = W.ask(Ask);
+  BatchRequest Request = W.makeAsk(4);
+  Request.TellRead = true;
+  std::uint64_t Id = W.ask(Request);
   W.pass(milliseconds(80));
   CHECK(W.Read.count(Id) == 0);
 }
@@ -317,9 +317,9 @@
   for (int I = 0; I < 40; ++I)
     W.ask(W.makeAsk(12));
   GIVEN("a request that comes when much is waiting") {
-    BatchAsk Ask = W.makeAsk(4);
-    Ask.Dead = milliseconds(900);
-    std::uint64_t Id = W.ask(Ask);
+    BatchRequest Request = W.makeAsk(4);
+    Request.Deadline = milliseconds(900);
+    std::uint64_t Id = W.ask(Request);
     THEN("it is refused at once, with a time to come back") {
       REQUIRE(W.Answers.count(Id) == 1);
       CHECK(W.Answers[Id].End == BatchEnd::Hopeless);
@@ -404,18 +404,18 @@
 
 SCENARIO("large results are made where they are used") {
   PoolWorld W(3);
-  BatchAsk Ask = W.makeAsk(2);
-  Ask.Domain = "z2";
-  Ask.Due = seconds(4);
-  W.ask(Ask);
+  BatchRequest Request = W.makeAsk(2);
+  Request.Domain = "z2";
+  Request.Due = seconds(4);
+  W.ask(Request);
   REQUIRE(W.Sent.size() == 1);
   CHECK(W.Sent[0].Instance == "i2");
   GIVEN("another while that upstream works") {
-    W.ask(Ask);
+    W.ask(Request);
     CHECK(W.Sent.size() == 1);
     THEN("one that cannot wait goes elsewhere") {
-      Ask.Due = milliseconds(400);
-      W.ask(Ask);
+      Request.Due = milliseconds(400);
+      W.ask(Request);
       CHECK(W.Sent.size() == 2);
     }
   }
@@ -449,11 +449,11 @@
     constexpr double Arrivals = 0.66;
     if (randomUnit(Rng) >= Arrivals)
       continue;
-    BatchAsk Ask = W.makeAsk(16);
-    Ask.Domain = "z" + std::to_string(randomIndex(Rng, 3));
-    Ask.RequestId = Ask.Domain;
-    Ask.Due = milliseconds(700);
-    Due[W.ask(Ask)] = W.Now + Ask.Due;
+    BatchRequest Request = W.makeAsk(16);
+    Request.Domain = "z" + std::to_string(randomIndex(Rng, 3));
+    Request.RequestId = Request.Domain;
+    Request.Due = milliseconds(700);
+    Due[W.ask(Request)] = W.Now + Request.Due;
   }
   double Pieces = 0;
   double Crossing = 0;
@@ -473,7 +473,7 @@
   PoolWorld W(1);
   std::uint64_t Id = W.ask(W.makeAsk(2));
   BatchActions Out;
-  batchCancel(W.P, BatchAskId{Id}, W.Now, Out);
+  batchCancel(W.P, BatchRequestId{Id}, W.Now, Out);
   W.perform(Out);
   W.pass(milliseconds(400));
   CHECK(W.Answers.empty());
--- a/tests/test_cold.cpp
+++ b/tests/test_cold.cpp
@@ -3,8 +3,8 @@
 #include <rapidcheck.h>
 
 #include "gateway_world.h"
-#include "upstream_book.h"
 #include "upstream_func.h"
+#include "upstream_registry.h"
 
 using namespace fulmar;
 using std::chrono::milliseconds;
@@ -164,29 +164,29 @@
   // it what has changed in the list.
   // Cause: how cold an upstream is was no part of what makes two lists differ.
   UpstreamEntry Entry{"a", "pool", "10.0.0.1:1", "z1"};
-  UpstreamBook Reader;
-  UpstreamBook Listener;
+  UpstreamRegistry Reader;
+  UpstreamRegistry Listener;
   TimePoint Now{seconds(1)};
-  bookRead(Reader, {Entry}, Now);
+  registryRead(Reader, {Entry}, Now);
   auto Tell = [&] {
-    auto Change = bookChangesSince(Reader, Listener.Digest);
-    return Change && bookApply(Listener, *Change, Now);
+    auto Change = registryChangesSince(Reader, Listener.Digest);
+    return Change && registryApply(Listener, *Change, Now);
   };
   REQUIRE(Tell());
   Entry.ColdFor = seconds(3);
-  bookRead(Reader, {Entry}, Now + seconds(1));
+  registryRead(Reader, {Entry}, Now + seconds(1));
   REQUIRE(Reader.Digest != Listener.Digest);
   REQUIRE(Tell());
   CHECK(Listener.Entries.at("a").cold());
   WHEN("it is a little less cold") {
     std::uint64_t Digest = Reader.Digest;
     Entry.ColdFor = seconds(2);
-    bookRead(Reader, {Entry}, Now + seconds(2));
+    registryRead(Reader, {Entry}, Now + seconds(2));
     THEN("that is no news") { CHECK(Reader.Digest == Digest); }
   }
   WHEN("it is warm") {
     Entry.ColdFor = Duration::zero();
-    bookRead(Reader, {Entry}, Now + seconds(3));
+    registryRead(Reader, {Entry}, Now + seconds(3));
     REQUIRE(Tell());
     CHECK_FALSE(Listener.Entries.at("a").cold());
   }
--- a/tests/test_decisions.cpp
+++ b/tests/test_decisions.cpp
@@ -1,6 +1,7 @@
 /// \file test_decisions.cpp The small decisions of a forwarding node.
 #include <catch2/catch.hpp>
 
+#include "attempt_decision_func.h"
 #include "event_stream.h"
 #include "freshness.h"
 #include "log_func.h"
@@ -8,8 +9,7 @@
 #include "read_wait.h"
 #include "retry_window.h"
 #include "route_func.h"
-#include "upstream_book.h"
-#include "verdict_func.h"
+#include "upstream_registry.h"
 
 using namespace fulmar;
 using std::chrono::milliseconds;
@@ -39,19 +39,20 @@
                      F.Effect == AttemptEffect::Ran;
           F.Runs = (F.EarlierMayRun ? 1 : 0) + (Ran ? 1 : 0);
           F.Sends = F.Effect == AttemptEffect::NotSent ? 0 : 1;
-          Verdict V = verdictAfter(F);
+          AttemptDecision V = attemptDecisionAfter(F);
           INFO("bits " << Bits << " effect " << Effect << " outcome "
                        << Outcome);
-          if (V == Verdict::RefuseNotRun)
+          if (V == AttemptDecision::RefuseNotRun)
             CHECK((!Ran && !F.EarlierMayRun && !F.Delivered));
-          if (V == Verdict::Retry && Ran)
+          if (V == AttemptDecision::Retry && Ran)
             CHECK((F.Repeatable && F.Runs < F.MaxRuns && F.Budget));
-          if (V == Verdict::Retry)
+          if (V == AttemptDecision::Retry)
             CHECK((F.TimeLeft && !F.Expired && F.Elsewhere));
-          if (F.Delivered && V != Verdict::PassOn && V != Verdict::Retry)
-            CHECK(V == Verdict::BreakOff);
+          if (F.Delivered && V != AttemptDecision::PassOn &&
+              V != AttemptDecision::Retry)
+            CHECK(V == AttemptDecision::BreakOff);
           if (F.Outcome == AttemptOutcome::Success)
-            CHECK(V == Verdict::PassOn);
+            CHECK(V == AttemptDecision::PassOn);
         }
       }
     }
@@ -117,28 +118,28 @@
   // Sequence: the leases of live upstreams lapse while the store is away; the
   // first list after it is empty.
   // Cause: their absence was believed at once.
-  UpstreamBook Book;
+  UpstreamRegistry Registry;
   UpstreamEntry A{"i-a", "p", "1.2.3.4:5"};
   UpstreamEntry B{"i-b", "p", "1.2.3.4:6"};
-  CHECK(bookRead(Book, {A, B}, TimePoint{seconds(1)}));
-  CHECK_FALSE(bookRead(Book, {A, B}, TimePoint{seconds(2)}));
+  CHECK(registryRead(Registry, {A, B}, TimePoint{seconds(1)}));
+  CHECK_FALSE(registryRead(Registry, {A, B}, TimePoint{seconds(2)}));
   GIVEN("a list without one, in quiet times") {
-    CHECK(bookRead(Book, {A}, TimePoint{seconds(3)}));
-    CHECK(Book.Entries.size() == 1);
+    CHECK(registryRead(Registry, {A}, TimePoint{seconds(3)}));
+    CHECK(Registry.Entries.size() == 1);
   }
   GIVEN("an outage of five seconds") {
-    bookRead(Book, {}, TimePoint{seconds(7)});
-    CHECK(Book.Entries.size() == 2);
-    bookRead(Book, {A}, TimePoint{seconds(8)});
-    CHECK(Book.Entries.size() == 2);
+    registryRead(Registry, {}, TimePoint{seconds(7)});
+    CHECK(Registry.Entries.size() == 2);
+    registryRead(Registry, {A}, TimePoint{seconds(8)});
+    CHECK(Registry.Entries.size() == 2);
     THEN("one that is missing two seconds later is gone") {
-      bookRead(Book, {A}, TimePoint{milliseconds(9100)});
-      CHECK(Book.Entries.size() == 1);
+      registryRead(Registry, {A}, TimePoint{milliseconds(9100)});
+      CHECK(Registry.Entries.size() == 1);
     }
     THEN("one that says it leaves is believed at once") {
       A.Leaving = true;
-      bookRead(Book, {A}, TimePoint{milliseconds(8100)});
-      CHECK(Book.Entries.at("i-a").Leaving);
+      registryRead(Registry, {A}, TimePoint{milliseconds(8100)});
+      CHECK(Registry.Entries.at("i-a").Leaving);
     }
   }
 }
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -6,8 +6,8 @@
 #include "log_budget.h"
 #include "member_func.h"
 #include "route_func.h"
-#include "upstream_book.h"
-#include "vouch_func.h"
+#include "state_sync_func.h"
+#include "upstream_registry.h"
 
 using namespace fulmar;
 using platform::StoreMode;
@@ -288,47 +288,49 @@
   // service by every node: 904 reads in a minute of 75 nodes.
   // Sequence: a reader tells that its list is another one now.
   // Cause: it told only that, not what has changed.
-  UpstreamBook Reader;
-  UpstreamBook Other;
-  bookRead(Reader, {listed("a"), listed("b")}, TimePoint{seconds(1)});
+  UpstreamRegistry Reader;
+  UpstreamRegistry Other;
+  registryRead(Reader, {listed("a"), listed("b")}, TimePoint{seconds(1)});
   THEN("who has none gets all of it") {
-    auto Change = bookChangesSince(Reader, Other.Digest);
+    auto Change = registryChangesSince(Reader, Other.Digest);
     REQUIRE(Change);
-    CHECK(bookApply(Other, *Change, TimePoint{seconds(1)}));
+    CHECK(registryApply(Other, *Change, TimePoint{seconds(1)}));
     CHECK(Other.Known);
     CHECK(Other.Entries == Reader.Entries);
   }
   GIVEN("equal lists, and several changes of one") {
-    bookRead(Other, {listed("a"), listed("b")}, TimePoint{seconds(1)});
+    registryRead(Other, {listed("a"), listed("b")}, TimePoint{seconds(1)});
     CHECK(Other.Digest == Reader.Digest);
-    bookRead(Reader, {listed("a", true), listed("b"), listed("c")},
-             TimePoint{seconds(2)});
-    bookRead(Reader, {listed("b"), listed("c", true)}, TimePoint{seconds(3)});
+    registryRead(Reader, {listed("a", true), listed("b"), listed("c")},
+                 TimePoint{seconds(2)});
+    registryRead(Reader, {listed("b"), listed("c", true)},
+                 TimePoint{seconds(3)});
     THEN("the changes lead there at once") {
-      auto Change = bookChangesSince(Reader, Other.Digest);
+      auto Change = registryChangesSince(Reader, Other.Digest);
       REQUIRE(Change);
       CHECK(Change->Listed.size() == 1);
       CHECK(Change->Gone == std::vector<std::string>{"a"});
-      CHECK(bookApply(Other, *Change, TimePoint{seconds(3)}));
+      CHECK(registryApply(Other, *Change, TimePoint{seconds(3)}));
       CHECK(Other.Entries == Reader.Entries);
       CHECK(Other.Digest == Reader.Digest);
       CHECK(Other.ReadAt == TimePoint{seconds(3)});
     }
     THEN("a list that is not the one they begin at stays as it is") {
-      auto Change = bookChangesSince(Reader, Other.Digest);
-      bookRead(Other, {listed("d")}, TimePoint{seconds(3)});
-      CHECK_FALSE(bookApply(Other, *Change, TimePoint{seconds(4)}));
+      auto Change = registryChangesSince(Reader, Other.Digest);
+      registryRead(Other, {listed("d")}, TimePoint{seconds(3)});
+      CHECK_FALSE(registryApply(Other, *Change, TimePoint{seconds(4)}));
       CHECK(Other.Entries.count("d") == 1);
     }
     THEN("a list that is too old gets none") {
       for (int I = 0; I < 40; ++I)
-        bookRead(Reader, {listed("x" + std::to_string(I))},
-                 TimePoint{seconds(4 + I)});
-      CHECK_FALSE(bookChangesSince(Reader, Other.Digest));
+        registryRead(Reader, {listed("x" + std::to_string(I))},
+                     TimePoint{seconds(4 + I)});
+      CHECK_FALSE(registryChangesSince(Reader, Other.Digest));
     }
   }
   THEN("lists differ by what matters") {
-    bookRead(Other, {listed("a"), listed("b", true)}, TimePoint{seconds(1)});
+    registryRead(Other, {listed("a"), listed("b", true)},
+                 TimePoint{seconds(1)});
     CHECK(Other.Digest != Reader.Digest);
   }
 }
--- a/tests/test_restart.cpp
+++ b/tests/test_restart.cpp
@@ -4,8 +4,8 @@
 #include "batch_world.h"
 #include "gateway_world.h"
 #include "restart_func.h"
-#include "upstream_book.h"
 #include "upstream_func.h"
+#include "upstream_registry.h"
 
 using namespace fulmar;
 using std::chrono::milliseconds;
@@ -45,44 +45,43 @@
   // Sequence: its entry never left the list; a new start wrote it again, under
   // the same key.
   // Cause: the key alone was taken for the instance.
-  UpstreamBook Book;
-  UpstreamBook Other;
-  bookRead(Book, {entryOf("a", 100)}, TimePoint{seconds(1)});
-  bookRead(Other, {entryOf("a", 100)}, TimePoint{seconds(1)});
-  auto Before = Book.Entries;
-  REQUIRE(bookRead(Book, {entryOf("a", 200)}, TimePoint{seconds(2)}));
+  UpstreamRegistry Registry;
+  UpstreamRegistry Other;
+  registryRead(Registry, {entryOf("a", 100)}, TimePoint{seconds(1)});
+  registryRead(Other, {entryOf("a", 100)}, TimePoint{seconds(1)});
+  auto Before = Registry.Entries;
+  REQUIRE(registryRead(Registry, {entryOf("a", 200)}, TimePoint{seconds(2)}));
   THEN("that is a restart, and other nodes are told") {
     auto Found =
-        findRestarts(Before, Book.Entries, 1200, TimePoint{seconds(3)});
+        findRestarts(Before, Registry.Entries, 1200, TimePoint{seconds(3)});
     REQUIRE(Found.size() == 1);
     CHECK(Found[0].Earlier.BornMs == 100);
     CHECK(Found[0].Later.BornMs == 200);
     CHECK(Found[0].StartedAt == TimePoint{seconds(2)});
-    auto Change = bookChangesSince(Book, Other.Digest);
+    auto Change = registryChangesSince(Registry, Other.Digest);
     REQUIRE(Change);
-    CHECK(bookApply(Other, *Change, TimePoint{seconds(2)}));
+    CHECK(registryApply(Other, *Change, TimePoint{seconds(2)}));
     CHECK(Other.Entries.at("a").BornMs == 200);
   }
   THEN("what the earlier start wrote last changes nothing") {
     UpstreamEntry Late = entryOf("a", 100);
     Late.Leaving = true;
-    CHECK_FALSE(bookRead(Book, {Late}, TimePoint{seconds(3)}));
-    CHECK(Book.Entries.at("a").BornMs == 200);
-    CHECK_FALSE(Book.Entries.at("a").Leaving);
+    CHECK_FALSE(registryRead(Registry, {Late}, TimePoint{seconds(3)}));
+    CHECK(Registry.Entries.at("a").BornMs == 200);
+    CHECK_FALSE(Registry.Entries.at("a").Leaving);
   }
   THEN("several starts between two reads are one restart") {
-    bookRead(Book, {entryOf("a", 900)}, TimePoint{seconds(3)});
-    CHECK(findRestarts(Before, Book.Entries, 1200, TimePoint{seconds(3)})
+    registryRead(Registry, {entryOf("a", 900)}, TimePoint{seconds(3)});
+    CHECK(findRestarts(Before, Registry.Entries, 1200, TimePoint{seconds(3)})
               .size() == 1);
   }
   THEN("an outage of the list hides none") {
-    bookRead(Book, {}, TimePoint{seconds(9)});
-    REQUIRE(Book.Entries.count("a") == 1);
-    auto Away = Book.Entries;
-    bookRead(Book, {entryOf("a", 300)}, TimePoint{seconds(10)});
-    CHECK(
-        findRestarts(Away, Book.Entries, 1200, TimePoint{seconds(10)}).size() ==
-        1);
+    registryRead(Registry, {}, TimePoint{seconds(9)});
+    REQUIRE(Registry.Entries.count("a") == 1);
+    auto Away = Registry.Entries;
+    registryRead(Registry, {entryOf("a", 300)}, TimePoint{seconds(10)});
+    CHECK(findRestarts(Away, Registry.Entries, 1200, TimePoint{seconds(10)})
+              .size() == 1);
   }
 }
 
@@ -118,7 +117,7 @@
     }
   }
   GIVEN("results that it kept, of an ask that is not done") {
-    BatchAsk Ask = W.makeAsk(30); // Of a call's 24: two calls.
+    BatchRequest Ask = W.makeAsk(30); // Of a call's 24: two calls.
     std::uint64_t Id = W.ask(Ask);
     W.pass(milliseconds(460));
     REQUIRE(W.Answers.count(Id) == 0);
