--- a/tests/test_cold.cpp
+++ b/tests/test_cold.cpp
@@ -207,10 +207,13 @@
         W.Loop, [&] { return W.Timers.now() >= End; }, Time + seconds(1));
   };
   Read(seconds(2));
+  W.Runners["i-a"]->ColdRate = 1;
   std::size_t Before = W.Runners["i-a"]->Seen.size();
   for (int I = 0; I < 20; ++I)
     CHECK(W.ask("/post/x").Answer.Status == HttpOk);
   CHECK(W.Runners["i-a"]->Seen.size() <= Before + 1);
+  CHECK_FALSE(W.Runners["i-a"]->Overrun);
+  W.Runners["i-a"]->ColdRate = 0;
   W.ColdMs = 0;
   W.list("plain", "i-a", "ready");
   Read(seconds(2));
