Names of asks between nodes never repeat across a node's starts

Cause: each start counted the names of its asks for pieces from one again. The node that forms a pool's calls keys what it serves by node and name, and takes a known name for a repeat: the new process was given the results of what the killed one had asked for. Ruled out: results of another upstream under the same handle; a lost answer that is sent again (both keep their names).

Change: names begin at a random number at each start, drawn from the wall clock and the boot-time clock. So do the nonces of the questions about the configuration's age, whose answers would have passed for later ones in the same way.

--- a/src/batch_relay.h
+++ b/src/batch_relay.h
@@ -3,6 +3,7 @@
 #define FULMARSTEP_BATCH_RELAY_H
 
 #include "batch_service.h"
+#include "core/random.h"
 
 namespace fulmar {
 
@@ -24,7 +25,12 @@
   using DoneFn = BatchService::DoneFn;
   using ReadFn = BatchService::ReadFn;
 
-  explicit BatchRelay(Kernel &K) : Services(K) {}
+  /// \param Seed differs at each start. Names of asks are counted from it on:
+  /// other nodes go on with what this host's earlier process asked for, and
+  /// would take a new ask under the same name for a repeat. Its request would
+  /// be given another one's results.
+  BatchRelay(Kernel &K, std::uint64_t Seed)
+      : Services(K), LastTicket(Random(Seed)()) {}
 
   void start() override;
 
@@ -107,9 +113,9 @@
   std::map<std::pair<std::string, std::string>, BatchReleaseMessage>
       Releases; ///< To be sent, by node and pool.
   std::map<std::pair<std::string, int>, PoolView> Views; ///< By priority too.
-  bool ReleasePlanned = false;  ///< flushReleases will run.
-  std::uint64_t LastTicket = 0; ///< Counts asks.
-  RelayCounts Counts;           ///< For operators.
+  bool ReleasePlanned = false; ///< flushReleases will run.
+  std::uint64_t LastTicket;    ///< Counts asks.
+  RelayCounts Counts;          ///< For operators.
 };
 
 } // namespace fulmar
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -41,8 +41,11 @@
 GatewayNode::GatewayNode(EventLoop &L, TimerService &T, GatewaySettings S,
                          const WireFormat &Wire, const StoreFn &MakeStore)
     : Loop(L), Timers(T), Config(std::move(S)), Common(commonOf(Config)) {
+  // The wall clock may step back to an earlier start's time; the other one does
+  // not, but begins anew with the host.
   std::uint64_t Seed =
-      hash64(Config.NodeId + std::to_string(EventLoop::wallClock()),
+      hash64(Config.NodeId + std::to_string(EventLoop::wallClock()) + "/" +
+                 std::to_string(EventLoop::bootClock().count()),
              static_cast<std::uint64_t>(Config.Seed));
   Services.add(service::Loop, std::make_unique<LoopService>(Loop));
   Services.addShared(service::Timers, Timers);
@@ -61,10 +64,11 @@
   Services.add(service::Upstreams,
                std::make_unique<UpstreamFeed>(Services, Wire, Seed + 4));
   Services.add(service::StateSync,
-               std::make_unique<StateSyncService>(Services));
+               std::make_unique<StateSyncService>(Services, Seed + 7));
   Services.add(service::Batches,
                std::make_unique<BatchService>(Services, Wire));
-  Services.add(service::Relay, std::make_unique<BatchRelay>(Services));
+  Services.add(service::Relay,
+               std::make_unique<BatchRelay>(Services, Seed + 8));
   Services.add(service::Gateway, std::make_unique<GatewayService>(
                                      Services, Config, Wire, Seed + 5));
   Services.add(service::Entries,
--- a/src/state_sync_service.h
+++ b/src/state_sync_service.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 
+#include "core/random.h"
 #include "kernel.h"
 #include "state_sync_type.h"
 #include "timer_base.h"
@@ -36,7 +37,12 @@
   using StateSyncFn = std::function<void(const StateSync &)>;
   using ConfigFn = std::function<void(const ConfigHeard &)>;
 
-  explicit StateSyncService(Kernel &K) : Services(K) {}
+  /// \param Seed differs at each start. Nonces are counted from it on: an
+  /// answer to a question of this host's earlier process would else pass for
+  /// one to a later question, and what it says would be taken for more recent
+  /// than it is.
+  StateSyncService(Kernel &K, std::uint64_t Seed)
+      : Services(K), Nonce(Random(Seed)()), FetchNonce(Nonce) {}
 
   void start() override;
 
@@ -66,10 +72,10 @@
   PeerService *Peers = nullptr;      ///< Carries messages.
   RouteFeed *Routes = nullptr;       ///< What this node knows.
   UpstreamFeed *Upstreams = nullptr; ///< What this node knows.
-  std::uint64_t Nonce = 0;           ///< Of the latest question.
+  std::uint64_t Nonce;               ///< Of the latest question.
   Duration AskedBoot{};              ///< When it was sent.
   TimePoint AskedAt{};               ///< When it was sent.
-  std::uint64_t FetchNonce = 0;      ///< Of the latest wish for a copy.
+  std::uint64_t FetchNonce;          ///< Of the latest wish for a copy.
   Duration FetchedBoot{};            ///< When it was sent.
   std::vector<StateSyncFn> Hear;     ///< Subscribers.
   std::vector<ConfigFn> HearConfig;  ///< Subscribers.
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -121,8 +121,8 @@
     return Node;
   }
 
-  /// Adds a node.
-  GatewayNode &startNode(const std::string &Id) {
+  /// Settings of a node, with ports that nobody uses.
+  const GatewaySettings &makeSettings(const std::string &Id) {
     std::vector<int> Ports = freePorts("127.0.0.1", 5);
     auto Address = [&](std::size_t I) {
       return "127.0.0.1:" + std::to_string(Ports[I]);
@@ -141,10 +141,23 @@
     S.EntryTtlMs = 200;
     S.GraceS = 3;
     Settings.push_back(S);
-    Nodes.push_back(std::make_unique<GatewayNode>(
-        Loop, Timers, S, Wire, [Address = S.KvAddress](HttpClient &C) {
+    return Settings.back();
+  }
+
+  /// Makes a node with the latest settings, on a loop that may end before this
+  /// world's.
+  std::unique_ptr<GatewayNode> makeNode(EventLoop &On, TimerService &Time) {
+    const GatewaySettings &S = Settings.back();
+    return std::make_unique<GatewayNode>(
+        On, Time, S, Wire, [Address = S.KvAddress](HttpClient &C) {
           return std::make_unique<platform::Store>(C, Address);
-        }));
+        });
+  }
+
+  /// Adds a node.
+  GatewayNode &startNode(const std::string &Id) {
+    makeSettings(Id);
+    Nodes.push_back(makeNode(Loop, Timers));
     return *Nodes.back();
   }
 
--- a/tests/test_restart.cpp
+++ b/tests/test_restart.cpp
@@ -2,12 +2,14 @@
 #include <catch2/catch.hpp>
 
 #include "batch_world.h"
+#include "core/hash.h"
 #include "gateway_world.h"
 #include "restart_func.h"
 #include "upstream_func.h"
 #include "upstream_registry.h"
 
 using namespace fulmar;
+using platform::RunnerShape;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -239,3 +241,55 @@
     }
   }
 }
+
+SCENARIO("a node starts again while another has pieces made for it") {
+  // Symptom: an engine is given the inputs of another request.
+  // Sequence: a node asks another one for pieces and is killed; it starts again
+  // under its id and asks for pieces of a new request; the other node answers
+  // with the result that it still has for the first.
+  // Cause: names of asks were counted from one again at each start, and the
+  // other node takes an ask under a name that it knows for a repeat.
+  GatewayWorld W;
+  W.TimeoutMs = W.TargetMs = 5000;
+  RunnerShape Slow{"i-b"};
+  Slow.CallTime = milliseconds(1200);
+  auto &Batch = W.addRunner("batch", Slow);
+  auto &Engine = W.addRunner("engine", {"i-e", milliseconds(5), 2});
+  W.configure();
+  std::vector<std::string> Ids = {"n0", "n1"};
+  std::sort(Ids.begin(), Ids.end(), [](const auto &A, const auto &B) {
+    std::uint64_t Key = hash64("batch");
+    return rendezvousWeight(Key, A) > rendezvousWeight(Key, B);
+  });
+  HttpHeaders Pieces = {{"X-Pieces", "1,0,0"},
+                        {"X-Deadline-Remaining-Milliseconds", "5000"}};
+  GatewayNode &Coordinator = W.startNode(Ids[0]);
+  runUntil(W.Loop, [&] { return Coordinator.gateway().ready(); });
+  {
+    // A loop of its own, so that nothing is left of the process that is killed.
+    TimerService Time;
+    EventLoop Loop(Time);
+    W.makeSettings(Ids[1]);
+    auto Asker = W.makeNode(Loop, Time);
+    auto RunBoth = [&](const std::function<bool()> &Enough) {
+      return runUntil(W.Loop, [&] {
+        Loop.runOnce();
+        return Enough();
+      });
+    };
+    REQUIRE(RunBoth([&] { return Asker->gateway().ready(); }));
+    W.send("/staged/x", Pieces, 1);
+    REQUIRE(RunBoth([&] { return Batch.BatchCalls == 1; }));
+  }
+  GatewayNode &Again = W.startNode(Ids[1]);
+  runUntil(W.Loop, [&] { return Again.gateway().ready(); });
+  auto Result = W.send("/staged/x", Pieces, 2);
+  std::string Id = "r" + std::to_string(W.LastId);
+  REQUIRE(runUntil(
+      W.Loop, [&] { return Result->Ended; }, seconds(6)));
+  CHECK(Result->Answer.Status == HttpOk);
+  REQUIRE(Engine.Seen.size() == 1);
+  std::string Input = headerValue(Engine.Seen[0], "X-Inputs");
+  REQUIRE(Batch.MadeFor.count(Input) == 1);
+  CHECK(Batch.MadeFor[Input] == Id);
+}
