The list of upstreams is copied only while a failure domain is drained

Cause: seen on reading the change again: every change of membership copied the whole list to mark drained domains, also when none is drained, which is nearly always.

Change: it is used as it is unless a domain is drained.

--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -170,8 +170,16 @@
     return;
   // Everybody who chooses an upstream goes by these, so that a drained failure
   // domain gets no request, repeat, hedge or piece, whoever sends it.
-  std::map<std::string, UpstreamEntry> Entries =
-      domainDrainApply(Upstreams->registry().Entries, Routes->drained());
+  const std::map<std::string, UpstreamEntry> &Listed =
+      Upstreams->registry().Entries;
+  std::map<std::string, UpstreamEntry> Marked;
+  // Each change of membership comes here; the whole list is copied only when
+  // something in it changes.
+  bool Drained = !Routes->drained().Names.empty();
+  if (Drained)
+    Marked = domainDrainApply(Listed, Routes->drained());
+  const std::map<std::string, UpstreamEntry> &Entries =
+      Drained ? Marked : Listed;
   for (const ServiceSpec &Spec : Table->Services) {
     if (!Spec.Batch)
       setPool(Spec, Entries);
