--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -75,6 +75,13 @@
   beginStages(R);
 }
 
+/// \return What \p R has in common with other tries of the same request. An
+/// organisation may have several keys; on a public route a key names nobody.
+static Fingerprint contentOf(const ForwardRequest &R) {
+  return requestFingerprint(R.Organisation, R.Ask.Host, R.Exchange->Target,
+                            R.Exchange->Body);
+}
+
 /// Decides whether a request is taken in, and reads what is needed for it.
 /// \return Complete when it is.
 ResultCode GatewayService::admit(ForwardRequest &R) {
@@ -97,6 +104,7 @@
     R.Organisation = Owner->Name;
     R.Priority = Owner->Priority.value_or(R.Priority);
   }
+  R.Content = contentOf(R);
   R.Urgency = urgencyOf(R.Priority, R.Route->Priority);
   if (Requests.size() > MaxRequests)
     return ResultCode::TooManyRequests;
@@ -148,6 +156,7 @@
             {"code", resultInfo(Code).Name},
             {"host", R.Ask.Host},
             {"path", R.Exchange->Path},
+            {"fingerprint", fingerprintText(R.Content)},
             {"organisation", R.Organisation},
             {"used_before_ms", toMs(R.UsedBefore)},
             {"expected_ms", toMs(R.Expected)},
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -320,6 +320,7 @@
   if (!Quiet)
     logEvent(LogLevel::Info, "attempt_failed",
              {{"id", R.Ask.RequestId},
+              {"fingerprint", fingerprintText(R.Content)},
               {"upstream", R.LastUpstream},
               {"why", Expired ? "time over" : R.LastFailure},
               {"effect", attemptEffectName(Effect)},
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -8,6 +8,7 @@
 #include "forward_type.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "request_fingerprint.h"
 #include "result_type.h"
 #include "route_type.h"
 #include "timer_base.h"
@@ -61,6 +62,7 @@
   RouteTablePtr Table;              ///< The version it began under.
   const RouteSpec *Route = nullptr; ///< In that version.
   std::string Organisation;         ///< Whose request; empty: public route.
+  Fingerprint Content;              ///< The same for each try of a request.
   int Priority = 5;                 ///< For engines; 0 is the most urgent.
   int Urgency = 0;                  ///< Where work waits; 0 goes first.
   std::string PoolName;             ///< Who runs it.
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -281,6 +281,7 @@
   bool OnTime = Code == ResultCode::Complete && Useful <= R.OnTimeBy;
   std::initializer_list<LogField> Fields = {
       {"id", R.Ask.RequestId},
+      {"fingerprint", fingerprintText(R.Content)},
       {"route", R.Route->Name},
       {"organisation", R.Organisation},
       {"config", R.Table->Version},
