A request that crashes upstreams is quarantined by its content

Cause: what one run shows is forgotten with the try. A try has a new id and comes to any node, so each node judged it anew, gave it as many upstreams as its route allows attempts, and learned only that these upstreams were ill. The class of fault: an effect that belongs to a request's content was booked on its id, its upstream and one node.

Change: a fingerprint of caller, host, path and body. An upstream that breaks off under a request is reported to two nodes by rendezvous; after three ends they tell all nodes, which refuse every try at once (503, not run, with the rest of the time as Retry-After), also those that wait for stages. Nodes remind two others a second of what they hold, and a record in the key-value service, under a lease that ends with it, outlives a restart of all nodes. Innocent requests that are cut off by the same end run well elsewhere, which clears them; a node that saw one run well since it was first suspected objects, and the quarantine is lifted.

--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -10,6 +10,7 @@
 #include "member_service.h"
 #include "node_services.h"
 #include "peer_service.h"
+#include "quarantine_service.h"
 #include "route_feed.h"
 #include "settings_func.h"
 #include "upstream_feed.h"
@@ -90,6 +91,8 @@
   const HttpClientCounts &Calls =
       Services.find<HttpClientService>(service::Http).Client.counts();
   const PeerCounts &Peers = Services.find<PeerService>(service::Peers).counts();
+  const QuarantineService &Quarantined =
+      Services.find<QuarantineService>(service::Quarantine);
   auto Age = Routes->age();
   std::vector<PlainMetric> Plain = {
       {"fulmarstep_requests_accepted_total", "counter",
@@ -110,6 +113,14 @@
       {"fulmarstep_unreadable_upstream_entries", "gauge",
        static_cast<double>(
            Services.find<UpstreamFeed>(service::Upstreams).unreadable())},
+      {"fulmarstep_upstream_crashes_total", "counter",
+       static_cast<double>(Quarantined.counts().Crashes)},
+      {"fulmarstep_quarantined_requests", "gauge",
+       static_cast<double>(Quarantined.size())},
+      {"fulmarstep_quarantines_total", "counter",
+       static_cast<double>(Quarantined.counts().Held)},
+      {"fulmarstep_quarantines_lifted_total", "counter",
+       static_cast<double>(Quarantined.counts().Lifted)},
       {"fulmarstep_peer_messages_total", "counter",
        static_cast<double>(Peers.SentMessages)},
       {"fulmarstep_members", "gauge",
--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -5,6 +5,7 @@
 #include "gateway_reply.h"
 #include "gateway_service.h"
 #include "log_func.h"
+#include "quarantine_service.h"
 #include "result_func.h"
 #include "route_feed.h"
 #include "route_func.h"
@@ -106,6 +107,10 @@
   }
   R.Content = contentOf(R);
   R.Urgency = urgencyOf(R.Priority, R.Route->Priority);
+  if (auto Left = Quarantined->left(R.Content)) {
+    R.RetryIn = *Left;
+    return ResultCode::RequestQuarantined;
+  }
   if (Requests.size() > MaxRequests)
     return ResultCode::TooManyRequests;
   Duration Left = R.Ask.Left.value_or(DefaultLeft);
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -7,6 +7,7 @@
 #include "gateway_service.h"
 #include "log_func.h"
 #include "member_service.h"
+#include "quarantine_service.h"
 #include "retry_window.h"
 #include "route_func.h"
 #include "upstream_func.h"
@@ -46,6 +47,8 @@
 void GatewayService::sendAttempt(RequestSerial Serial) {
   ForwardRequest *R = find(Serial);
   assert(!R->Attempt && "a request has one attempt at a time");
+  if (Quarantined->left(R->Content))
+    return refuseQuarantined(*R);
   Pool &P = Pools[R->PoolName];
   ChoiceHints Hints;
   Hints.Affinity = affinityOf(*R);
@@ -241,6 +244,7 @@
     R->LastFailure = Whole.Failure != HttpFailure::None
                          ? std::string(httpFailureName(Whole.Failure))
                          : "status " + std::to_string(Whole.Status);
+  reportRun(*R, Whole, Outcome, Effect);
   if (Reply.InputsGone && R->InputsFreed)
     readWaitLearn(InputsRead, /*Missed=*/1, /*Found=*/0);
   if (Reply.InputsGone && R->StageRounds == 1) {
@@ -281,6 +285,17 @@
   R.Attempt.reset();
 }
 
+/// Gives up the attempt in progress, if there is one, for a reason that says
+/// nothing about its upstream.
+void GatewayService::dropAttempt(ForwardRequest &R) {
+  if (!R.Attempt)
+    return;
+  Client->cancel(R.Attempt->Call);
+  if (Upstream *U = upstreamById(Pools[R.PoolName], R.Attempt->Upstream))
+    --U->InFlight;
+  closeAttempt(R);
+}
+
 bool GatewayService::hasElsewhere(const ForwardRequest &R) const {
   auto Found = Pools.find(R.PoolName);
   if (Found == Pools.end())
@@ -339,7 +354,7 @@
   case AttemptDecision::Retry:
     if (!R.Stages.empty() && (R.HeadSent || R.InputsFreed))
       return redoStages(R);
-    return sendAttempt(R.Serial);
+    return brokeOff(Answer) ? retryAfterCrash(R) : sendAttempt(R.Serial);
   case AttemptDecision::RefuseNotRun:
     if (Expired)
       return finish(R, ResultCode::DeadlineInQueue);
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -14,6 +14,7 @@
 #include "member_service.h"
 #include "node_services.h"
 #include "peer_service.h"
+#include "quarantine_service.h"
 #include "route_feed.h"
 #include "state_sync_service.h"
 #include "upstream_feed.h"
@@ -69,6 +70,11 @@
                std::make_unique<BatchService>(Services, Wire));
   Services.add(service::Relay,
                std::make_unique<BatchRelay>(Services, Seed + 8));
+  QuarantinePolicy Quarantined;
+  Quarantined.Crashes = static_cast<int>(Config.QuarantineCrashes);
+  Quarantined.Time = fromMs(Config.QuarantineS * 1e3);
+  Services.add(service::Quarantine,
+               std::make_unique<QuarantineService>(Services, Quarantined));
   Services.add(service::Gateway, std::make_unique<GatewayService>(
                                      Services, Config, Wire, Seed + 5));
   Services.add(service::Entries,
--- /dev/null
+++ b/src/gateway_quarantine.cpp
@@ -0,0 +1,63 @@
+/// \file gateway_quarantine.cpp Requests that crash upstreams, as this node
+/// meets them.
+#include "gateway_service.h"
+#include "quarantine_service.h"
+
+namespace fulmar {
+
+/// Before a request that an upstream has broken off is sent to another one.
+/// Longer than a report takes to the nodes that judge it, and their word back:
+/// without it the last retry goes out just before the request is quarantined.
+static constexpr Duration CrashRetryPause = std::chrono::milliseconds(20);
+
+bool brokeOff(const HttpAnswer &Answer) {
+  return Answer.MaySent && (Answer.Failure == HttpFailure::Closed ||
+                            Answer.Failure == HttpFailure::Torn);
+}
+
+/// Tells what an attempt that has ended shows of its request.
+void GatewayService::reportRun(const ForwardRequest &R,
+                               const HttpAnswer &Answer, AttemptOutcome Outcome,
+                               AttemptEffect Effect) {
+  if (brokeOff(Answer))
+    return Quarantined->upstreamEnded(R.Attempt->Address, {R.Content});
+  // Its own error is an answer, too: it ran the request and is still there.
+  if (Outcome == AttemptOutcome::Success || Effect == AttemptEffect::Ran)
+    Quarantined->ranWell(R.Content);
+}
+
+void GatewayService::retryAfterCrash(ForwardRequest &R) {
+  R.RetryTimer = Timers->after(CrashRetryPause, [this, Serial = R.Serial] {
+    if (find(Serial))
+      sendAttempt(Serial);
+  });
+}
+
+void GatewayService::refuseQuarantined(ForwardRequest &R) {
+  R.LastFailure = "quarantined";
+  if (R.HeadSent)
+    return finish(R, ResultCode::StreamBroken);
+  if (R.Runs > 0)
+    return finish(R, ResultCode::AnswerLost);
+  finish(R, ResultCode::RequestQuarantined,
+         Quarantined->left(R.Content).value_or(Duration::zero()));
+}
+
+/// Ends what is in progress of a request that is quarantined from now on. A run
+/// that gives events already is left alone: it does no harm.
+void GatewayService::endQuarantined(Fingerprint Content) {
+  std::vector<RequestSerial> Tries;
+  for (const auto &[Serial, R] : Requests) {
+    if (R.Content == Content && !R.HeadSent)
+      Tries.push_back(Serial);
+  }
+  for (RequestSerial Serial : Tries) {
+    ForwardRequest *R = find(Serial);
+    if (R->Attempt && R->Attempt->Sent)
+      ++R->Runs;
+    dropAttempt(*R);
+    refuseQuarantined(*R);
+  }
+}
+
+} // namespace fulmar
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -89,6 +89,7 @@
   Duration RetryIn{};       ///< When to come back, if it is refused.
   TimerId DeadlineTimer;    ///< Ends it.
   TimerId SilenceTimer;     ///< Looks after a silent stream.
+  TimerId RetryTimer;       ///< Sends it again after a pause.
   TimerId ReadTimer;        ///< When its upstream has read its inputs.
   bool InputsFreed = false; ///< They are gone; another attempt needs new ones.
 };
--- a/src/gateway_restart.cpp
+++ b/src/gateway_restart.cpp
@@ -3,6 +3,7 @@
 
 #include "gateway_service.h"
 #include "log_func.h"
+#include "quarantine_service.h"
 #include "upstream_func.h"
 
 namespace fulmar {
@@ -49,8 +50,11 @@
   // say so.
   for (RequestSerial Serial : Cut) {
     ForwardRequest *R = find(Serial);
-    if (R && R->Attempt)
-      abandonAttempt(*R, "upstream started again");
+    if (!R || !R->Attempt)
+      continue;
+    if (R->Attempt->Sent)
+      Quarantined->upstreamEnded(Restart.Earlier.Address, {R->Content});
+    abandonAttempt(*R, "upstream started again");
   }
   for (RequestSerial Serial : LostInputs)
     resultsLost(Serial);
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -7,6 +7,7 @@
 #include "loop_service.h"
 #include "member_service.h"
 #include "node_services.h"
+#include "quarantine_service.h"
 #include "result_func.h"
 #include "route_feed.h"
 #include "settings_func.h"
@@ -49,6 +50,8 @@
   Members = &Services.find<MemberService>(service::Members);
   Batches = &Services.find<BatchRelay>(service::Relay);
   OwnPools = &Services.find<BatchService>(service::Batches);
+  Quarantined = &Services.find<QuarantineService>(service::Quarantine);
+  Quarantined->onHeld([this](Fingerprint Content) { endQuarantined(Content); });
   Routes->onChange([this] { configChanged(); });
   Upstreams->onRestart(
       [this](const UpstreamRestart &Restart) { upstreamRestarted(Restart); });
@@ -213,13 +216,7 @@
   ForwardRequest *R = find(Serial);
   if (!R)
     return;
-  if (R->Attempt) {
-    Client->cancel(R->Attempt->Call);
-    Pool &P = Pools[R->PoolName];
-    if (Upstream *U = upstreamById(P, R->Attempt->Upstream))
-      --U->InFlight;
-    closeAttempt(*R);
-  }
+  dropAttempt(*R);
   conclude(*R, ResultCode::CallerLeftRunning, 0);
 }
 
@@ -276,6 +273,7 @@
   Timers->cancel(R.SilenceTimer);
   Timers->cancel(R.ReadTimer);
   Timers->cancel(R.StageTimer);
+  Timers->cancel(R.RetryTimer);
   cancelStages(R);
   TimePoint Useful = R.FirstEvent > TimePoint{} ? R.FirstEvent : Now;
   bool OnTime = Code == ResultCode::Complete && Useful <= R.OnTimeBy;
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -16,6 +16,7 @@
 class RouteFeed;
 class UpstreamFeed;
 class MemberService;
+class QuarantineService;
 
 /// What a route's requests took lately.
 struct RouteTimes {
@@ -40,6 +41,11 @@
 /// organisation and of its route.
 int urgencyOf(int Organisation, int Route);
 
+/// \return Whether the upstream ended, or broke off, while it ran a request.
+/// One that was given up for its silence, or by a client that left, says
+/// nothing.
+bool brokeOff(const HttpAnswer &Answer);
+
 /// Smooths one of a route's times; the first value counts whole.
 void smoothTime(Duration &Time, Duration Newest);
 
@@ -105,6 +111,13 @@
   void upstreamRestarted(const UpstreamRestart &Restart);
   void resultsLost(RequestSerial Serial);
 
+  // gateway_quarantine.cpp: requests that crash upstreams.
+  void reportRun(const ForwardRequest &R, const HttpAnswer &Answer,
+                 AttemptOutcome Outcome, AttemptEffect Effect);
+  void retryAfterCrash(ForwardRequest &R);
+  void refuseQuarantined(ForwardRequest &R);
+  void endQuarantined(Fingerprint Content);
+
   // gateway_attempt.cpp: sends and their answers.
   void sendAttempt(RequestSerial Serial);
   void planFree(ForwardRequest &R);
@@ -122,6 +135,7 @@
   Duration patience(const ForwardRequest &R) const;
   void watchSilence(ForwardRequest &R);
   void closeAttempt(ForwardRequest &R);
+  void dropAttempt(ForwardRequest &R);
   void judgeUpstream(ForwardRequest &R, AttemptOutcome Outcome,
                      AttemptEffect Effect);
   bool hasElsewhere(const ForwardRequest &R) const;
@@ -143,20 +157,21 @@
   RetryAllowance allowance() const;
   RouteTimes &timesOf(const ForwardRequest &R);
 
-  Kernel &Services;                   ///< Finds the others.
-  const GatewaySettings &Config;      ///< Bounds.
-  const WireFormat &Wire;             ///< Translates.
-  Random Rng;                         ///< Choices and spreads.
-  RouterPolicy Policy;                ///< Choice of upstreams.
-  TimerService *Timers = nullptr;     ///< Time.
-  HttpClient *Client = nullptr;       ///< Calls upstreams.
-  RouteFeed *Routes = nullptr;        ///< The configuration.
-  UpstreamFeed *Upstreams = nullptr;  ///< The list of upstreams.
-  MemberService *Members = nullptr;   ///< The other nodes.
-  BatchRelay *Batches = nullptr;      ///< Work to be done before.
-  BatchService *OwnPools = nullptr;   ///< Pools whose calls are formed here.
-  std::unique_ptr<HttpServer> Server; ///< Listens for clients.
-  std::map<std::string, Pool> Pools;  ///< Plain pools and engines.
+  Kernel &Services;                  ///< Finds the others.
+  const GatewaySettings &Config;     ///< Bounds.
+  const WireFormat &Wire;            ///< Translates.
+  Random Rng;                        ///< Choices and spreads.
+  RouterPolicy Policy;               ///< Choice of upstreams.
+  TimerService *Timers = nullptr;    ///< Time.
+  HttpClient *Client = nullptr;      ///< Calls upstreams.
+  RouteFeed *Routes = nullptr;       ///< The configuration.
+  UpstreamFeed *Upstreams = nullptr; ///< The list of upstreams.
+  MemberService *Members = nullptr;  ///< The other nodes.
+  BatchRelay *Batches = nullptr;     ///< Work to be done before.
+  BatchService *OwnPools = nullptr;  ///< Pools whose calls are formed here.
+  QuarantineService *Quarantined = nullptr;    ///< Requests not to be sent.
+  std::unique_ptr<HttpServer> Server;          ///< Listens for clients.
+  std::map<std::string, Pool> Pools;           ///< Plain pools and engines.
   std::map<std::string, std::string> DomainOf; ///< Of upstreams, by address.
   std::map<std::string, RetryWindow> Retries;  ///< By pool.
   std::map<std::string, RouteTimes> Times;     ///< By route.
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -25,10 +25,12 @@
   double RetryRatio = 0.2;         ///< Repeats for each request.
   double RetryExtra = 0;           ///< Repeats besides, by the whole fleet.
   double RetryWindowS = 10;        ///< In any span of this length, s.
-  double CpuShare = 1;             ///< Of a core that this node has.
-  double LinkMbps = 1000;          ///< Of this node's link.
-  std::string LogLevelName = "info"; ///< Lowest level logged.
-  std::int64_t Seed = 0;             ///< Of random choices; 0: by the clock.
+  std::int64_t QuarantineCrashes = 3; ///< Upstreams that a request may end.
+  double QuarantineS = 300;           ///< Then it is refused for so long, s.
+  double CpuShare = 1;                ///< Of a core that this node has.
+  double LinkMbps = 1000;             ///< Of this node's link.
+  std::string LogLevelName = "info";  ///< Lowest level logged.
+  std::int64_t Seed = 0;              ///< Of random choices; 0: by the clock.
 };
 
 } // namespace fulmar
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -228,6 +228,7 @@
   logEvent(LogLevel::Info, "stages_redone",
            {{"id", R.Ask.RequestId}, {"rounds", R.StageRounds}});
   cancelStages(R);
+  Timers->cancel(R.RetryTimer);
   R.InputsFreed = false;
   beginStages(R);
 }
--- a/src/join_service.cpp
+++ b/src/join_service.cpp
@@ -12,7 +12,7 @@
 
 namespace fulmar {
 
-static const std::string Prefix = "fulmarstep/";
+static const std::string Prefix(FleetPrefix);
 static const std::string KeyName = Prefix + "peer-key";
 static const std::string NodePrefix = Prefix + "nodes/";
 /// An entry outlives its process by this much. It is only a seed for others,
@@ -58,6 +58,8 @@
 }
 
 void JoinService::taken(const KvItems &Found) {
+  for (const KvTree::ItemsFn &Fn : Hear)
+    Fn(Found);
   std::vector<HostPort> Seeds;
   for (const KvItem &Item : Found.Items) {
     if (Item.Key == KeyName)
--- a/src/join_service.h
+++ b/src/join_service.h
@@ -13,6 +13,9 @@
 
 class MemberService;
 
+/// Keys of a fleet in the key-value service begin so.
+inline constexpr std::string_view FleetPrefix = "fulmarstep/";
+
 /// Fetches the secret that nodes share, or creates it when there is none;
 /// enters this process under a lease, so that strangers find each other
 /// although all seeds of the settings are gone; and takes the revision of that
@@ -25,6 +28,9 @@
 
   void start() override;
 
+  /// Calls \p Fn with all keys of the fleet whenever they have been read.
+  void onItems(KvTree::ItemsFn Fn) { Hear.push_back(std::move(Fn)); }
+
 private:
   void read();
   void taken(const KvItems &Found);
@@ -34,18 +40,19 @@
   void renew();
   void later(void (JoinService::*Step)(), KvStatus Why);
 
-  Kernel &Services;                 ///< Finds the others.
-  const Settings &Config;           ///< Name and address of this node.
-  Random Rng;                       ///< Spreads repeated calls.
-  TimerService *Timers = nullptr;   ///< Time.
-  KvTree *Tree = nullptr;           ///< Reads.
-  KvStore *Store = nullptr;         ///< Creates the key.
-  KvLeases *Leases = nullptr;       ///< Enters this process.
-  MemberService *Members = nullptr; ///< Learns of the others.
-  std::string Key;                  ///< The secret, once it is known.
-  std::uint64_t Lease = 0;          ///< Of the entry; 0: none.
-  bool Joined = false;              ///< The incarnation is taken.
-  int Failures = 0;                 ///< Calls in a row that failed.
+  Kernel &Services;                  ///< Finds the others.
+  const Settings &Config;            ///< Name and address of this node.
+  Random Rng;                        ///< Spreads repeated calls.
+  TimerService *Timers = nullptr;    ///< Time.
+  KvTree *Tree = nullptr;            ///< Reads.
+  KvStore *Store = nullptr;          ///< Creates the key.
+  KvLeases *Leases = nullptr;        ///< Enters this process.
+  MemberService *Members = nullptr;  ///< Learns of the others.
+  std::string Key;                   ///< The secret, once it is known.
+  std::uint64_t Lease = 0;           ///< Of the entry; 0: none.
+  bool Joined = false;               ///< The incarnation is taken.
+  int Failures = 0;                  ///< Calls in a row that failed.
+  std::vector<KvTree::ItemsFn> Hear; ///< Subscribers.
 };
 
 } // namespace fulmar
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -9,6 +9,7 @@
 #include "bundle_base.h"
 #include "ledger_type.h"
 #include "member_type.h"
+#include "quarantine_type.h"
 #include "state_sync_type.h"
 
 namespace fulmar {
@@ -34,7 +35,8 @@
     std::variant<MemberMessage, LedgerEntry, LedgerResult, BundleFetch,
                  BundleDelta, DemandReport, DemandTotal, BatchRequestMessage,
                  BatchAnswerMessage, BatchReleaseMessage, StateSyncRequest,
-                 StateSyncResponse, ConfigFetch, ConfigCopy>;
+                 StateSyncResponse, ConfigFetch, ConfigCopy, CrashReport,
+                 QuarantineUpdate, QuarantineObjection>;
 
 /// A message between nodes, with what every message says.
 struct PeerMessage {
--- a/src/table/result_codes.h
+++ b/src/table/result_codes.h
@@ -28,6 +28,7 @@
 RESULT_CODE(2054, StageUnavailable, 503, 500, "A stage that the request needs could not be done; the request itself did not run.")
 RESULT_CODE(2055, UpstreamsBusy, 503, 200, "Every upstream of the pool is busy or said that it did not run the request.")
 RESULT_CODE(2056, TooManyRequests, 503, 500, "This node has as many requests in progress as it can hold.")
+RESULT_CODE(2057, RequestQuarantined, 503, 30000, "Earlier tries of this request ended the upstreams that ran them; this one was not run.")
 
 RESULT_CODE(3000, StageFailed, 502, 1000, "A stage answered with an error.")
 RESULT_CODE(3001, DeadlinePassed, 504, 0, "The deadline passed while a stage was running.")
