No request is said not to have run after one of its attempts may have

Suspected, not seen: stages that are done again after an attempt ran, a stop in the pause before a retry, and a quarantine in that pause all ended a request with a code of the family 'not run'. The check stood at some of the places that end a request; it now stands in finish(), which all of them use. A test drives the pause: the try that brings a quarantine about gets 502, the next one 503.

--- a/src/gateway_quarantine.cpp
+++ b/src/gateway_quarantine.cpp
@@ -35,11 +35,8 @@
 
 void GatewayService::refuseQuarantined(ForwardRequest &R) {
   R.LastFailure = "quarantined";
-  if (R.HeadSent)
-    return finish(R, ResultCode::StreamBroken);
-  if (R.Runs > 0)
-    return finish(R, ResultCode::AnswerLost);
-  finish(R, ResultCode::RequestQuarantined,
+  finish(R,
+         R.HeadSent ? ResultCode::StreamBroken : ResultCode::RequestQuarantined,
          Quarantined->left(R.Content).value_or(Duration::zero()));
 }
 
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -231,6 +231,10 @@
 
 void GatewayService::finish(ForwardRequest &R, ResultCode Code,
                             Duration RetryIn) {
+  // Stages that are done again, or a stop, may end a request whose earlier
+  // attempt ran: that it did not would be a lie.
+  if (resultFamily(Code) == ResultFamily::NotRun && R.Runs > 0)
+    Code = ResultCode::AnswerLost;
   HttpExchangePtr Exchange = R.Exchange;
   bool Begun = R.HeadSent;
   std::string Id = R.Ask.RequestId;
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -42,6 +42,7 @@
   double RevokeMs = 5000;         ///< Set before nodes are added.
   std::string Attempts = "2";     ///< Of each route.
   std::string Body = "body";      ///< Of requests that are sent next.
+  int QuarantineCrashes = 3;      ///< Set before nodes are added.
   double ColdPerS = 0;            ///< That a cold upstream bears; 0: any.
   int ColdMs = 0;                 ///< Of upstreams that are listed next.
   int CallMs = 20;                ///< Of a call for pieces, as configured.
@@ -141,6 +142,7 @@
     S.RetryExtra = 50;
     S.EntryTtlMs = 200;
     S.GraceS = 3;
+    S.QuarantineCrashes = QuarantineCrashes;
     Settings.push_back(S);
     return Settings.back();
   }
--- a/tests/test_quarantine.cpp
+++ b/tests/test_quarantine.cpp
@@ -181,6 +181,18 @@
     CHECK(Runner->Runs.count(Id) == 0);
 }
 
+SCENARIO("the try that brings a quarantine about") {
+  // Guards against a try that is told that it has not run, because it was
+  // refused on its way to a second upstream.
+  CrashWorld W(0);
+  W.QuarantineCrashes = 1;
+  W.addNode();
+  CHECK(W.askAt(0, "/get/x", Deadly).Answer.Status == 502);
+  CHECK(W.runsOfLast() == 1);
+  CHECK(W.askAt(0, "/get/x", Deadly).Answer.Status == 503);
+  CHECK(W.runsOfLast() == 0);
+}
+
 SCENARIO("requests that are cut off by another one's crash") {
   // Guards against innocent requests that are quarantined because they were
   // under way at upstreams that ended.
