Lists of upstreams are compared by parts where no change leads on

A node whose list was read at a moment of its own has a digest that no reader ever had; told that, it read the whole list again, and again had one of its own, for as long as upstreams come and go: suspected from 345 kB/s a node at 3,000 upstreams. Each change was copied, digested and compared whole, twice. Each change of any member's state went through all upstreams.

Change: the digest is a sum over 64 buckets, so that a change costs what it holds; who is behind sends the buckets' digests and gets what differs, at most 500 entries an answer; changes of members only matter when their number does.

--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -1,6 +1,8 @@
 /// \file gateway_service.cpp Passes clients' requests on to upstreams.
 #include "gateway_service.h"
 
+#include <utility>
+
 #include "domain_drain_func.h"
 #include "gateway_reply.h"
 #include "log_func.h"
@@ -56,7 +58,7 @@
   Upstreams->onRestart(
       [this](const UpstreamRestart &Restart) { upstreamRestarted(Restart); });
   Upstreams->onChange([this] { upstreamsChanged(); });
-  Members->onChange([this] { upstreamsChanged(); });
+  Members->onChange([this] { membersChanged(); });
   Timers->every(SweepPeriod, [this] { sweep(); });
   EventLoop &Loop = Services.find<LoopService>(service::Loop).Loop;
   HostPort Address = parseHostPort(Config.CallerAddress).value_or(HostPort());
@@ -193,6 +195,15 @@
   OwnPools->update(*Table, Entries, allowance());
 }
 
+/// Only how many nodes share the limits matters here. In a large fleet some
+/// member's state changes all the time, and each change would go through the
+/// whole list of upstreams.
+void GatewayService::membersChanged() {
+  std::size_t Nodes = Members->ids().size();
+  if (std::exchange(SharingNodes, Nodes) != Nodes)
+    upstreamsChanged();
+}
+
 void GatewayService::sweep() {
   for (auto &[Name, P] : Pools)
     ejectSlow(P, Policy, Timers->now());
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -143,6 +143,7 @@
   // gateway_service.cpp: the rest.
   void configChanged();
   void upstreamsChanged();
+  void membersChanged();
   void setPool(const ServiceSpec &Spec,
                const std::map<std::string, UpstreamEntry> &Entries);
   void sweep();
@@ -178,6 +179,7 @@
   std::map<RequestSerial, ForwardRequest> Requests; ///< In progress.
   std::uint64_t LastSerial = 0;                     ///< Counts requests.
   std::uint32_t LastUpstream = 0;                   ///< Counts upstreams.
+  std::size_t SharingNodes = 0; ///< Live nodes, when limits were last shared.
   double MostNodes = 1; ///< That were known at any time. Nodes that are cut off
                         ///< from each other still send to the same upstreams.
   ReadWait InputsRead;  ///< Until upstreams have read a run's inputs.
--- a/src/state_sync_service.cpp
+++ b/src/state_sync_service.cpp
@@ -92,7 +92,11 @@
   ++Nonce;
   AskedBoot = EventLoop::bootClock();
   AskedAt = Timers->now();
-  Peers->sendTo(Reader, StateSyncRequest{Nonce, Upstreams->registry().Digest});
+  const UpstreamRegistry &Registry = Upstreams->registry();
+  StateSyncRequest Ask{Nonce, Registry.Digest, std::nullopt};
+  if (Upstreams->behind())
+    Ask.Buckets = Registry.Buckets;
+  Peers->sendTo(Reader, std::move(Ask));
 }
 
 StateSyncResponse
@@ -109,6 +113,9 @@
   Out.ListAge = Registry.Known ? Timers->now() - Registry.ReadAt : Never;
   if (Registry.Known && Asked.ListDigest != Registry.Digest)
     Out.ListChange = registryChangesSince(Registry, Asked.ListDigest);
+  if (Registry.Known && !Out.ListChange && Asked.Buckets)
+    Out.ListChange =
+        registryBucketsSince(Registry, Asked.ListDigest, *Asked.Buckets);
   return Out;
 }
 
--- a/src/state_sync_service.h
+++ b/src/state_sync_service.h
@@ -50,6 +50,8 @@
   void onSync(StateSyncFn Fn) { Hear.push_back(std::move(Fn)); }
   /// Calls \p Fn with each copy of the configuration that was asked for.
   void onConfig(ConfigFn Fn) { HearConfig.push_back(std::move(Fn)); }
+  /// Asks the node that reads for this one what has changed, if there is one.
+  void ask();
   /// Asks the node that reads for this one for its configuration.
   void fetchConfig();
   /// \return Whether this node reads for itself.
@@ -61,7 +63,6 @@
   int retryFactor() const;
 
 private:
-  void ask();
   std::string reader() const;
   void sendCopy(const std::string &Node, const ConfigFetch &Asked);
   StateSyncResponse ownAnswer(const StateSyncRequest &Asked) const;
--- a/src/state_sync_type.h
+++ b/src/state_sync_type.h
@@ -15,6 +15,8 @@
 struct StateSyncRequest {
   std::uint64_t Nonce = 0;                  ///< Comes back in the answer.
   std::uint64_t ListDigest = EmptyRegistry; ///< Of the list that the asker has.
+  std::optional<BucketDigests> Buckets; ///< Of its parts, where no change that
+                                        ///< was told begins at it.
 };
 
 /// What it knows.
--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -12,6 +12,9 @@
 static constexpr Duration ReadPeriod = std::chrono::milliseconds(900);
 /// A reader whose list is older than this has lost the service.
 static constexpr Duration MostSyncedAge = std::chrono::milliseconds(1300);
+/// Without an answer that compares the parts of the list for this long, a node
+/// reads all of it.
+static constexpr Duration ComparePatience = std::chrono::milliseconds(650);
 /// Before a failed read is repeated.
 static constexpr Duration RetryPause = std::chrono::milliseconds(150);
 /// Each pause varies by this part, so that nodes do not read together.
@@ -63,21 +66,50 @@
     // An older list would bring back upstreams that are known to leave.
     if (Registry.Known && ReadAt <= Registry.ReadAt)
       return;
-    std::map<std::string, UpstreamEntry> Before = Registry.Entries;
-    if (!Answer.ListChange ||
-        !registryApply(Registry, *Answer.ListChange, ReadAt))
-      return readAfter(Duration::zero());
-    changed(Before);
+    if (!takeChange(Answer, ReadAt))
+      return fellBehind();
+    // The rest of a change that is too long for one answer.
+    if (Registry.Digest != Answer.ListDigest)
+      return Readers->ask();
   }
+  Behind = false;
   Registry.ReadAt = std::max(Registry.ReadAt, ReadAt);
   readAfter(ReadPeriod);
 }
 
+/// \return Whether a reader's change leads on from this node's list.
+bool UpstreamFeed::takeChange(const StateSyncResponse &Answer,
+                              TimePoint ReadAt) {
+  if (!Answer.ListChange)
+    return false;
+  std::map<std::string, UpstreamEntry> Before = Registry.Entries;
+  bool Whole = Answer.ListChange->To == Answer.ListDigest;
+  if (!registryApply(Registry, *Answer.ListChange,
+                     Whole ? ReadAt : Registry.ReadAt))
+    return false;
+  changed(Before);
+  return true;
+}
+
+/// No change that a reader tells begins at this node's list: it was read at
+/// another moment. Reading it again would give one more such list, and in a
+/// large fleet that changes all the time every node would go on reading all of
+/// it. So the lists are compared by parts; a reader that does not answer leaves
+/// the read that is due.
+void UpstreamFeed::fellBehind() {
+  if (Behind || !Registry.Known)
+    return readAfter(Duration::zero());
+  Behind = true;
+  readAfter(ComparePatience);
+  Readers->ask();
+}
+
 void UpstreamFeed::answered(const KvItems &Found) {
   if (Failures > 0)
     logEvent(LogLevel::Info, "upstream_list_regained",
              {{"failures", Failures}, {"revision", Found.Revision}});
   Failures = 0;
+  Behind = false;
   std::vector<UpstreamEntry> Listed;
   std::map<std::string, std::string> Bad;
   for (const KvItem &Item : Found.Items) {
--- a/src/upstream_feed.h
+++ b/src/upstream_feed.h
@@ -32,6 +32,8 @@
 
   /// \return What is listed.
   const UpstreamRegistry &registry() const { return Registry; }
+  /// \return Whether other nodes' changes do not lead on from this node's list.
+  bool behind() const { return Behind; }
   /// \return Entries of the latest read that name no upstream to use.
   std::size_t unreadable() const { return Unreadable.size(); }
 
@@ -39,6 +41,8 @@
   void read();
   void readAfter(Duration Pause);
   void synced(const StateSync &Heard);
+  bool takeChange(const StateSyncResponse &Answer, TimePoint ReadAt);
+  void fellBehind();
   void answered(const KvItems &Found);
   std::optional<UpstreamEntry>
   readEntry(const KvItem &Item, std::map<std::string, std::string> &Bad);
@@ -53,7 +57,8 @@
   UpstreamRegistry Registry;           ///< What is listed.
   StateSyncService *Readers = nullptr; ///< Tells what others read.
   TimerId NextRead;                    ///< Of our own; none: one is under way.
-  int Failures = 0;                    ///< Reads in a row that failed.
+  bool Behind = false; ///< Parts of the list are compared, not changes.
+  int Failures = 0;    ///< Reads in a row that failed.
   std::map<std::string, std::string> Unreadable; ///< Why, by key.
   std::vector<std::function<void()>> Changes;    ///< Subscribers.
   std::vector<std::function<void(const UpstreamRestart &)>>
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -2,6 +2,8 @@
 #include "upstream_registry.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 #include "core/hash.h"
 
@@ -10,28 +12,73 @@
 /// Changes that are remembered: half a minute of an upstream that comes or goes
 /// every second, which is more than a node that listens is behind.
 static constexpr std::size_t ChangesKept = 32;
-/// Largest list that is given to who has none; 100 bytes an entry. Beyond that
-/// the receiver reads the list itself.
+/// Entries that are given at once; 100 bytes each. Who has no list and would
+/// need more reads it itself; who has another one gets the rest with the next
+/// answers.
 static constexpr std::size_t LargestWhole = 500;
 
-/// \return A number that equal lists share.
-static std::uint64_t
-digestOf(const std::map<std::string, UpstreamEntry> &List) {
-  std::string Text;
-  for (const auto &[Instance, Entry] : List) {
-    Text += Instance + '\n' + std::to_string(Entry.BornMs) + '\n' + Entry.Pool +
-            '\n' + Entry.Address + '\n' + Entry.FailureDomain +
-            (Entry.Leaving ? "\n1" : "\n0") + (Entry.cold() ? "1\n" : "0\n");
+/// \return A number that equal entries share. What is not part of it, as for
+/// how long an upstream is still cold, is news for nobody else.
+static std::uint64_t digestOf(const UpstreamEntry &Entry) {
+  return hash64(Entry.Instance + '\n' + std::to_string(Entry.BornMs) + '\n' +
+                Entry.Pool + '\n' + Entry.Address + '\n' + Entry.FailureDomain +
+                (Entry.Leaving ? "\n1" : "\n0") + (Entry.cold() ? "1" : "0"));
+}
+
+static std::size_t bucketOf(const std::string &Instance) {
+  return hash64(Instance) % RegistryBuckets;
+}
+
+/// \return The digest of a whole list: a sum, so that a change costs as much as
+/// it holds and not as much as the list.
+static std::uint64_t sumOf(const BucketDigests &Buckets) {
+  std::uint64_t Sum = VacantRegistry;
+  for (std::uint64_t Bucket : Buckets)
+    Sum += Bucket;
+  return Sum;
+}
+
+/// \return The parts' digests after \p Change.
+static BucketDigests bucketsAfter(const UpstreamRegistry &Registry,
+                                  const RegistryChange &Change) {
+  BucketDigests Out = Registry.Buckets;
+  auto TakeOff = [&](const std::string &Instance) {
+    auto Old = Registry.Entries.find(Instance);
+    if (Old != Registry.Entries.end())
+      Out[bucketOf(Instance)] -= digestOf(Old->second);
+  };
+  for (const UpstreamEntry &Entry : Change.Listed) {
+    TakeOff(Entry.Instance);
+    Out[bucketOf(Entry.Instance)] += digestOf(Entry);
   }
-  // A list that was read is never taken for none.
-  return std::max<std::uint64_t>(hash64(Text), EmptyRegistry + 1);
+  for (const std::string &Instance : Change.Gone)
+    TakeOff(Instance);
+  return Out;
 }
 
-/// Makes \p Next the list, and remembers what changed.
-static void replace(UpstreamRegistry &Registry,
-                    std::map<std::string, UpstreamEntry> Next) {
-  RegistryChange Change;
+/// Takes a change into the list, and remembers it for others.
+static void takeIn(UpstreamRegistry &Registry, RegistryChange Change,
+                   const BucketDigests &Buckets) {
+  for (const UpstreamEntry &Entry : Change.Listed)
+    Registry.Entries[Entry.Instance] = Entry;
+  for (const std::string &Instance : Change.Gone)
+    Registry.Entries.erase(Instance);
   Change.From = Registry.Digest;
+  Registry.Buckets = Buckets;
+  Registry.Digest = sumOf(Buckets);
+  Change.To = Registry.Digest;
+  if (Change.To == Change.From)
+    return;
+  Registry.Latest.push_back(std::move(Change));
+  if (Registry.Latest.size() > ChangesKept)
+    Registry.Latest.pop_front();
+}
+
+/// \return What leads from the present list to \p Next.
+static RegistryChange
+changeTo(const UpstreamRegistry &Registry,
+         const std::map<std::string, UpstreamEntry> &Next) {
+  RegistryChange Change;
   for (const auto &[Instance, Entry] : Next) {
     auto Old = Registry.Entries.find(Instance);
     if (Old == Registry.Entries.end() || Old->second != Entry)
@@ -41,16 +88,7 @@
     if (!Next.count(Instance))
       Change.Gone.push_back(Instance);
   }
-  Registry.Entries = std::move(Next);
-  Registry.Digest = digestOf(Registry.Entries);
-  Change.To = Registry.Digest;
-  // What is not part of the digest, as for how long an upstream is still cold,
-  // is news for nobody else.
-  if (Change.To == Change.From)
-    return;
-  Registry.Latest.push_back(std::move(Change));
-  if (Registry.Latest.size() > ChangesKept)
-    Registry.Latest.pop_front();
+  return Change;
 }
 
 /// \return \p Entry, or what is known already of a later start of the same
@@ -77,8 +115,11 @@
     for (const auto &[Instance, Entry] : Registry.Entries)
       Next.try_emplace(Instance, Entry);
   }
-  bool Changed = !Registry.Known || Next != Registry.Entries;
-  replace(Registry, std::move(Next));
+  RegistryChange Change = changeTo(Registry, Next);
+  bool Changed =
+      !Registry.Known || !Change.Listed.empty() || !Change.Gone.empty();
+  BucketDigests Buckets = bucketsAfter(Registry, Change);
+  takeIn(Registry, std::move(Change), Buckets);
   Registry.ReadAt = Now;
   Registry.Known = true;
   return Changed;
@@ -89,7 +130,7 @@
 wholeRegistry(const UpstreamRegistry &Registry) {
   if (Registry.Entries.size() > LargestWhole)
     return std::nullopt;
-  RegistryChange Whole{EmptyRegistry, Registry.Digest, {}, {}};
+  RegistryChange Whole{EmptyRegistry, Registry.Digest, {}, {}, {}};
   for (const auto &[Instance, Entry] : Registry.Entries)
     Whole.Listed.push_back(Entry);
   return Whole;
@@ -112,7 +153,7 @@
     for (const std::string &Instance : It->Gone)
       Last[Instance] = nullptr;
   }
-  RegistryChange Sum{From, Registry.Digest, {}, {}};
+  RegistryChange Sum{From, Registry.Digest, {}, {}, {}};
   for (const auto &[Instance, Entry] : Last) {
     if (Entry)
       Sum.Listed.push_back(*Entry);
@@ -122,18 +163,54 @@
   return Sum;
 }
 
-bool registryApply(UpstreamRegistry &Registry, const RegistryChange &Change,
+RegistryChange registryBucketsSince(const UpstreamRegistry &Registry,
+                                    std::uint64_t From,
+                                    const BucketDigests &Buckets) {
+  std::array<std::vector<const UpstreamEntry *>, RegistryBuckets> Sorted;
+  for (const auto &[Instance, Entry] : Registry.Entries)
+    Sorted[bucketOf(Instance)].push_back(&Entry);
+  RegistryChange Change{From, From, {}, {}, {}};
+  if (From == EmptyRegistry)
+    Change.To = VacantRegistry;
+  for (std::size_t I = 0; I < RegistryBuckets; ++I) {
+    if (Buckets[I] == Registry.Buckets[I])
+      continue;
+    if (!Change.Whole.empty() &&
+        Change.Listed.size() + Sorted[I].size() > LargestWhole)
+      break;
+    Change.Whole.push_back(static_cast<std::uint32_t>(I));
+    for (const UpstreamEntry *Entry : Sorted[I])
+      Change.Listed.push_back(*Entry);
+    Change.To += Registry.Buckets[I] - Buckets[I];
+  }
+  return Change;
+}
+
+/// Names what goes with the buckets that \p Change gives whole.
+static void nameGone(const UpstreamRegistry &Registry, RegistryChange &Change) {
+  if (Change.Whole.empty())
+    return;
+  std::set<std::string_view> Kept;
+  for (const UpstreamEntry &Entry : Change.Listed)
+    Kept.insert(Entry.Instance);
+  std::set<std::size_t> Whole(Change.Whole.begin(), Change.Whole.end());
+  for (const auto &[Instance, Entry] : Registry.Entries) {
+    if (Whole.count(bucketOf(Instance)) && !Kept.count(Instance))
+      Change.Gone.push_back(Instance);
+  }
+  Change.Whole.clear();
+}
+
+bool registryApply(UpstreamRegistry &Registry, const RegistryChange &Offered,
                    TimePoint ReadAt) {
-  if (Change.From != Registry.Digest)
+  if (Offered.From != Registry.Digest)
     return false;
-  std::map<std::string, UpstreamEntry> Next = Registry.Entries;
-  for (const UpstreamEntry &Entry : Change.Listed)
-    Next[Entry.Instance] = Entry;
-  for (const std::string &Instance : Change.Gone)
-    Next.erase(Instance);
-  if (digestOf(Next) != Change.To)
+  RegistryChange Change = Offered;
+  nameGone(Registry, Change);
+  BucketDigests Buckets = bucketsAfter(Registry, Change);
+  if (sumOf(Buckets) != Offered.To)
     return false;
-  replace(Registry, std::move(Next));
+  takeIn(Registry, std::move(Change), Buckets);
   Registry.ReadAt = std::max(Registry.ReadAt, ReadAt);
   Registry.Known = true;
   return true;
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -3,6 +3,7 @@
 #ifndef FULMARSTEP_UPSTREAM_REGISTRY_H
 #define FULMARSTEP_UPSTREAM_REGISTRY_H
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -21,21 +22,29 @@
 /// time if their upstreams live.
 inline constexpr Duration ListReturn = std::chrono::seconds(2);
 
+/// A list is compared by so many parts, each with a digest of its own.
+inline constexpr std::size_t RegistryBuckets = 64;
+using BucketDigests = std::array<std::uint64_t, RegistryBuckets>;
+
 /// What leads from one list to another.
 struct RegistryChange {
   std::uint64_t From = 0;            ///< Digest of the list before.
   std::uint64_t To = 0;              ///< Digest of the list after.
   std::vector<UpstreamEntry> Listed; ///< New, or changed.
   std::vector<std::string> Gone;     ///< Instances that are not listed more.
+  std::vector<std::uint32_t> Whole;  ///< Buckets of which nothing else is left.
 };
 
 /// Digest of a list that was never read.
 inline constexpr std::uint64_t EmptyRegistry = 0;
+/// Digest of a list that was read and holds nothing.
+inline constexpr std::uint64_t VacantRegistry = 1;
 
 /// Upstreams as they were last read.
 struct UpstreamRegistry {
   std::map<std::string, UpstreamEntry> Entries; ///< By instance.
   std::uint64_t Digest = EmptyRegistry; ///< Equal lists have equal ones.
+  BucketDigests Buckets{};              ///< The same of each part.
   std::deque<RegistryChange> Latest;    ///< Changes, the last one last.
   TimePoint ReadAt{};                   ///< Of the latest read.
   TimePoint BackAt{};                   ///< End of the latest outage.
@@ -56,6 +65,12 @@
 std::optional<RegistryChange>
 registryChangesSince(const UpstreamRegistry &Registry, std::uint64_t From);
 
+/// \return What leads from a list with such parts towards this one. It is
+/// bounded: where much differs, it leads a part of the way.
+RegistryChange registryBucketsSince(const UpstreamRegistry &Registry,
+                                    std::uint64_t From,
+                                    const BucketDigests &Buckets);
+
 /// Takes in what another node's list has besides this one.
 /// \param ReadAt when the other node's list was read.
 /// \return Whether it fits: it begins at this list and leads to what it says.
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -311,6 +311,7 @@
   // Cause: it told only that, not what has changed.
   UpstreamRegistry Reader;
   UpstreamRegistry Other;
+  std::vector<UpstreamEntry> Everywhere;
   registryRead(Reader, {listed("a"), listed("b")}, TimePoint{seconds(1)});
   THEN("who has none gets all of it") {
     auto Change = registryChangesSince(Reader, Other.Digest);
@@ -349,6 +350,40 @@
       CHECK_FALSE(registryChangesSince(Reader, Other.Digest));
     }
   }
+  GIVEN("a list that was read at a moment of its own") {
+    for (int I = 0; I < 3000; ++I)
+      Everywhere.push_back(listed("i" + std::to_string(I)));
+    registryRead(Reader, Everywhere, TimePoint{seconds(2)});
+    for (int I = 0; I < 40; ++I)
+      Everywhere[static_cast<std::size_t>(I)].Leaving = true;
+    Everywhere.push_back(listed("gone before the reader saw it"));
+    registryRead(Other, Everywhere, TimePoint{seconds(3)});
+    Everywhere.pop_back();
+    Everywhere.push_back(listed("new"));
+    registryRead(Reader, Everywhere, TimePoint{seconds(4)});
+    REQUIRE_FALSE(registryChangesSince(Reader, Other.Digest));
+    THEN("what differs is a small part of it") {
+      RegistryChange Change =
+          registryBucketsSince(Reader, Other.Digest, Other.Buckets);
+      CHECK(Change.Listed.size() < 150);
+      CHECK(registryApply(Other, Change, TimePoint{seconds(4)}));
+      CHECK(Other.Entries == Reader.Entries);
+      CHECK(Other.Digest == Reader.Digest);
+    }
+    THEN("where all of it differs, it comes in parts that are bounded") {
+      UpstreamRegistry Vacant;
+      registryRead(Vacant, {}, TimePoint{seconds(1)});
+      int Answers = 0;
+      while (Vacant.Digest != Reader.Digest && ++Answers < 20) {
+        RegistryChange Change =
+            registryBucketsSince(Reader, Vacant.Digest, Vacant.Buckets);
+        CHECK(Change.Listed.size() <= 500);
+        REQUIRE(registryApply(Vacant, Change, TimePoint{seconds(4)}));
+      }
+      CHECK(Answers < 10);
+      CHECK(Vacant.Entries == Reader.Entries);
+    }
+  }
   THEN("lists differ by what matters") {
     registryRead(Other, {listed("a"), listed("b", true)},
                  TimePoint{seconds(1)});
