The key-value service may come back from an older copy

Much here takes a revision for an order that only grows.

Two ways: a full reread and a new generation of all local state at each return, or (epoch, revision) as one ordered number. The second: the adapter hands out revisions with the epoch in their upper bits, so every comparison that exists goes on to hold, a revision of another epoch is lost history for a watch and a conflict for a compare-and-swap, and only what was written by this system needs an action of its own: entry, lease, secret, records. Nodes that do not read themselves hear of the epoch with the answers of those that do. An answer of an earlier epoch, or of none, counts as lost. For 2 s after a return nobody confirms that its configuration is the newest. The list keeps what the copy lacks for 2 s, and keeps leaving what was known to leave for 5 s.

--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -107,6 +107,8 @@
        static_cast<double>(Calls.Strays)},
       {"fulmarstep_config_version", "gauge",
        Routes->table() ? static_cast<double>(Routes->table()->Version) : 0},
+      {"fulmarstep_kv_epoch", "gauge",
+       static_cast<double>(Services.find<KvEpochs>(service::Kv).epoch())},
       {"fulmarstep_config_age_ms", "gauge", Age ? toMs(*Age) : -1},
       {"fulmarstep_drained_domains", "gauge",
        static_cast<double>(Routes->drained().Names.size())},
--- a/src/join_service.cpp
+++ b/src/join_service.cpp
@@ -2,6 +2,7 @@
 #include "join_service.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "log_func.h"
 #include "member_service.h"
@@ -19,9 +20,15 @@
 /// so it may be long, and renewals few.
 static constexpr Duration LeaseTime = std::chrono::seconds(30);
 static constexpr Duration RenewPeriod = std::chrono::seconds(8);
+/// A node that knew nobody when it joined looks once more after this time: the
+/// others may have been entering themselves again.
+static constexpr Duration LonePeriod = std::chrono::seconds(2);
 /// Pause before a failed call is repeated, and how much it is spread.
 static constexpr Duration RetryPause = std::chrono::milliseconds(60);
 static constexpr Duration RetrySpread = std::chrono::milliseconds(120);
+/// After the key-value service has come back from an older copy, all nodes
+/// enter themselves again within this time, and not all at once.
+static constexpr Duration EpochSpread = std::chrono::milliseconds(1200);
 
 /// After each so many failures in a row the pause is longer by one, up to the
 /// most: a short outage ends with all nodes back at once, a long one is not
@@ -35,9 +42,56 @@
   Store = &Services.find<KvStore>(service::Kv);
   Leases = &Services.find<KvLeases>(service::Kv);
   Members = &Services.find<MemberService>(service::Members);
+  Services.find<KvEpochs>(service::Kv).onEpoch([this](std::uint64_t) {
+    epochBegan();
+  });
   read();
 }
 
+/// The key-value service has come back from an older copy. This node's entry
+/// and lease may be gone, and another node's lease may bear the same name; the
+/// shared secret may be gone, and another one may have been created. Waiting
+/// for a renewal to fail would leave strangers unable to find each other.
+void JoinService::epochBegan() {
+  ++Turn;
+  Lease = 0;
+  Duration Pause = fromMs(toMs(EpochSpread) * randomUnit(Rng));
+  Timers->after(Pause, [this, Now = Turn] {
+    if (Now != Turn)
+      return;
+    Incarnation == 0 ? read() : confirmKey();
+  });
+}
+
+/// Takes the secret that is kept, in place of another one if need be.
+void JoinService::takeKey(const std::string &Kept) {
+  if (std::exchange(Key, Kept) == Kept || Incarnation == 0)
+    return;
+  Services.find<PeerService>(service::Peers).join(Key, Incarnation);
+  logEvent(LogLevel::Warning, "peer_key_replaced", {});
+}
+
+/// Sees that the secret that is kept and that of this node are the same. The
+/// kept one holds: nodes that start now take it.
+void JoinService::confirmKey() {
+  Store->get(KeyName, [this, Now = Turn](KvStatus Status, const KvEntry &Kept) {
+    if (Now != Turn)
+      return;
+    if (Status != KvStatus::Ok)
+      return later(&JoinService::confirmKey, Status);
+    if (Kept.Value == Key)
+      return takeLease();
+    if (!Kept.Value.empty()) {
+      takeKey(Kept.Value);
+      return takeLease();
+    }
+    Store->cas(KeyName, Key, 0, [this, Now](KvStatus) {
+      if (Now == Turn)
+        later(&JoinService::confirmKey, KvStatus::Ok);
+    });
+  });
+}
+
 /// Repeats a step whose call failed.
 void JoinService::later(void (JoinService::*Step)(), KvStatus Why) {
   if (Failures++ == 0)
@@ -46,11 +100,16 @@
   int Factor = std::min(MostPauses, 1 + Failures / FailuresPerPause);
   Duration Pause =
       (RetryPause + fromMs(toMs(RetrySpread) * randomUnit(Rng))) * Factor;
-  Timers->after(Pause, [this, Step] { (this->*Step)(); });
+  Timers->after(Pause, [this, Step, Now = Turn] {
+    if (Now == Turn)
+      (this->*Step)();
+  });
 }
 
 void JoinService::read() {
-  Tree->range(Prefix, [this](const KvItems &Found) {
+  Tree->range(Prefix, [this, Now = Turn](const KvItems &Found) {
+    if (Now != Turn)
+      return;
     if (Found.Status != KvStatus::Ok)
       return later(&JoinService::read, Found.Status);
     taken(Found);
@@ -63,7 +122,7 @@
   std::vector<HostPort> Seeds;
   for (const KvItem &Item : Found.Items) {
     if (Item.Key == KeyName)
-      Key = Item.Value;
+      takeKey(Item.Value);
     auto Address = parseHostPort(Item.Value);
     if (Item.Key.rfind(NodePrefix, 0) == 0 && Address)
       Seeds.push_back(*Address);
@@ -78,20 +137,26 @@
 void JoinService::createKey() {
   // Whatever the answer to the write is, the key that is there is the right
   // one: several nodes may try at once, and an answer may be lost.
-  Store->cas(KeyName, makeSigningKey().PrivateHex, 0, [this](KvStatus Status) {
-    if (Status == KvStatus::Ok || Status == KvStatus::Conflict)
-      return read();
-    later(&JoinService::read, Status);
-  });
+  Store->cas(KeyName, makeSigningKey().PrivateHex, 0,
+             [this, Now = Turn](KvStatus Status) {
+               if (Now != Turn)
+                 return;
+               if (Status == KvStatus::Ok || Status == KvStatus::Conflict)
+                 return read();
+               later(&JoinService::read, Status);
+             });
 }
 
 void JoinService::takeLease() {
-  Leases->grant(LeaseTime, [this](KvStatus Status, std::uint64_t Number) {
-    if (Status != KvStatus::Ok)
-      return later(&JoinService::takeLease, Status);
-    Lease = Number;
-    enter();
-  });
+  Leases->grant(LeaseTime,
+                [this, Now = Turn](KvStatus Status, std::uint64_t Number) {
+                  if (Now != Turn)
+                    return;
+                  if (Status != KvStatus::Ok)
+                    return later(&JoinService::takeLease, Status);
+                  Lease = Number;
+                  enter();
+                });
 }
 
 void JoinService::enter() {
@@ -99,7 +164,9 @@
       formatHostPort({Config.Host, static_cast<int>(Config.PeerPort)});
   Leases->putLeased(
       NodePrefix + Config.NodeId, Address, Lease,
-      [this](KvStatus Status, std::uint64_t Revision) {
+      [this, Now = Turn](KvStatus Status, std::uint64_t Revision) {
+        if (Now != Turn)
+          return;
         if (Status == KvStatus::Conflict) {
           Lease = 0;
           return later(&JoinService::takeLease, Status);
@@ -109,34 +176,49 @@
         if (Status != KvStatus::Ok)
           return later(&JoinService::enter, Status);
         Failures = 0;
-        Timers->after(RenewPeriod, [this] { renew(); });
-        if (Joined)
+        planRenewal();
+        if (Incarnation != 0)
           return;
-        Joined = true;
         // Room below the next revision: a node raises its incarnation by one
         // for each piece of news about itself.
         constexpr std::uint64_t Room = 1 << 16;
-        Services.find<PeerService>(service::Peers).join(Key, Revision * Room);
-        Members->join(Revision * Room);
+        Incarnation = Revision * Room;
+        Services.find<PeerService>(service::Peers).join(Key, Incarnation);
+        Members->join(Incarnation);
         logEvent(LogLevel::Info, "fleet_joined", {{"incarnation", Revision}});
+        Timers->after(LonePeriod, [this] { readIfAlone(); });
       });
 }
 
+void JoinService::planRenewal() {
+  Timers->after(RenewPeriod, [this, Now = Turn] {
+    if (Now == Turn)
+      renew();
+  });
+}
+
+/// Who knows others hears of new nodes from them, and tries those again that it
+/// took for dead. Only a node that knows nobody needs the list once more.
+void JoinService::readIfAlone() {
+  if (Members->ids().size() > 1)
+    return;
+  Tree->range(Prefix, [this](const KvItems &Found) {
+    if (Found.Status == KvStatus::Ok)
+      taken(Found);
+  });
+}
+
 void JoinService::renew() {
-  // Who knows others hears of new nodes from them, and tries those again that
-  // it took for dead. Only a node that knows nobody needs the list once more.
-  if (Members->ids().size() <= 1)
-    Tree->range(Prefix, [this](const KvItems &Found) {
-      if (Found.Status == KvStatus::Ok)
-        taken(Found);
-    });
-  Leases->renew(Lease, [this](KvStatus Status) {
+  readIfAlone();
+  Leases->renew(Lease, [this, Now = Turn](KvStatus Status) {
+    if (Now != Turn)
+      return;
     if (Status == KvStatus::Conflict) {
       logEvent(LogLevel::Warning, "node_entry_lapsed", {{"lease", Lease}});
       Lease = 0;
       return takeLease();
     }
-    Timers->after(RenewPeriod, [this] { renew(); });
+    planRenewal();
   });
 }
 
--- a/src/join_service.h
+++ b/src/join_service.h
@@ -39,6 +39,11 @@
   void enter();
   void renew();
   void later(void (JoinService::*Step)(), KvStatus Why);
+  void planRenewal();
+  void readIfAlone();
+  void epochBegan();
+  void confirmKey();
+  void takeKey(const std::string &Kept);
 
   Kernel &Services;                  ///< Finds the others.
   const Settings &Config;            ///< Name and address of this node.
@@ -50,7 +55,9 @@
   MemberService *Members = nullptr;  ///< Learns of the others.
   std::string Key;                   ///< The secret, once it is known.
   std::uint64_t Lease = 0;           ///< Of the entry; 0: none.
-  bool Joined = false;               ///< The incarnation is taken.
+  std::uint64_t Turn = 0;            ///< Counts begins; answers to calls of an
+                                     ///< earlier one are not heard.
+  std::uint64_t Incarnation = 0;     ///< Of this process; 0: not joined yet.
   int Failures = 0;                  ///< Calls in a row that failed.
   std::vector<KvTree::ItemsFn> Hear; ///< Subscribers.
 };
--- a/src/kv_tree.h
+++ b/src/kv_tree.h
@@ -39,6 +39,26 @@
                       Duration Wait, ItemsFn Done) = 0;
 };
 
+/// The part of a key-value service that may come back from an older copy.
+///
+/// What was written since the copy is gone then, and its revisions are given
+/// out again. Each such return begins a new epoch. Revisions that this
+/// interface hands out hold the epoch in their upper bits, so that a later one
+/// is greater whatever the service did in between.
+class KvEpochs {
+public:
+  /// Hears of a new epoch.
+  using EpochFn = std::function<void(std::uint64_t)>;
+
+  virtual ~KvEpochs() = default;
+  /// \return The latest epoch that is known; 0: none was told.
+  virtual std::uint64_t epoch() const = 0;
+  /// Takes in an epoch that another node has seen.
+  virtual void heardEpoch(std::uint64_t Epoch) = 0;
+  /// Calls \p Fn when a later epoch is known, before an answer of it is told.
+  virtual void onEpoch(EpochFn Fn) = 0;
+};
+
 /// The part of a key-value service that drops keys of processes that ended.
 class KvLeases {
 public:
--- a/src/quarantine_service.cpp
+++ b/src/quarantine_service.cpp
@@ -57,6 +57,9 @@
       [this](const PeerMessage &, const QuarantineObjection &Objection) {
         lift(Objection.Content);
       });
+  Services.find<KvEpochs>(service::Kv).onEpoch([this](std::uint64_t) {
+    recordsLost();
+  });
   Timers->every(RemindPeriod, [this] { tick(); });
 }
 
@@ -168,6 +171,13 @@
   save();
 }
 
+/// The key-value service has come back from an older copy; records that were
+/// written since are gone.
+void QuarantineService::recordsLost() {
+  for (const auto &[Content, Entry] : State.Entries)
+    Unsaved.insert(Content);
+}
+
 void QuarantineService::remindOthers() {
   QuarantineUpdate Update{quarantineNotices(State, Timers->now())};
   if (Update.Notices.empty())
--- a/src/quarantine_service.h
+++ b/src/quarantine_service.h
@@ -61,6 +61,7 @@
   void announce(Fingerprint Content);
   void tick();
   void remindOthers();
+  void recordsLost();
   void save();
   void write(Fingerprint Content, std::uint64_t Lease);
   void readRecords(const KvItems &Found);
--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -45,6 +45,10 @@
 /// nodes fail together when the service does, and must not return together.
 static constexpr Duration RetryPause = std::chrono::milliseconds(60);
 
+/// After the key-value service has come back from an older copy, those whose
+/// writes it lost have written them again within this time.
+static constexpr Duration RestoreTime = std::chrono::seconds(2);
+
 RouteFeed::RouteFeed(Kernel &K, const WireFormat &W, FreshnessBounds B,
                      std::uint64_t Seed)
     : Services(K), Wire(W), Bounds(B), Rng(Seed) {}
@@ -55,9 +59,20 @@
   Readers = &Services.find<StateSyncService>(service::StateSync);
   Readers->onSync([this](const StateSync &Heard) { synced(Heard); });
   Readers->onConfig([this](const ConfigHeard &Heard) { copied(Heard); });
+  Services.find<KvEpochs>(service::Kv).onEpoch([this](std::uint64_t) {
+    ConfirmFrom = Timers->now() + RestoreTime;
+  });
   read();
 }
 
+/// The version in force was the newest when a call was sent at \p Sent, or when
+/// another node was sure of that. A key-value service that has come back from
+/// an older copy has an older version until the operator has written it again.
+void RouteFeed::confirm(Duration Sent) {
+  if (Timers->now() >= ConfirmFrom)
+    freshnessConfirm(Fresh, Sent);
+}
+
 bool RouteFeed::keysFresh() const {
   return freshForKeys(Fresh, Bounds, EventLoop::bootClock());
 }
@@ -96,7 +111,7 @@
     takeDrained(Read, "store");
     if (!Table)
       return follow();
-    freshnessConfirm(Fresh, Sent);
+    confirm(Sent);
     next();
   });
 }
@@ -130,7 +145,7 @@
     return;
   if (Heard.Answer.ConfigVersion > Table->Version)
     return fetch();
-  freshnessConfirm(Fresh, Heard.AskedBoot - Heard.Answer.ConfigAge);
+  confirm(Heard.AskedBoot - Heard.Answer.ConfigAge);
   next();
 }
 
@@ -153,7 +168,7 @@
   take(Heard.Copy.Text);
   if (Table->Version != Heard.Copy.Version)
     return;
-  freshnessConfirm(Fresh, Heard.AskedBoot - Heard.Copy.Age);
+  confirm(Heard.AskedBoot - Heard.Copy.Age);
   next();
 }
 
@@ -175,7 +190,7 @@
                  takeEvents(Found.Items);
                  if (!Table)
                    return follow();
-                 freshnessConfirm(Fresh, Sent);
+                 confirm(Sent);
                  next();
                });
 }
--- a/src/route_feed.h
+++ b/src/route_feed.h
@@ -62,6 +62,7 @@
   void takeDrained(const DrainedDomains &Heard, std::string_view Source);
   void takeEvents(const std::vector<KvItem> &Events);
   void tell() const;
+  void confirm(Duration Sent);
 
   Kernel &Services;                           ///< Finds the others.
   const WireFormat &Wire;                     ///< Reads the configuration.
@@ -72,6 +73,7 @@
   RouteTablePtr Table;                        ///< In force.
   std::string Text;                           ///< Of it, if it is short.
   Freshness Fresh;                            ///< Its age.
+  TimePoint ConfirmFrom{};                    ///< Not sure of it before then.
   DrainedDomains Drained;                     ///< Failure domains.
   std::uint64_t Revision = 0;                 ///< Changes up to it are known.
   StateSyncService *Readers = nullptr;        ///< Tells what others read.
--- a/src/state_sync_service.cpp
+++ b/src/state_sync_service.cpp
@@ -28,6 +28,7 @@
   Peers = &Services.find<PeerService>(service::Peers);
   Routes = &Services.find<RouteFeed>(service::Routes);
   Upstreams = &Services.find<UpstreamFeed>(service::Upstreams);
+  Epochs = &Services.find<KvEpochs>(service::Kv);
   Peers->on<StateSyncRequest>(
       [this](const PeerMessage &From, const StateSyncRequest &Asked) {
         Peers->sendTo(From.Sender, ownAnswer(Asked));
@@ -36,6 +37,7 @@
       [this](const PeerMessage &, const StateSyncResponse &Answer) {
         if (Answer.Nonce != Nonce)
           return; // The answer to an earlier question is too old to use.
+        Epochs->heardEpoch(Answer.Epoch);
         for (const StateSyncFn &Fn : Hear)
           Fn(StateSync{AskedBoot, AskedAt, Answer});
       });
@@ -108,6 +110,7 @@
     Out.ConfigVersion = Routes->table()->Version;
   Out.ConfigAge = Routes->age().value_or(Never);
   Out.Drained = Routes->drained();
+  Out.Epoch = Epochs->epoch();
   const UpstreamRegistry &Registry = Upstreams->registry();
   Out.ListDigest = Registry.Digest;
   Out.ListAge = Registry.Known ? Timers->now() - Registry.ReadAt : Never;
--- a/src/state_sync_service.h
+++ b/src/state_sync_service.h
@@ -6,6 +6,7 @@
 
 #include "core/random.h"
 #include "kernel.h"
+#include "kv_tree.h"
 #include "state_sync_type.h"
 #include "timer_base.h"
 
@@ -73,6 +74,7 @@
   PeerService *Peers = nullptr;      ///< Carries messages.
   RouteFeed *Routes = nullptr;       ///< What this node knows.
   UpstreamFeed *Upstreams = nullptr; ///< What this node knows.
+  KvEpochs *Epochs = nullptr;        ///< Of the key-value service.
   std::uint64_t Nonce;               ///< Of the latest question.
   Duration AskedBoot{};              ///< When it was sent.
   TimePoint AskedAt{};               ///< When it was sent.
--- a/src/state_sync_type.h
+++ b/src/state_sync_type.h
@@ -28,6 +28,7 @@
   Duration ListAge{};              ///< Since they were read.
   std::optional<RegistryChange> ListChange; ///< What the asker's list lacks.
   DrainedDomains Drained;                   ///< As known there.
+  std::uint64_t Epoch = 0; ///< Of the key-value service, as known there.
 };
 
 /// Ask a node for the configuration that it has in force.
--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -31,6 +31,9 @@
   Tree = &Services.find<KvTree>(service::Kv);
   Readers = &Services.find<StateSyncService>(service::StateSync);
   Readers->onSync([this](const StateSync &Heard) { synced(Heard); });
+  Services.find<KvEpochs>(service::Kv).onEpoch([this](std::uint64_t) {
+    registryRestored(Registry, Timers->now());
+  });
   read();
 }
 
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -102,6 +102,40 @@
   return Known->second;
 }
 
+/// \return Whether \p Entry is of a start that has left: a copy of the list
+/// from before would bring it back.
+static bool leftBefore(const UpstreamRegistry &Registry,
+                       const UpstreamEntry &Entry) {
+  auto Found = Registry.Gone.find(Entry.Instance);
+  return Found != Registry.Gone.end() && Entry.BornMs <= Found->second.BornMs;
+}
+
+/// \return Whether the start that \p Entry is of was known to leave.
+static bool isLeaving(const UpstreamRegistry &Registry,
+                      const UpstreamEntry &Entry) {
+  auto Known = Registry.Entries.find(Entry.Instance);
+  return Known != Registry.Entries.end() && Known->second.Leaving &&
+         Known->second.BornMs == Entry.BornMs;
+}
+
+static void rememberGone(UpstreamRegistry &Registry,
+                         const std::vector<std::string> &Instances,
+                         TimePoint Now) {
+  std::erase_if(Registry.Gone, [Now](const auto &Item) {
+    return Now - Item.second.At > GoneKept;
+  });
+  for (const std::string &Instance : Instances) {
+    auto Left = Registry.Entries.find(Instance);
+    if (Left != Registry.Entries.end())
+      Registry.Gone[Instance] = {Left->second.BornMs, Now};
+  }
+}
+
+void registryRestored(UpstreamRegistry &Registry, TimePoint Now) {
+  Registry.BackAt = Now;
+  Registry.RestoredAt = Now;
+}
+
 bool registryRead(UpstreamRegistry &Registry,
                   const std::vector<UpstreamEntry> &Listed, TimePoint Now) {
   if (Registry.Known && Now - Registry.ReadAt > ListAway)
@@ -109,8 +143,16 @@
   bool Returning = Registry.Known && Registry.BackAt > TimePoint{} &&
                    Now - Registry.BackAt < ListReturn;
   std::map<std::string, UpstreamEntry> Next;
-  for (const UpstreamEntry &Entry : Listed)
-    Next[Entry.Instance] = latestStart(Registry, Entry);
+  bool Restoring = Registry.RestoredAt > TimePoint{} &&
+                   Now - Registry.RestoredAt < RestoreDoubt;
+  for (const UpstreamEntry &Entry : Listed) {
+    if (Restoring && leftBefore(Registry, Entry))
+      continue;
+    UpstreamEntry &Latest = Next[Entry.Instance];
+    Latest = latestStart(Registry, Entry);
+    if (Restoring && isLeaving(Registry, Latest))
+      Latest.Leaving = true;
+  }
   if (Returning) {
     for (const auto &[Instance, Entry] : Registry.Entries)
       Next.try_emplace(Instance, Entry);
@@ -118,6 +160,7 @@
   RegistryChange Change = changeTo(Registry, Next);
   bool Changed =
       !Registry.Known || !Change.Listed.empty() || !Change.Gone.empty();
+  rememberGone(Registry, Change.Gone, Now);
   BucketDigests Buckets = bucketsAfter(Registry, Change);
   takeIn(Registry, std::move(Change), Buckets);
   Registry.ReadAt = Now;
@@ -210,6 +253,7 @@
   BucketDigests Buckets = bucketsAfter(Registry, Change);
   if (sumOf(Buckets) != Offered.To)
     return false;
+  rememberGone(Registry, Change.Gone, ReadAt);
   takeIn(Registry, std::move(Change), Buckets);
   Registry.ReadAt = std::max(Registry.ReadAt, ReadAt);
   Registry.Known = true;
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -26,6 +26,10 @@
 inline constexpr std::size_t RegistryBuckets = 64;
 using BucketDigests = std::array<std::uint64_t, RegistryBuckets>;
 
+/// An entry of a copy outlives an upstream that left since by its lease, which
+/// is shorter than this.
+inline constexpr Duration RestoreDoubt = std::chrono::seconds(5);
+
 /// What leads from one list to another.
 struct RegistryChange {
   std::uint64_t From = 0;            ///< Digest of the list before.
@@ -40,6 +44,16 @@
 /// Digest of a list that was read and holds nothing.
 inline constexpr std::uint64_t VacantRegistry = 1;
 
+/// An upstream that is not listed any more.
+struct GoneUpstream {
+  std::int64_t BornMs = 0; ///< Its start.
+  TimePoint At{};          ///< When it was missing first.
+};
+
+/// Upstreams that left are remembered for this time: longer than a copy that
+/// the list comes back from is old.
+inline constexpr Duration GoneKept = std::chrono::seconds(20);
+
 /// Upstreams as they were last read.
 struct UpstreamRegistry {
   std::map<std::string, UpstreamEntry> Entries; ///< By instance.
@@ -48,9 +62,16 @@
   std::deque<RegistryChange> Latest;    ///< Changes, the last one last.
   TimePoint ReadAt{};                   ///< Of the latest read.
   TimePoint BackAt{};                   ///< End of the latest outage.
-  bool Known = false;                   ///< It was read at least once.
+  TimePoint
+      RestoredAt{}; ///< When it came back from an older copy; zero: never.
+  std::map<std::string, GoneUpstream> Gone; ///< Left lately, by instance.
+  bool Known = false;                       ///< It was read at least once.
 };
 
+/// The list comes from an older copy from now on, until upstreams have written
+/// their entries again.
+void registryRestored(UpstreamRegistry &Registry, TimePoint Now);
+
 /// Takes in a complete list.
 ///
 /// While the store is away, leases of live upstreams may lapse. If their
