--- a/src/cli/cli_bench.cpp
+++ b/src/cli/cli_bench.cpp
@@ -128,15 +128,20 @@
 
 ExitCode runBench(const Words &Rest) {
   static const std::vector<std::pair<std::string, ExitCode (*)()>> Parts = {
-      {"load", benchLoad},         {"policy", benchPolicy},
-      {"rollout", benchRollout},   {"fleet", benchFleet},
-      {"overhead", benchOverhead}, {"soak", runSoak}};
+      {"load", benchLoad},
+      {"policy", benchPolicy},
+      {"rollout", benchRollout},
+      {"fleet", benchFleet},
+      {"overhead", benchOverhead},
+      {"soak", runSoak},
+      {"quarantine", benchQuarantine}};
   for (const auto &[Name, Run] : Parts) {
     if (Rest.size() == 1 && Rest[0] == Name)
       return Run();
   }
   throw Error(ResultCode::UsageError,
-              "bench needs one of: load, policy, rollout, fleet, overhead");
+              "bench needs one of: load, policy, rollout, fleet, overhead, "
+              "soak, quarantine");
 }
 
 } // namespace fulmar
--- a/src/cli/cli_bench.h
+++ b/src/cli/cli_bench.h
@@ -22,6 +22,9 @@
 /// Reads running nodes' metrics twice and prints rates.
 ExitCode benchFleet();
 
+/// Compares ways to find out requests that crash upstreams, in virtual time.
+ExitCode benchQuarantine();
+
 /// Runs the platform's side of a soak of real nodes, and checks what it saw.
 ExitCode runSoak();
 
