--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -105,6 +105,7 @@
       Next[Instance] = std::move(*Entry);
   }
   std::vector<UpstreamEntry> Listed;
+  Listed.reserve(Next.size());
   for (auto &[Instance, Entry] : Next)
     Listed.push_back(std::move(Entry));
   if (registryRead(Registry, Listed, std::max(Sent, Registry.ReadAt)))
