--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -1,8 +1,6 @@
 /// \file upstream_feed.cpp Follows the list of upstreams.
 #include "upstream_feed.h"
 
-#include <algorithm>
-
 #include "event_loop.h"
 #include "log_func.h"
 #include "node_services.h"
@@ -12,11 +10,6 @@
 /// Between two reads. An upstream that leaves must get nothing new 2 s after
 /// its entry says so; the rest is for a read that is slow.
 static constexpr Duration ReadPeriod = std::chrono::milliseconds(900);
-/// A list of so many upstreams is followed by its changes, by waits of this
-/// length, and read whole once in a while, as a check.
-static constexpr std::size_t LongList = 200;
-static constexpr Duration FollowWait = std::chrono::milliseconds(500);
-static constexpr Duration WholePeriod = std::chrono::seconds(4);
 /// A reader whose list is older than this has lost the service.
 static constexpr Duration MostSyncedAge = std::chrono::milliseconds(1300);
 /// Without an answer that compares the parts of the list for this long, a node
@@ -44,74 +37,18 @@
   read();
 }
 
-void UpstreamFeed::read() { mayFollow() ? follow() : readWhole(); }
-
-void UpstreamFeed::readWhole() {
+void UpstreamFeed::read() {
   Tree->range(Wire.upstreamsPrefix(), [this](const KvItems &Found) {
-    if (Found.Status != KvStatus::Ok)
-      return readFailed(Found.Why);
-    Revision = Found.Revision;
-    WholeAt = Timers->now();
-    answered(Found);
-    readAfter(mayFollow() ? Duration::zero() : ReadPeriod);
+    bool Good = Found.Status == KvStatus::Ok;
+    if (Good)
+      answered(Found);
+    else if (Failures++ == 0)
+      logEvent(LogLevel::Warning, "upstream_list_lost",
+               {{"why", Found.Why}, {"listed", Registry.Entries.size()}});
+    readAfter(Good ? ReadPeriod : RetryPause * Readers->retryFactor());
   });
 }
 
-void UpstreamFeed::readFailed(const std::string &Why) {
-  Revision = 0;
-  if (Failures++ == 0)
-    logEvent(LogLevel::Warning, "upstream_list_lost",
-             {{"why", Why}, {"listed", Registry.Entries.size()}});
-  readAfter(RetryPause * Readers->retryFactor());
-}
-
-/// \return Whether changes are waited for. A long list fills a small host's
-/// link for half a second at each read; its age then makes every node that
-/// hears from this one read all of it, too. Entries that are only kept because
-/// of an outage are in no change that comes, so these are left to whole reads.
-bool UpstreamFeed::mayFollow() const {
-  return Revision != 0 && Readers->reads() &&
-         Registry.Entries.size() >= LongList &&
-         Timers->now() - WholeAt < WholePeriod &&
-         WholeAt - Registry.BackAt > RestoreDoubt;
-}
-
-void UpstreamFeed::follow() {
-  TimePoint Sent = Timers->now();
-  Tree->follow(Wire.upstreamsPrefix(), Revision, FollowWait,
-               [this, Sent](const KvItems &Found) {
-                 if (Found.HistoryLost)
-                   return readWhole();
-                 if (Found.Status != KvStatus::Ok)
-                   return readFailed(Found.Why);
-                 takeEvents(Found.Items, Sent);
-                 readAfter(Duration::zero());
-               });
-}
-
-/// Takes in changes of some entries. What was read before \p Sent is in them.
-void UpstreamFeed::takeEvents(const std::vector<KvItem> &Events,
-                              TimePoint Sent) {
-  std::map<std::string, UpstreamEntry> Before = Registry.Entries;
-  std::map<std::string, UpstreamEntry> Next = Before;
-  for (const KvItem &Item : Events) {
-    Revision = std::max(Revision, Item.Revision);
-    std::string Instance = Item.Key.substr(Wire.upstreamsPrefix().size());
-    Next.erase(Instance);
-    std::string Why;
-    auto Entry = Item.Deleted ? std::nullopt
-                              : Wire.readUpstream(Item.Key, Item.Value, Why);
-    if (Entry)
-      Next[Instance] = std::move(*Entry);
-  }
-  std::vector<UpstreamEntry> Listed;
-  Listed.reserve(Next.size());
-  for (auto &[Instance, Entry] : Next)
-    Listed.push_back(std::move(Entry));
-  if (registryRead(Registry, Listed, std::max(Sent, Registry.ReadAt)))
-    changed(Before);
-}
-
 void UpstreamFeed::readAfter(Duration Pause) {
   double Factor = 1 - Spread / 2 + Spread * randomUnit(Rng);
   Timers->cancel(NextRead);
--- a/src/upstream_feed.h
+++ b/src/upstream_feed.h
@@ -39,11 +39,6 @@
 
 private:
   void read();
-  void readWhole();
-  bool mayFollow() const;
-  void follow();
-  void takeEvents(const std::vector<KvItem> &Events, TimePoint Sent);
-  void readFailed(const std::string &Why);
   void readAfter(Duration Pause);
   void synced(const StateSync &Heard);
   bool takeChange(const StateSyncResponse &Answer, TimePoint ReadAt);
@@ -62,10 +57,8 @@
   UpstreamRegistry Registry;           ///< What is listed.
   StateSyncService *Readers = nullptr; ///< Tells what others read.
   TimerId NextRead;                    ///< Of our own; none: one is under way.
-  bool Behind = false;        ///< Parts of the list are compared, not changes.
-  std::uint64_t Revision = 0; ///< Changes up to it are in the list; 0: none.
-  TimePoint WholeAt{};        ///< When all of the list was read.
-  int Failures = 0;           ///< Reads in a row that failed.
+  bool Behind = false; ///< Parts of the list are compared, not changes.
+  int Failures = 0;    ///< Reads in a row that failed.
   std::map<std::string, std::string> Unreadable; ///< Why, by key.
   std::vector<std::function<void()>> Changes;    ///< Subscribers.
   std::vector<std::function<void(const UpstreamRestart &)>>
