Nodes say which upstreams name a rate limit, and count what they send them

Without a change of what is sent where:

- metrics: upstreams with a limit, limits named, requests sent to such upstreams.

--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -122,7 +122,7 @@
 struct SendBatchAction {
   BatchCallId Call;             ///< Name that its end comes back under.
   std::string Address;          ///< Of the upstream.
-  std::string Instance;         ///< Of the upstream; another must refuse it.
+  Incarnation Upstream;         ///< To whom; another must refuse it.
   std::vector<BatchItem> Items; ///< Its pieces.
   Duration Timeout{};           ///< Given up after this time.
   double RoomUsed = 0;          ///< Bytes of results at the upstream, for logs.
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -135,7 +135,7 @@
   SendBatchAction Send;
   Send.Call = Id;
   Send.Address = U.Entry.Address;
-  Send.Instance = U.Entry.Instance;
+  Send.Upstream = Call.Upstream;
   Send.Items = std::move(Items);
   Send.RoomUsed = U.RoomUsed;
   Send.Timeout = std::max(
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -10,6 +10,7 @@
 #include "loop_service.h"
 #include "node_services.h"
 #include "quarantine_service.h"
+#include "rate_limit_service.h"
 
 namespace fulmar {
 
@@ -32,6 +33,7 @@
   Timers = &Services.find<TimerService>(service::Timers);
   Client = &Services.find<HttpClientService>(service::Http).Client;
   Quarantined = &Services.find<QuarantineService>(service::Quarantine);
+  RateLimited = &Services.find<RateLimitService>(service::RateLimits);
   Tickets.start(Services.find<LoopService>(service::Loop).Loop);
   Timers->every(TickPeriod, [this] { tick(); });
 }
@@ -219,16 +221,19 @@
               {"jobs", P.Jobs.size()},
               {"room_used", Send.RoomUsed}});
   }
-  HttpCall Call = Wire.writeBatch(Send.Items, Send.Instance);
+  HttpCall Call = Wire.writeBatch(Send.Items, Send.Upstream.Instance);
   Call.Address = Send.Address;
   Call.Timeout = Send.Timeout;
   HttpCallbacks On;
+  RateLimited->sent(Send.Upstream);
   On.OnDone = [this, Pool = P.Name, Id = Send.Call, Address = Send.Address,
-               Size = Send.Items.size(), Contents = contentsOf(Send.Items),
+               Upstream = Send.Upstream, Size = Send.Items.size(),
+               Contents = contentsOf(Send.Items),
                Started = Timers->now()](const HttpAnswer &Answer) {
     BatchCallResult Result = Wire.readBatch(Answer);
     Result.Crashed = httpBrokeOff(Answer);
     reportCall(Address, Contents, Result);
+    RateLimited->heard(Upstream, {Result.RateLimit, Result.Answered, Started});
     logEvent(LogLevel::Debug, "batch_call_ended",
              {{"pool", Pool},
               {"upstream", Address},
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -15,6 +15,7 @@
 namespace fulmar {
 
 class QuarantineService;
+class RateLimitService;
 
 /// Carries out the actions of the pools that this node forms calls for.
 class BatchService : public Service, public BatchBackend {
@@ -61,6 +62,7 @@
   TimerService *Timers = nullptr;           ///< Time.
   HttpClient *Client = nullptr;             ///< Makes calls.
   QuarantineService *Quarantined = nullptr; ///< Hears of upstreams that end.
+  RateLimitService *RateLimited = nullptr;  ///< Upstreams in need.
   std::map<std::string, BatchPool> Pools;   ///< By name.
   std::map<std::string, std::size_t> Sizes; ///< Of each pool.
   BatchTickets Tickets;                     ///< Who waits.
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -132,6 +132,8 @@
   bool Crashed = false;                             ///< The upstream broke off.
   std::vector<PieceResult> Pieces;  ///< In the order of the call.
   std::optional<UpstreamLoad> Load; ///< What the upstream still has to do.
+  std::optional<double> RateLimit;  ///< Calls a second that the upstream takes
+                                    ///< from all nodes together.
   std::string Why; ///< For logs, when the answer cannot be read.
 };
 
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -11,6 +11,7 @@
 #include "node_services.h"
 #include "peer_service.h"
 #include "quarantine_service.h"
+#include "rate_limit_service.h"
 #include "route_feed.h"
 #include "settings_func.h"
 #include "upstream_feed.h"
@@ -93,6 +94,8 @@
   const PeerCounts &Peers = Services.find<PeerService>(service::Peers).counts();
   const QuarantineService &Quarantined =
       Services.find<QuarantineService>(service::Quarantine);
+  const RateLimitService &RateLimited =
+      Services.find<RateLimitService>(service::RateLimits);
   auto Age = Routes->age();
   std::vector<PlainMetric> Plain = {
       {"fulmarstep_requests_accepted_total", "counter",
@@ -123,6 +126,12 @@
        static_cast<double>(Quarantined.counts().Held)},
       {"fulmarstep_quarantines_lifted_total", "counter",
        static_cast<double>(Quarantined.counts().Lifted)},
+      {"fulmarstep_rate_limited_upstreams", "gauge",
+       static_cast<double>(RateLimited.size())},
+      {"fulmarstep_rate_limits_named_total", "counter",
+       static_cast<double>(RateLimited.counts().Named)},
+      {"fulmarstep_rate_limited_sends_total", "counter",
+       static_cast<double>(RateLimited.counts().Sends)},
       {"fulmarstep_peer_messages_total", "counter",
        static_cast<double>(Peers.SentMessages)},
       {"fulmarstep_members", "gauge",
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -53,6 +53,9 @@
   bool Signed = false;     ///< It bears the upstream's signature.
   bool SaidNotRun = false; ///< It says that the request was not run.
   bool InputsGone = false; ///< It says that a stage's result is missing.
+  bool Elsewhere = false;  ///< Another upstream answers at this address.
+  std::optional<double> RateLimit; ///< Requests a second that the upstream
+                                   ///< takes from all nodes together.
 };
 
 } // namespace fulmar
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -8,6 +8,7 @@
 #include "log_func.h"
 #include "member_service.h"
 #include "quarantine_service.h"
+#include "rate_limit_service.h"
 #include "retry_window.h"
 #include "route_func.h"
 #include "upstream_func.h"
@@ -80,6 +81,7 @@
     Call.Reuse = HttpReuse::Recent;
   ++U.InFlight;
   coldPaceSent(U.Pace, Now);
+  RateLimited->sent(U.Start);
   R->Tried.push_back(U.Id);
   R->LastUpstream = U.Address;
   R->Attempt.emplace();
@@ -139,6 +141,7 @@
   ForwardAttempt &A = *R->Attempt;
   A.Head = Answer;
   ForwardReply Reply = Wire.readReply(Answer);
+  reportRateLimit(*R, Reply);
   constexpr int FirstBadStatus = 300;
   bool Good = Answer.Status >= HttpOk && Answer.Status < FirstBadStatus;
   A.Streaming = R->Route->Kind == RouteKind::Streaming && Good && Reply.Signed;
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -15,6 +15,7 @@
 #include "node_services.h"
 #include "peer_service.h"
 #include "quarantine_service.h"
+#include "rate_limit_service.h"
 #include "route_feed.h"
 #include "state_sync_service.h"
 #include "upstream_feed.h"
@@ -75,6 +76,8 @@
   Quarantined.Time = fromMs(Config.QuarantineS * 1e3);
   Services.add(service::Quarantine,
                std::make_unique<QuarantineService>(Services, Quarantined));
+  Services.add(service::RateLimits,
+               std::make_unique<RateLimitService>(Services));
   Services.add(service::Gateway, std::make_unique<GatewayService>(
                                      Services, Config, Wire, Seed + 5));
   Services.add(service::Entries,
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -10,6 +10,7 @@
 #include "member_service.h"
 #include "node_services.h"
 #include "quarantine_service.h"
+#include "rate_limit_service.h"
 #include "result_func.h"
 #include "route_feed.h"
 #include "settings_func.h"
@@ -53,6 +54,7 @@
   Batches = &Services.find<BatchRelay>(service::Relay);
   OwnPools = &Services.find<BatchService>(service::Batches);
   Quarantined = &Services.find<QuarantineService>(service::Quarantine);
+  RateLimited = &Services.find<RateLimitService>(service::RateLimits);
   Quarantined->onHeld([this](Fingerprint Content) { endQuarantined(Content); });
   Routes->onChange([this] { configChanged(); });
   Upstreams->onRestart(
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -17,6 +17,7 @@
 class UpstreamFeed;
 class MemberService;
 class QuarantineService;
+class RateLimitService;
 
 /// What a route's requests took lately.
 struct RouteTimes {
@@ -114,6 +115,9 @@
   void refuseQuarantined(ForwardRequest &R);
   void endQuarantined(Fingerprint Content);
 
+  // gateway_rate_limit.cpp: upstreams in need.
+  void reportRateLimit(const ForwardRequest &R, const ForwardReply &Reply);
+
   // gateway_attempt.cpp: sends and their answers.
   void sendAttempt(RequestSerial Serial);
   void planFree(ForwardRequest &R);
@@ -167,6 +171,7 @@
   BatchRelay *Batches = nullptr;     ///< Work to be done before.
   BatchService *OwnPools = nullptr;  ///< Pools whose calls are formed here.
   QuarantineService *Quarantined = nullptr;    ///< Requests not to be sent.
+  RateLimitService *RateLimited = nullptr;     ///< Upstreams in need.
   std::unique_ptr<HttpServer> Server;          ///< Listens for clients.
   std::map<std::string, Pool> Pools;           ///< Plain pools and engines.
   std::map<std::string, std::string> DomainOf; ///< Of upstreams, by address.
--- a/tests/batch_world.h
+++ b/tests/batch_world.h
@@ -62,7 +62,9 @@
     for (const BatchAction &Action : Out) {
       if (const auto *Send = std::get_if<SendBatchAction>(&Action)) {
         Sent.push_back(*Send);
-        double Factor = Slow.count(Send->Instance) ? Slow[Send->Instance] : 1;
+        double Factor = Slow.count(Send->Upstream.Instance)
+                            ? Slow[Send->Upstream.Instance]
+                            : 1;
         Duration Took =
             Full ? Duration(std::chrono::milliseconds(2))
                  : fromMs(toMs(batchCallTime(
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -357,7 +357,7 @@
     CHECK(W.P.Counts.Hedges >= 1);
     auto AtSlow = std::count_if(
         W.Sent.begin(), W.Sent.end(),
-        [](const SendBatchAction &S) { return S.Instance == "i0"; });
+        [](const SendBatchAction &S) { return S.Upstream.Instance == "i0"; });
     CHECK(AtSlow <= 3);
   }
 }
@@ -409,7 +409,7 @@
   Request.Due = seconds(4);
   W.ask(Request);
   REQUIRE(W.Sent.size() == 1);
-  CHECK(W.Sent[0].Instance == "i2");
+  CHECK(W.Sent[0].Upstream.Instance == "i2");
   GIVEN("another while that upstream works") {
     W.ask(Request);
     CHECK(W.Sent.size() == 1);
@@ -458,7 +458,8 @@
   double Pieces = 0;
   double Crossing = 0;
   for (const SendBatchAction &Call : W.Sent) {
-    std::string Made = "z" + std::to_string((Call.Instance[1] - '0') % 3);
+    std::string Made =
+        "z" + std::to_string((Call.Upstream.Instance[1] - '0') % 3);
     for (const BatchItem &Item : Call.Items) {
       ++Pieces;
       Crossing += Item.RequestId == Made ? 0 : 1;
--- a/tests/test_restart.cpp
+++ b/tests/test_restart.cpp
@@ -103,7 +103,7 @@
     THEN("its pieces are made again, not waited for") {
       restart(W, "i0", milliseconds(10));
       REQUIRE(W.Sent.size() == 2);
-      CHECK(W.Sent[1].Instance == "i0");
+      CHECK(W.Sent[1].Upstream.Instance == "i0");
       CHECK(W.Sent[1].Items.size() == 4);
       W.pass(milliseconds(400));
       CHECK(W.Answers.at(Id).End == BatchEnd::Done);
