--- a/tests/test_cold.cpp
+++ b/tests/test_cold.cpp
@@ -120,6 +120,26 @@
   }
 }
 
+SCENARIO("a session is asked for once its upstream has been cold for long") {
+  // Guards against nodes that save up what they did not send to an upstream,
+  // and all send it at the same moment.
+  for (std::size_t Nodes : {9, 85, 295}) {
+    for (double PerSecond : {60.0, 300.0}) {
+      ColdFleet Fleet(Nodes, 1, 99 + Nodes);
+      std::uint64_t Session = Fleet.session();
+      Random Rng(Nodes);
+      Fleet.Now += seconds(60);
+      TimePoint End = Fleet.Now + seconds(4);
+      while (Fleet.Now < End) {
+        Fleet.Now += fromMs(1e3 / PerSecond);
+        Fleet.send(Fleet.Views[randomIndex(Rng, Nodes)], Session);
+      }
+      INFO(Nodes << " nodes, " << PerSecond << " requests a second");
+      CHECK(static_cast<double>(Fleet.mostInASecond()) <= ColdRate * 1.5 + 5);
+    }
+  }
+}
+
 SCENARIO("every upstream of a pool has just started") {
   // Symptom: a pool that comes back whole serves nothing while it is cold.
   ColdFleet Fleet(9, 1, 5);
