A limit that an upstream names is kept by all nodes together

Cause: nobody read what an upstream says of itself in its answers; nodes chose it as any other. The class of fault: a bound that holds for all nodes together, and that an upstream states while it works, is not state of the fleet.

Change: the limit is state that nodes share. A node that is told announces it to all others at once and reminds two of them a second; what an upstream said last is counted in rounds, so that a message held up on its way brings nothing back, and of two reports of one round the stricter holds. A limit ends with the first answer of a run that was sent after the limit was heard; one node's is enough for all. The turns that cold upstreams are sent by carry it: 0.45 of the limit over the most nodes ever known, a turn of 2.5 s, lost if not used. Calls for pieces of stages keep it as well; what pools can do with such upstreams goes into forecasts and refusals.

--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -12,6 +12,7 @@
 #include "read_wait.h"
 #include "retry_window.h"
 #include "route_type.h"
+#include "send_pace.h"
 
 namespace fulmar {
 
@@ -29,6 +30,7 @@
   TimePoint AvoidUntil{}; ///< Left out until then, for its failures.
   TimePoint FullUntil{};  ///< It said that it was full; not asked until then.
   double RoomUsed = 0;    ///< Bytes of results that it keeps.
+  SendPace Pace;          ///< While it names a limit.
 };
 
 /// What became of one piece so far.
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -71,6 +71,13 @@
 /// \return Whether \p U may be given calls.
 bool batchUsable(const BatchUpstream &U, TimePoint Now);
 
+/// \return When \p U can begin another call.
+TimePoint batchFreeAt(const BatchPool &P, const BatchUpstream &U,
+                      TimePoint Now);
+
+/// \return Calls of \p CallMs that \p U works on at once, on the average.
+double batchCapacity(const BatchPool &P, const BatchUpstream &U, double CallMs);
+
 /// \return What a call of \p Pieces takes at \p U.
 Duration batchExpectedAt(const BatchPool &P, const BatchUpstream &U,
                          int Pieces);
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -14,6 +14,20 @@
   return U.Listed && !U.Entry.Leaving && U.AvoidUntil <= Now;
 }
 
+TimePoint batchFreeAt(const BatchPool &P, const BatchUpstream &U,
+                      TimePoint Now) {
+  TimePoint FreeAt = U.InFlight < P.Spec.Slots ? Now : U.FreeAt;
+  return std::max({Now, FreeAt, U.FullUntil, paceNext(U.Pace, Now)});
+}
+
+double batchCapacity(const BatchPool &P, const BatchUpstream &U,
+                     double CallMs) {
+  double Calls = P.Spec.Slots / std::max(1.0, U.Slowness);
+  if (U.Pace.Turns.Interval <= Duration::zero())
+    return Calls;
+  return std::min(Calls, CallMs / toMs(U.Pace.Turns.Interval));
+}
+
 Duration batchExpectedAt(const BatchPool &P, const BatchUpstream &U,
                          int Pieces) {
   return fromMs(toMs(batchCallTime(P.Spec, Pieces)) * U.Slowness) +
@@ -104,10 +118,8 @@
   for (const auto &[Start, U] : P.Upstreams) {
     if (!batchUsable(U, Now))
       continue;
-    Pace.Upstreams += P.Spec.Slots / std::max(1.0, U.Slowness);
-    TimePoint FreeAt = U.InFlight < P.Spec.Slots ? Now : U.FreeAt;
-    Duration Free =
-        std::max(Duration::zero(), std::max(FreeAt, U.FullUntil) - Now);
+    Pace.Upstreams += batchCapacity(P, U, Pace.CallMs);
+    Duration Free = batchFreeAt(P, U, Now) - Now;
     Pace.NextFree = Any ? std::min(Pace.NextFree, Free) : Free;
     Any = true;
   }
--- a/src/batch_place.cpp
+++ b/src/batch_place.cpp
@@ -25,15 +25,15 @@
 
 static DomainBacklogs backlogsOf(const BatchPool &P, TimePoint Now) {
   DomainBacklogs Out;
+  double Full = toMs(batchCallTime(P.Spec, P.Spec.MaxPieces));
   for (const auto &[Start, U] : P.Upstreams) {
     if (!batchUsable(U, Now))
       continue;
     auto [Found, Fresh] = Out.try_emplace(U.Entry.FailureDomain);
     DomainBacklog &Domain = Found->second;
-    TimePoint FreeAt = U.InFlight < P.Spec.Slots ? Now : U.FreeAt;
-    FreeAt = std::max({Now, FreeAt, U.FullUntil});
+    TimePoint FreeAt = batchFreeAt(P, U, Now);
     Domain.NextFree = Fresh ? FreeAt : std::min(Domain.NextFree, FreeAt);
-    Domain.Upstreams += 1 / std::max(1.0, U.Slowness);
+    Domain.Upstreams += batchCapacity(P, U, Full) / P.Spec.Slots;
   }
   return Out;
 }
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -125,6 +125,7 @@
   int Size = static_cast<int>(Items.size());
   Call.Expected = batchExpectedAt(P, U, Size);
   ++U.InFlight;
+  paceSent(U.Pace, Now);
   U.FreeAt = Now + Call.Expected;
   for (double B : Bytes)
     U.RoomUsed += B;
@@ -171,7 +172,8 @@
 static std::vector<BatchUpstream *> idleUpstreams(BatchPool &P, TimePoint Now) {
   std::vector<BatchUpstream *> Idle;
   for (auto &[Start, U] : P.Upstreams) {
-    if (batchUsable(U, Now) && U.FullUntil <= Now && U.InFlight < P.Spec.Slots)
+    if (batchUsable(U, Now) && U.FullUntil <= Now &&
+        U.InFlight < P.Spec.Slots && paceAllows(U.Pace, Now))
       Idle.push_back(&U);
   }
   std::stable_sort(Idle.begin(), Idle.end(),
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -34,6 +34,8 @@
   Client = &Services.find<HttpClientService>(service::Http).Client;
   Quarantined = &Services.find<QuarantineService>(service::Quarantine);
   RateLimited = &Services.find<RateLimitService>(service::RateLimits);
+  RateLimited->onChange(
+      [this](const Incarnation &Start) { rateLimitChanged(Start); });
   Tickets.start(Services.find<LoopService>(service::Loop).Loop);
   Timers->every(TickPeriod, [this] { tick(); });
 }
@@ -84,9 +86,29 @@
   P.Allowance.Nodes = NodesPerPart;
   BatchActions Out;
   batchUpstreams(P, batchPartUpstreams(All, Part), Timers->now(), Out);
+  setPaces(P);
   perform(P, Out);
 }
 
+/// Sets how often upstreams that name a limit get calls. One node forms all
+/// calls of a part; while two of them believe to be it, both together keep the
+/// limit.
+void BatchService::setPaces(BatchPool &P) {
+  for (auto &[Start, U] : P.Upstreams) {
+    PaceTurns Turns;
+    if (auto PerSecond = RateLimited->of(Start))
+      Turns = paceTurns(*PerSecond, /*Nodes=*/1, RateLimitTurn);
+    paceSet(U.Pace, Turns, /*Phase=*/0, TimePoint());
+  }
+}
+
+void BatchService::rateLimitChanged(const Incarnation &Start) {
+  for (auto &[Name, P] : Pools) {
+    if (P.Upstreams.count(Start))
+      setPaces(P);
+  }
+}
+
 void BatchService::restarted(const UpstreamRestart &Restart) {
   for (auto &[Name, P] : Pools) {
     BatchActions Out;
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -51,6 +51,8 @@
   void reportCall(const std::string &Address,
                   const std::vector<Fingerprint> &Contents,
                   const BatchCallResult &Result);
+  void setPaces(BatchPool &P);
+  void rateLimitChanged(const Incarnation &Start);
   void planPump(const BatchPool &P);
   void queueFree(const std::string &Handle);
   void flushFrees();
--- a/src/gateway_rate_limit.cpp
+++ b/src/gateway_rate_limit.cpp
@@ -1,5 +1,6 @@
 /// \file gateway_rate_limit.cpp Upstreams in need that name a limit.
 #include "gateway_service.h"
+#include "peer_service.h"
 #include "rate_limit_service.h"
 #include "upstream_func.h"
 
@@ -15,4 +16,26 @@
                      {Reply.RateLimit, Reply.Signed, R.Attempt->Started});
 }
 
+void GatewayService::rateLimitChanged(const Incarnation &Start) {
+  for (auto &[Name, P] : Pools) {
+    for (Upstream &U : P.Upstreams) {
+      if (U.Start == Start)
+        setPace(U, ColdRates[Name]);
+    }
+  }
+}
+
+/// Sets this node's turns to send to an upstream that takes little.
+void GatewayService::setPace(Upstream &U, double ColdRate) {
+  PaceTurns Turns;
+  if (U.Cold)
+    Turns = paceTurns(ColdRate, MostNodes, ColdTurn);
+  if (auto PerSecond = RateLimited->of(U.Start)) {
+    PaceTurns Named = paceTurns(*PerSecond, MostNodes, RateLimitTurn);
+    Turns = Named.Interval > Turns.Interval ? Named : Turns;
+  }
+  paceSet(U.Pace, Turns, pacePhase(Peers->incarnation(), U.Place),
+          fleetOrigin(Peers->clock()));
+}
+
 } // namespace fulmar
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -57,6 +57,8 @@
   OwnPools = &Services.find<BatchService>(service::Batches);
   Quarantined = &Services.find<QuarantineService>(service::Quarantine);
   RateLimited = &Services.find<RateLimitService>(service::RateLimits);
+  RateLimited->onChange(
+      [this](const Incarnation &Start) { rateLimitChanged(Start); });
   Quarantined->onHeld([this](Fingerprint Content) { endQuarantined(Content); });
   Routes->onChange([this] { configChanged(); });
   Upstreams->onRestart(
@@ -172,14 +174,6 @@
   }
 }
 
-/// Sets this node's turns to send to an upstream.
-void GatewayService::setPace(Upstream &U, double ColdRate) {
-  Duration Interval =
-      U.Cold ? paceInterval(ColdRate, MostNodes) : Duration::zero();
-  paceSet(U.Pace, Interval, pacePhase(Peers->incarnation(), U.Place),
-          fleetOrigin(Peers->clock()));
-}
-
 void GatewayService::upstreamsChanged() {
   const RouteTablePtr &Table = Routes->table();
   if (!Table || !Upstreams->registry().Known)
@@ -220,7 +214,7 @@
     ejectSlow(P, Policy, Timers->now());
     // The fleet's time moves on when another node turns out to be ahead.
     for (Upstream &U : P.Upstreams) {
-      if (U.Pace.Interval > Duration::zero())
+      if (U.Pace.Turns.Interval > Duration::zero())
         setPace(U, ColdRates[Name]);
     }
   }
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -118,6 +118,8 @@
 
   // gateway_rate_limit.cpp: upstreams in need.
   void reportRateLimit(const ForwardRequest &R, const ForwardReply &Reply);
+  void rateLimitChanged(const Incarnation &Start);
+  void setPace(Upstream &U, double ColdRate);
 
   // gateway_attempt.cpp: sends and their answers.
   void sendAttempt(RequestSerial Serial);
@@ -147,7 +149,6 @@
   void membersChanged();
   void setPool(const ServiceSpec &Spec,
                const std::map<std::string, UpstreamEntry> &Entries);
-  void setPace(Upstream &U, double ColdRate);
   void sweep();
   void deadline(RequestSerial Serial);
   void clientLeft(RequestSerial Serial);
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -10,6 +10,7 @@
 #include "ledger_type.h"
 #include "member_type.h"
 #include "quarantine_type.h"
+#include "rate_limit_type.h"
 #include "state_sync_type.h"
 
 namespace fulmar {
@@ -36,7 +37,7 @@
                  BundleDelta, DemandReport, DemandTotal, BatchRequestMessage,
                  BatchAnswerMessage, BatchReleaseMessage, StateSyncRequest,
                  StateSyncResponse, ConfigFetch, ConfigCopy, CrashReport,
-                 QuarantineUpdate, QuarantineObjection>;
+                 QuarantineUpdate, QuarantineObjection, RateLimitUpdate>;
 
 /// A message between nodes, with what every message says.
 struct PeerMessage {
--- a/src/rate_limit_base.h
+++ b/src/rate_limit_base.h
@@ -5,15 +5,15 @@
 #include <map>
 
 #include "rate_limit_type.h"
-#include "route_type.h"
 
 namespace fulmar {
 
 /// The limit of one upstream.
 struct RateLimit {
-  bool Ended = false;   ///< It does not name one any more.
-  double PerSecond = 0; ///< Requests a second, from all nodes together.
-  TimePoint Since{};    ///< When this node learned that it is named, or not.
+  std::uint32_t Round = 0; ///< Counts what the upstream said; the latest holds.
+  bool Ended = false;      ///< It does not name one any more.
+  double PerSecond = 0;    ///< Requests a second, from all nodes together.
+  TimePoint Since{};       ///< When this node learned that it is named, or not.
 };
 
 /// The state of one node.
--- a/src/rate_limit_service.cpp
+++ b/src/rate_limit_service.cpp
@@ -4,18 +4,76 @@
 #include <algorithm>
 
 #include "log_func.h"
+#include "member_service.h"
 #include "node_services.h"
+#include "peer_service.h"
+#include "upstream_feed.h"
 
 namespace fulmar {
 
+/// Between two reminders of what this node knows, and the nodes that get one.
+static constexpr Duration RemindPeriod = std::chrono::seconds(1);
+static constexpr std::size_t RemindedNodes = 2;
+
 void RateLimitService::start() {
   Timers = &Services.find<TimerService>(service::Timers);
+  Peers = &Services.find<PeerService>(service::Peers);
+  Members = &Services.find<MemberService>(service::Members);
+  Upstreams = &Services.find<UpstreamFeed>(service::Upstreams);
+  Peers->on<RateLimitUpdate>(
+      [this](const PeerMessage &From, const RateLimitUpdate &Update) {
+        take(Update, From.Sender);
+      });
+  Timers->every(RemindPeriod, [this] { tick(); });
 }
 
 void RateLimitService::heard(const Incarnation &Upstream,
                              const RateLimitAnswer &Answer) {
-  changed(Upstream, rateLimitHeard(State, Upstream, Answer, Timers->now()),
-          "own");
+  RateLimitChange Change =
+      rateLimitHeard(State, Upstream, Answer, Timers->now());
+  if (Change == RateLimitChange::None)
+    return;
+  changed(Upstream, Change, "own");
+  announce(Upstream);
+}
+
+/// Takes in what another node knows, and tells it what it has missed.
+void RateLimitService::take(const RateLimitUpdate &Update,
+                            const std::string &From) {
+  RateLimitUpdate Missed;
+  for (const RateLimitNotice &Notice : Update.Notices) {
+    changed(Notice.Upstream, rateLimitTake(State, Notice, Timers->now()), From);
+    if (rateLimitOutdated(State, Notice))
+      Missed.Notices.push_back(rateLimitNotice(State, Notice.Upstream));
+  }
+  if (!Missed.Notices.empty())
+    Peers->sendTo(From, std::move(Missed));
+}
+
+/// Tells all other nodes what is known of an upstream.
+void RateLimitService::announce(const Incarnation &Upstream) {
+  RateLimitUpdate Update{{rateLimitNotice(State, Upstream)}};
+  for (const std::string &Node : Members->ids()) {
+    if (Node != Members->state().Self.Id)
+      Peers->sendTo(Node, Update);
+  }
+}
+
+void RateLimitService::tick() {
+  rateLimitsAge(
+      State,
+      [this](const Incarnation &Upstream) {
+        const auto &Entries = Upstreams->registry().Entries;
+        auto Found = Entries.find(Upstream.Instance);
+        return Found != Entries.end() &&
+               Found->second.incarnation() == Upstream;
+      },
+      Timers->now());
+  RateLimitUpdate Update{rateLimitNotices(State, Timers->now())};
+  if (Update.Notices.empty())
+    return;
+  for (const std::string &Node : Members->randomIds(RemindedNodes))
+    Peers->sendTo(Node, Update);
 }
 
 void RateLimitService::sent(const Incarnation &Upstream) {
@@ -38,18 +96,22 @@
   switch (Change) {
   case RateLimitChange::Named:
     ++Counts.Named;
-    return logEvent(LogLevel::Info, "rate_limit_named",
-                    {{"instance", Upstream.Instance},
-                     {"per_second", of(Upstream).value_or(0)},
-                     {"source", Source}});
+    logEvent(LogLevel::Info, "rate_limit_named",
+             {{"instance", Upstream.Instance},
+              {"per_second", of(Upstream).value_or(0)},
+              {"source", Source}});
+    break;
   case RateLimitChange::Ended:
-    return logEvent(LogLevel::Info, "rate_limit_ended",
-                    {{"instance", Upstream.Instance}, {"source", Source}});
+    logEvent(LogLevel::Info, "rate_limit_ended",
+             {{"instance", Upstream.Instance}, {"source", Source}});
+    break;
   case RateLimitChange::None:
   case RateLimitChange::Count:
   case RateLimitChange::Invalid:
     return;
   }
+  for (const auto &Fn : Hear)
+    Fn(Upstream);
 }
 
 } // namespace fulmar
--- a/src/rate_limit_service.h
+++ b/src/rate_limit_service.h
@@ -8,13 +8,20 @@
 
 namespace fulmar {
 
+class MemberService;
+class PeerService;
+class UpstreamFeed;
+
 /// Counts for operators.
 struct RateLimitCounts {
   std::uint64_t Named = 0; ///< Limits that were named, or changed.
   std::uint64_t Sends = 0; ///< Requests sent to upstreams that name one.
 };
 
-/// What upstreams say of the requests that they take from all nodes.
+/// What upstreams say of the requests that they take from all nodes, shared
+/// between nodes: one that has not been told itself must not send either, and
+/// most nodes of a large fleet send to one upstream too seldom to hear of the
+/// end.
 class RateLimitService : public Service {
 public:
   explicit RateLimitService(Kernel &K) : Services(K) {}
@@ -28,6 +35,11 @@
   /// \return The limit that it names, requests a second; nothing: none.
   std::optional<double> of(const Incarnation &Upstream) const;
 
+  /// Calls \p Fn when what an upstream says has changed.
+  void onChange(std::function<void(const Incarnation &)> Fn) {
+    Hear.push_back(std::move(Fn));
+  }
+
   /// \return Upstreams that name a limit now.
   std::size_t size() const;
   /// \return Counts so far.
@@ -37,10 +49,18 @@
   void changed(const Incarnation &Upstream, RateLimitChange Change,
                std::string_view Source);
 
-  Kernel &Services;               ///< Finds the others.
-  TimerService *Timers = nullptr; ///< Time.
-  RateLimits State;               ///< Decides.
-  RateLimitCounts Counts;         ///< For operators.
+  void take(const RateLimitUpdate &Update, const std::string &From);
+  void announce(const Incarnation &Upstream);
+  void tick();
+
+  Kernel &Services;                  ///< Finds the others.
+  TimerService *Timers = nullptr;    ///< Time.
+  PeerService *Peers = nullptr;      ///< Carries messages.
+  MemberService *Members = nullptr;  ///< Knows the nodes.
+  UpstreamFeed *Upstreams = nullptr; ///< Knows which upstreams are there.
+  std::vector<std::function<void(const Incarnation &)>> Hear; ///< Subscribers.
+  RateLimits State;                                           ///< Decides.
+  RateLimitCounts Counts; ///< For operators.
 };
 
 } // namespace fulmar
--- a/src/rate_limit_type.h
+++ b/src/rate_limit_type.h
@@ -2,8 +2,25 @@
 #ifndef FULMARSTEP_RATE_LIMIT_TYPE_H
 #define FULMARSTEP_RATE_LIMIT_TYPE_H
 
+#include <vector>
+
+#include "route_type.h"
+
 namespace fulmar {
 
+/// Tells other nodes what this one knows of an upstream.
+struct RateLimitNotice {
+  Incarnation Upstream;    ///< Which start.
+  std::uint32_t Round = 0; ///< Counts what it said; the latest holds.
+  bool Ended = false;      ///< It does not name a limit any more.
+  double PerSecond = 0;    ///< Requests a second, from all nodes together.
+};
+
+/// What a node knows of several.
+struct RateLimitUpdate {
+  std::vector<RateLimitNotice> Notices; ///< In no order.
+};
+
 /// What an answer, or another node, has changed.
 enum class RateLimitChange {
   None,    ///< Nothing, or too little to matter.
--- a/src/send_pace.cpp
+++ b/src/send_pace.cpp
@@ -9,11 +9,11 @@
 static constexpr std::uint64_t GoldenStep = 0x9E3779B97F4A7C15;
 static constexpr std::uint64_t RootStep = 0x6A09E667F3BCC909;
 
-Duration paceInterval(double PerSecond, double Nodes) {
+PaceTurns paceTurns(double PerSecond, double Nodes, Duration Length) {
   constexpr double MsPerSecond = 1e3;
   if (PerSecond <= 0)
-    return Duration::zero();
-  return fromMs(MsPerSecond * Nodes / (PerSecond * PaceShare));
+    return {};
+  return {fromMs(MsPerSecond * Nodes / (PerSecond * PaceShare)), Length};
 }
 
 double pacePhase(std::uint64_t Incarnation, std::size_t Place) {
@@ -22,16 +22,16 @@
   return static_cast<double>(Sum >> 11) * 0x1.0p-53;
 }
 
-void paceSet(SendPace &Pace, Duration Interval, double Phase,
-             TimePoint Origin) {
-  Pace.Interval = Interval;
-  Pace.Turn = Origin + fromMs(toMs(Interval) * Phase);
+void paceSet(SendPace &Pace, PaceTurns Turns, double Phase, TimePoint Origin) {
+  Pace.Turns = Turns;
+  Pace.Turn = Origin + fromMs(toMs(Turns.Interval) * Phase);
 }
 
 /// \return When the latest turn began.
 static TimePoint latestTurn(const SendPace &Pace, TimePoint Now) {
-  Duration Since = (Now - Pace.Turn) % Pace.Interval;
-  return Since < Duration::zero() ? Now - Since - Pace.Interval : Now - Since;
+  Duration Since = (Now - Pace.Turn) % Pace.Turns.Interval;
+  return Since < Duration::zero() ? Now - Since - Pace.Turns.Interval
+                                  : Now - Since;
 }
 
 /// \return Whether a request in the turn from \p Turn on is not too close to
@@ -39,21 +39,21 @@
 static bool isApart(const SendPace &Pace, TimePoint Turn, TimePoint At) {
   if (Pace.LastSent == TimePoint{})
     return true;
-  return Pace.LastSent < Turn && At - Pace.LastSent >= Pace.Interval / 2;
+  return Pace.LastSent < Turn && At - Pace.LastSent >= Pace.Turns.Interval / 2;
 }
 
 bool paceAllows(const SendPace &Pace, TimePoint Now) {
-  if (Pace.Interval <= Duration::zero())
+  if (Pace.Turns.Interval <= Duration::zero())
     return true;
   TimePoint Turn = latestTurn(Pace, Now);
-  return Now - Turn < PaceWindow && isApart(Pace, Turn, Now);
+  return Now - Turn < Pace.Turns.Length && isApart(Pace, Turn, Now);
 }
 
 TimePoint paceNext(const SendPace &Pace, TimePoint Now) {
   if (paceAllows(Pace, Now))
     return Now;
-  TimePoint Next = latestTurn(Pace, Now) + Pace.Interval;
-  return isApart(Pace, Next, Next) ? Next : Next + Pace.Interval;
+  TimePoint Next = latestTurn(Pace, Now) + Pace.Turns.Interval;
+  return isApart(Pace, Next, Next) ? Next : Next + Pace.Turns.Interval;
 }
 
 } // namespace fulmar
--- a/src/send_pace.h
+++ b/src/send_pace.h
@@ -13,9 +13,18 @@
 /// Part of what an upstream takes that all nodes together send. The rest is
 /// for nodes that know too few of the others and take too large a share.
 inline constexpr double PaceShare = 0.45;
-/// How long a node may make use of its turn. Longer, and the turns of many
-/// nodes overlap; shorter, and most of them pass unused.
-inline constexpr Duration PaceWindow = std::chrono::milliseconds(700);
+/// How long a node may make use of its turn, where an upstream bears so many
+/// requests in each second. Longer, and the turns of many nodes overlap;
+/// shorter, and most of them pass unused.
+inline constexpr Duration ColdTurn = std::chrono::milliseconds(700);
+/// The same, where it takes so many a second over several seconds.
+inline constexpr Duration RateLimitTurn = std::chrono::milliseconds(2500);
+
+/// How often and how long a node may send one request.
+struct PaceTurns {
+  Duration Interval{}; ///< Between two turns; zero: no pace is kept.
+  Duration Length{};   ///< Of a turn.
+};
 
 /// This node's turns to send to one upstream.
 ///
@@ -25,15 +34,15 @@
 /// reached. A turn that is not used is lost. If nodes kept it, all of them
 /// would send at the moment when a session begins to be asked for.
 struct SendPace {
-  Duration Interval{};  ///< Between two turns; zero: no pace is kept.
+  PaceTurns Turns;      ///< How often it may send.
   TimePoint Turn{};     ///< Begin of one of the turns.
   TimePoint LastSent{}; ///< Of the latest request; zero: none yet.
 };
 
 /// \param PerSecond requests that the upstream takes; zero: no limit is known.
 /// \param Nodes the most that may send, this one included.
-/// \return The time between two turns of one node.
-Duration paceInterval(double PerSecond, double Nodes);
+/// \param Length of a turn.
+PaceTurns paceTurns(double PerSecond, double Nodes, Duration Length);
 
 /// \return Where in the interval a node's turns begin, from 0 to 1. The turns
 /// of nodes that joined one after the other are spread evenly, whatever each of
@@ -44,7 +53,7 @@
 double pacePhase(std::uint64_t Incarnation, std::size_t Place);
 
 /// Sets the turns. \param Origin when the fleet's time was zero.
-void paceSet(SendPace &Pace, Duration Interval, double Phase, TimePoint Origin);
+void paceSet(SendPace &Pace, PaceTurns Turns, double Phase, TimePoint Origin);
 
 /// \return Whether a request may be sent now.
 bool paceAllows(const SendPace &Pace, TimePoint Now);
--- a/tests/test_cold.cpp
+++ b/tests/test_cold.cpp
@@ -59,9 +59,10 @@
   void setCold(View &V, bool Cold) const { setPace(V, V.P.Upstreams[0], Cold); }
 
   void setPace(const View &V, Upstream &U, bool Cold) const {
-    Duration Interval =
-        Cold ? paceInterval(ColdRate, V.Nodes) : Duration::zero();
-    paceSet(U.Pace, Interval, pacePhase(V.Incarnation, U.Place), Origin);
+    PaceTurns Turns;
+    if (Cold)
+      Turns = paceTurns(ColdRate, V.Nodes, ColdTurn);
+    paceSet(U.Pace, Turns, pacePhase(V.Incarnation, U.Place), Origin);
   }
 
   /// \return A session whose upstream is the cold one.
