--- a/src/cli/cli_bench.cpp
+++ b/src/cli/cli_bench.cpp
@@ -134,14 +134,15 @@
       {"fleet", benchFleet},
       {"overhead", benchOverhead},
       {"soak", runSoak},
-      {"quarantine", benchQuarantine}};
+      {"quarantine", benchQuarantine},
+      {"pace", benchPace}};
   for (const auto &[Name, Run] : Parts) {
     if (Rest.size() == 1 && Rest[0] == Name)
       return Run();
   }
   throw Error(ResultCode::UsageError,
               "bench needs one of: load, policy, rollout, fleet, overhead, "
-              "soak, quarantine");
+              "soak, quarantine, pace");
 }
 
 } // namespace fulmar
--- a/src/cli/cli_bench.h
+++ b/src/cli/cli_bench.h
@@ -25,6 +25,9 @@
 /// Compares ways to find out requests that crash upstreams, in virtual time.
 ExitCode benchQuarantine();
 
+/// Compares ways in which nodes keep a limit of one upstream, in virtual time.
+ExitCode benchPace();
+
 /// Runs the platform's side of a soak of real nodes, and checks what it saw.
 ExitCode runSoak();
 
--- a/src/cli/cli_quarantine.cpp
+++ b/src/cli/cli_quarantine.cpp
@@ -10,7 +10,7 @@
 #include "cli/cli_bench.h"
 
 DECLARE_uint64(seed);
-DEFINE_int32(seeds, 5, "quarantine: runs of each row");
+DEFINE_int32(seeds, 5, "quarantine, pace: runs of each row");
 
 namespace fulmar {
 
