A node asks for another one's turn to send to an upstream that names a limit

Cause: a turn is used only if somebody happens to ask the node whose turn it is, and in a large fleet that is seldom so.

Change: where the best upstream for a request names a limit and it is not this node's turn, the node asks one whose turn it is (it follows from the members' incarnations), waits 30 ms at most, and sends if the turn is lent. A turn is used once, by whomever, so the bound holds whatever nodes know of each other, and no node is needed for it.

--- a/src/bench/pace_model.cpp
+++ b/src/bench/pace_model.cpp
@@ -13,7 +13,7 @@
 namespace fulmar {
 
 static constexpr EnumNames<PaceWay> WayNames = {
-    "none", "alone", "saved", "asked", "random turns", "turns"};
+    "none", "alone", "saved", "asked", "random turns", "turns", "lent"};
 /// Of the rule that the limit comes with.
 static constexpr double Overage = 1.5;
 static constexpr double Slack = 5;
@@ -44,8 +44,8 @@
       Believed = 1;
     PaceTurns Turns = paceTurns(Plan.Limit, Believed, RateLimitTurn);
     for (PaceNode &Node : Nodes) {
-      double Phase =
-          Way == PaceWay::Turns ? pacePhase(++Joined, 0) : randomUnit(Rng);
+      bool Even = Way == PaceWay::Turns || Way == PaceWay::Lent;
+      double Phase = Even ? pacePhase(++Joined, 0) : randomUnit(Rng);
       paceSet(Node.Pace, Turns, Phase, Origin);
       Node.Next = Begin + fromMs(toMs(Turns.Interval) * Phase);
       Node.Asks = firstKnown();
@@ -100,10 +100,9 @@
       return granted(Node);
     case PaceWay::RandomTurns:
     case PaceWay::Turns:
-      if (!paceAllows(Node.Pace, Now))
-        return false;
-      paceSent(Node.Pace, Now);
-      return true;
+      return paceAllows(Node.Pace, Now) && use(Node);
+    case PaceWay::Lent:
+      return paceAllows(Node.Pace, Now) ? use(Node) : lent();
     case PaceWay::None:
     case PaceWay::Count:
     case PaceWay::Invalid:
@@ -112,6 +111,25 @@
     return true;
   }
 
+  bool use(PaceNode &Node) {
+    paceSent(Node.Pace, Now);
+    return true;
+  }
+
+  /// Asks one of the nodes whose turn it is, as far as it is known.
+  bool lent() {
+    std::vector<PaceNode *> Owners;
+    for (PaceNode &Other : Nodes) {
+      if (randomUnit(Rng) < Plan.Known && paceInTurn(Other.Pace, Now))
+        Owners.push_back(&Other);
+    }
+    if (Owners.empty())
+      return false;
+    Out.Messages += 2;
+    PaceNode &Owner = *Owners[randomIndex(Rng, Owners.size())];
+    return paceAllows(Owner.Pace, Now) && use(Owner);
+  }
+
   /// Asks the node that hands out sends. One that has died answers nothing
   /// until the others see it, and the next one begins anew.
   bool granted(PaceNode &Node) {
--- a/src/bench/pace_model.h
+++ b/src/bench/pace_model.h
@@ -18,6 +18,7 @@
   Asked,       ///< Each send is asked of one node.
   RandomTurns, ///< Nodes take turns at random moments.
   Turns,       ///< Nodes take turns at moments that are spread evenly.
+  Lent,        ///< The same, and a node asks for the turn of another.
   Count,       ///< Number of ways.
   Invalid,     ///< Not a way.
 };
--- a/src/cli/cli_pace.cpp
+++ b/src/cli/cli_pace.cpp
@@ -57,7 +57,7 @@
         Plan.Limit = Limit;
         for (PaceWay Way :
              {PaceWay::None, PaceWay::Alone, PaceWay::Saved, PaceWay::Asked,
-              PaceWay::RandomTurns, PaceWay::Turns})
+              PaceWay::RandomTurns, PaceWay::Turns, PaceWay::Lent})
           printRow(Plan, Way);
       }
     }
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -55,7 +55,12 @@
   Hints.Affinity = affinityOf(*R);
   Hints.Avoid = &R->Tried;
   TimePoint Now = Timers->now();
-  auto Index = chooseUpstream(P, Policy, Hints, Rng, Now);
+  auto Index = lentUpstream(*R, P);
+  bool Lent = Index.has_value();
+  if (!Lent && askForTurn(*R, P, Hints))
+    return;
+  if (!Lent)
+    Index = chooseUpstream(P, Policy, Hints, Rng, Now);
   if (!Index) {
     R->LastFailure = "no upstream with room";
     HttpAnswer None;
@@ -80,7 +85,9 @@
   if (!R->Route->repeatable())
     Call.Reuse = HttpReuse::Recent;
   ++U.InFlight;
-  paceSent(U.Pace, Now);
+  // The turn of another node does not use up this one's.
+  if (!Lent)
+    paceSent(U.Pace, Now);
   RateLimited->sent(U.Start);
   R->Tried.push_back(U.Id);
   R->LastUpstream = U.Address;
--- a/src/gateway_rate_limit.cpp
+++ b/src/gateway_rate_limit.cpp
@@ -1,5 +1,6 @@
 /// \file gateway_rate_limit.cpp Upstreams in need that name a limit.
 #include "gateway_service.h"
+#include "member_service.h"
 #include "peer_service.h"
 #include "rate_limit_service.h"
 #include "upstream_func.h"
@@ -34,7 +35,7 @@
     PaceTurns Named = paceTurns(*PerSecond, MostNodes, RateLimitTurn);
     Turns = Named.Interval > Turns.Interval ? Named : Turns;
   }
-  paceSet(U.Pace, Turns, pacePhase(Peers->incarnation(), U.Place),
+  paceSet(U.Pace, Turns, pacePhase(Members->state().Self.Incarnation, U.Place),
           fleetOrigin(Peers->clock()));
 }
 
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -78,6 +78,8 @@
   TimePoint StagesDone{};                ///< When the last one was done.
   std::optional<ForwardAttempt> Attempt; ///< In progress.
   std::vector<UpstreamId> Tried;         ///< Upstreams that it was sent to.
+  bool TurnAsked = false;                ///< It has asked for a turn once.
+  std::optional<UpstreamId> Lent;        ///< It has got a turn there.
   int Sends = 0;                         ///< Attempts that were sent.
   int Runs = 0;                          ///< Attempts that ran or may have.
   bool HeadSent = false;                 ///< The client has the answer's head.
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -59,6 +59,12 @@
   RateLimited = &Services.find<RateLimitService>(service::RateLimits);
   RateLimited->onChange(
       [this](const Incarnation &Start) { rateLimitChanged(Start); });
+  Peers->on<TurnAsk>([this](const PeerMessage &From, const TurnAsk &Ask) {
+    lendTurn(From.Sender, Ask);
+  });
+  Peers->on<TurnAnswer>([this](const PeerMessage &, const TurnAnswer &Answer) {
+    turnAnswered(Answer);
+  });
   Quarantined->onHeld([this](Fingerprint Content) { endQuarantined(Content); });
   Routes->onChange([this] { configChanged(); });
   Upstreams->onRestart(
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -8,6 +8,7 @@
 #include "gateway_request.h"
 #include "gateway_settings.h"
 #include "policy_type.h"
+#include "rate_limit_type.h"
 #include "read_wait.h"
 #include "restart_func.h"
 
@@ -121,6 +122,13 @@
   void rateLimitChanged(const Incarnation &Start);
   void setPace(Upstream &U, double ColdRate);
 
+  // gateway_turns.cpp: turns of other nodes.
+  std::string turnOwner(const Upstream &U);
+  bool askForTurn(ForwardRequest &R, Pool &P, const ChoiceHints &Hints);
+  void lendTurn(const std::string &From, const TurnAsk &Ask);
+  void turnAnswered(const TurnAnswer &Answer);
+  std::optional<std::size_t> lentUpstream(ForwardRequest &R, const Pool &P);
+
   // gateway_attempt.cpp: sends and their answers.
   void sendAttempt(RequestSerial Serial);
   void planFree(ForwardRequest &R);
--- a/src/peer_service.h
+++ b/src/peer_service.h
@@ -64,8 +64,6 @@
 
   /// \return The fleet's time, as this node knows it.
   const FleetClock &clock() const { return Clock; }
-  /// \return The incarnation of this process; 0: it has not joined.
-  std::uint64_t incarnation() const { return Incarnation; }
   /// \return Counts so far.
   const PeerCounts &counts() const { return Counts; }
 
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -37,7 +37,8 @@
                  BundleDelta, DemandReport, DemandTotal, BatchRequestMessage,
                  BatchAnswerMessage, BatchReleaseMessage, StateSyncRequest,
                  StateSyncResponse, ConfigFetch, ConfigCopy, CrashReport,
-                 QuarantineUpdate, QuarantineObjection, RateLimitUpdate>;
+                 QuarantineUpdate, QuarantineObjection, RateLimitUpdate,
+                 TurnAsk, TurnAnswer>;
 
 /// A message between nodes, with what every message says.
 struct PeerMessage {
--- a/src/policy_type.h
+++ b/src/policy_type.h
@@ -41,6 +41,7 @@
   bool Shedding = true;       ///< Refuse hopeless work before each stage.
   bool Hedging = true;        ///< Double slow idempotent attempts.
   bool Ejection = true;       ///< Leave out failing and very slow upstreams.
+  bool KeepPace = true;       ///< Wait for turns at upstreams that take little.
   bool Affinity = true;       ///< Same prefix, same engine, while load allows.
   bool BoundedRetries = true; ///< Retries spend a budget.
   bool BoundedQueues = true;  ///< Queues are bounded as the bundle says.
--- a/src/rate_limit_type.h
+++ b/src/rate_limit_type.h
@@ -21,6 +21,19 @@
   std::vector<RateLimitNotice> Notices; ///< In no order.
 };
 
+/// Asks a node for its turn to send to an upstream.
+struct TurnAsk {
+  std::uint64_t Serial = 0; ///< The asker's name for it.
+  Incarnation Upstream;     ///< Which start.
+};
+
+/// Answers a TurnAsk.
+struct TurnAnswer {
+  std::uint64_t Serial = 0; ///< As in the ask.
+  Incarnation Upstream;     ///< As in the ask.
+  bool Lent = false;        ///< The asker may send one request now.
+};
+
 /// What an answer, or another node, has changed.
 enum class RateLimitChange {
   None,    ///< Nothing, or too little to matter.
--- a/src/send_pace.cpp
+++ b/src/send_pace.cpp
@@ -42,11 +42,15 @@
   return Pace.LastSent < Turn && At - Pace.LastSent >= Pace.Turns.Interval / 2;
 }
 
+bool paceInTurn(const SendPace &Pace, TimePoint Now) {
+  return Pace.Turns.Interval <= Duration::zero() ||
+         Now - latestTurn(Pace, Now) < Pace.Turns.Length;
+}
+
 bool paceAllows(const SendPace &Pace, TimePoint Now) {
   if (Pace.Turns.Interval <= Duration::zero())
     return true;
-  TimePoint Turn = latestTurn(Pace, Now);
-  return Now - Turn < Pace.Turns.Length && isApart(Pace, Turn, Now);
+  return paceInTurn(Pace, Now) && isApart(Pace, latestTurn(Pace, Now), Now);
 }
 
 TimePoint paceNext(const SendPace &Pace, TimePoint Now) {
--- a/src/send_pace.h
+++ b/src/send_pace.h
@@ -55,6 +55,9 @@
 /// Sets the turns. \param Origin when the fleet's time was zero.
 void paceSet(SendPace &Pace, PaceTurns Turns, double Phase, TimePoint Origin);
 
+/// \return Whether it is this node's turn, used or not.
+bool paceInTurn(const SendPace &Pace, TimePoint Now);
+
 /// \return Whether a request may be sent now.
 bool paceAllows(const SendPace &Pace, TimePoint Now);
 
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -32,9 +32,11 @@
 
 bool upstreamEligible(const Upstream &U, const RouterPolicy &Policy,
                       TimePoint Now) {
+  if (!U.Listed || U.Leaving)
+    return false;
   // One whose turn it is not is left out here and not only where there is no
   // room, so that all requests of a session go to the same other.
-  if (!U.Listed || U.Leaving || !paceAllows(U.Pace, Now))
+  if (Policy.KeepPace && !paceAllows(U.Pace, Now))
     return false;
   return !Policy.Ejection || U.EjectedUntil <= Now;
 }
--- a/src/upstream_base.h
+++ b/src/upstream_base.h
@@ -43,6 +43,7 @@
   bool Cold = false;         ///< It has just started, and bears little.
   SendPace Pace;             ///< While it takes little.
   std::size_t Place = 0;     ///< In the pool's list.
+  TimePoint NextAsk{};       ///< For another node's turn; not before then.
   bool Local = false;        ///< In this node's failure domain.
   int InFlight = 0;          ///< Calls of this node.
   ConcurrencyLimit Limit;    ///< Calls at once.
--- a/tests/test_rate_limit.cpp
+++ b/tests/test_rate_limit.cpp
@@ -135,6 +135,26 @@
   }
 }
 
+SCENARIO("requests for an upstream that names a limit come to one node") {
+  // Guards against an upstream that gets next to nothing of what it takes,
+  // because the node that is asked for it has few of the fleet's turns.
+  LimitWorld W(6);
+  StandinRunner &InNeed = *W.Runners["p-0"];
+  InNeed.RateLimit = PerSecond;
+  W.load("/post/x", seconds(1), milliseconds(30));
+  runUntil(W.Loop, [&] { return W.allHold("p-0", true); });
+  TimePoint Since = W.Timers.now();
+  std::size_t Before = InNeed.Arrivals.size();
+  TimePoint End = Since + seconds(12);
+  while (W.Timers.now() < End)
+    W.ask("/post/x");
+  std::size_t Got = InNeed.Arrivals.size() - Before;
+  // Its own turns alone would bring one.
+  CAPTURE(Got);
+  CHECK(Got >= 3);
+  CHECK(static_cast<double>(mostInWindow(InNeed, Since)) <= allowed(PerSecond));
+}
+
 SCENARIO("an upstream of a stage names a limit") {
   // Guards against calls for pieces that keep no limit, because plain requests
   // alone do.
