Nodes that know the same nodes use most of the limit of an upstream in need

Change: each message says of which nodes its sender knows; while nine in ten of the others know the same ones as this node, turns use 0.9 of the limit and are placed by the node's place among them, which leaves no gaps, else 0.45 by incarnation as before. A request whose stages are done waits for this node's next turn while it could still be on time, and is refused at once otherwise.

--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -91,13 +91,12 @@
 }
 
 /// Sets how often upstreams that name a limit get calls. One node forms all
-/// calls of a part; while two of them believe to be it, both together keep the
-/// limit.
+/// calls of a part.
 void BatchService::setPaces(BatchPool &P) {
   for (auto &[Start, U] : P.Upstreams) {
     PaceTurns Turns;
     if (auto PerSecond = RateLimited->of(Start))
-      Turns = paceTurns(*PerSecond, /*Nodes=*/1, RateLimitTurn);
+      Turns = paceTurns(*PerSecond, /*Nodes=*/1, RateLimitTurn, AgreedShare);
     paceSet(U.Pace, Turns, /*Phase=*/0, TimePoint());
   }
 }
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -61,6 +61,8 @@
     return;
   if (!Lent)
     Index = chooseUpstream(P, Policy, Hints, Rng, Now);
+  if (!Index && waitForTurn(*R, P))
+    return;
   if (!Index) {
     R->LastFailure = "no upstream with room";
     HttpAnswer None;
--- a/src/gateway_rate_limit.cpp
+++ b/src/gateway_rate_limit.cpp
@@ -1,4 +1,6 @@
 /// \file gateway_rate_limit.cpp Upstreams in need that name a limit.
+#include <algorithm>
+
 #include "gateway_service.h"
 #include "member_service.h"
 #include "peer_service.h"
@@ -26,17 +28,37 @@
   }
 }
 
+/// \return How often each node may send to an upstream that names a limit.
+PaceTurns GatewayService::limitTurns(const Upstream &U) const {
+  auto PerSecond = RateLimited->of(U.Start);
+  if (!PerSecond)
+    return {};
+  return paceTurns(*PerSecond, MostNodes, RateLimitTurn,
+                   NodesAgree ? AgreedShare : PaceShare);
+}
+
+/// \return Where a node's turns at an upstream begin. Where all nodes know the
+/// same ones, their places among them are numbers without gaps.
+double GatewayService::turnPhase(const std::string &Node,
+                                 std::uint64_t Incarnation,
+                                 const Upstream &U) const {
+  if (!NodesAgree)
+    return pacePhase(Incarnation, U.Place);
+  auto Place = std::lower_bound(Nodes.begin(), Nodes.end(), Node);
+  return pacePhase(static_cast<std::uint64_t>(Place - Nodes.begin()), U.Place);
+}
+
 /// Sets this node's turns to send to an upstream that takes little.
 void GatewayService::setPace(Upstream &U, double ColdRate) {
-  PaceTurns Turns;
+  const MemberInfo &Self = Members->state().Self;
+  TimePoint Origin = fleetOrigin(Peers->clock());
+  PaceTurns Cold;
   if (U.Cold)
-    Turns = paceTurns(ColdRate, MostNodes, ColdTurn);
-  if (auto PerSecond = RateLimited->of(U.Start)) {
-    PaceTurns Named = paceTurns(*PerSecond, MostNodes, RateLimitTurn);
-    Turns = Named.Interval > Turns.Interval ? Named : Turns;
-  }
-  paceSet(U.Pace, Turns, pacePhase(Members->state().Self.Incarnation, U.Place),
-          fleetOrigin(Peers->clock()));
+    Cold = paceTurns(ColdRate, MostNodes, ColdTurn);
+  PaceTurns Named = limitTurns(U);
+  if (Cold.Interval > Named.Interval)
+    return paceSet(U.Pace, Cold, pacePhase(Self.Incarnation, U.Place), Origin);
+  paceSet(U.Pace, Named, turnPhase(Self.Id, Self.Incarnation, U), Origin);
 }
 
 } // namespace fulmar
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -210,12 +210,14 @@
 /// member's state changes all the time, and each change would go through the
 /// whole list of upstreams.
 void GatewayService::membersChanged() {
-  std::size_t Nodes = Members->ids().size();
-  if (std::exchange(SharingNodes, Nodes) != Nodes)
+  Nodes = Members->ids();
+  Peers->announceMembers(memberDigest(Nodes));
+  if (std::exchange(SharingNodes, Nodes.size()) != Nodes.size())
     upstreamsChanged();
 }
 
 void GatewayService::sweep() {
+  NodesAgree = Peers->membersAgree();
   for (auto &[Name, P] : Pools) {
     ejectSlow(P, Policy, Timers->now());
     // The fleet's time moves on when another node turns out to be ahead.
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -120,6 +120,9 @@
   // gateway_rate_limit.cpp: upstreams in need.
   void reportRateLimit(const ForwardRequest &R, const ForwardReply &Reply);
   void rateLimitChanged(const Incarnation &Start);
+  PaceTurns limitTurns(const Upstream &U) const;
+  double turnPhase(const std::string &Node, std::uint64_t Incarnation,
+                   const Upstream &U) const;
   void setPace(Upstream &U, double ColdRate);
 
   // gateway_turns.cpp: turns of other nodes.
@@ -127,6 +130,7 @@
   bool askForTurn(ForwardRequest &R, Pool &P, const ChoiceHints &Hints);
   void lendTurn(const std::string &From, const TurnAsk &Ask);
   void turnAnswered(const TurnAnswer &Answer);
+  bool waitForTurn(ForwardRequest &R, const Pool &P);
   std::optional<std::size_t> lentUpstream(ForwardRequest &R, const Pool &P);
 
   // gateway_attempt.cpp: sends and their answers.
@@ -194,6 +198,8 @@
   std::map<RequestSerial, ForwardRequest> Requests; ///< In progress.
   std::uint64_t LastSerial = 0;                     ///< Counts requests.
   std::uint32_t LastUpstream = 0;                   ///< Counts upstreams.
+  std::vector<std::string> Nodes;                   ///< Known and live, sorted.
+  bool NodesAgree = false;      ///< The others know the same ones.
   std::size_t SharingNodes = 0; ///< Live nodes, when limits were last shared.
   double MostNodes = 1; ///< That were known at any time. Nodes that are cut off
                         ///< from each other still send to the same upstreams.
--- a/src/gateway_turns.cpp
+++ b/src/gateway_turns.cpp
@@ -5,6 +5,7 @@
 /// asks for that upstream. So a node asks one whose turn it is. A turn is used
 /// once, by whomever, so that the limit holds whatever nodes know of each
 /// other, and an answer that does not come costs nothing but the turn.
+#include <algorithm>
 #include <utility>
 
 #include "gateway_service.h"
@@ -19,6 +20,8 @@
 /// For the answer of a node whose turn is asked for.
 static constexpr Duration TurnPatience = std::chrono::milliseconds(30);
 
+/// A request that waits for a turn looks again after this time at the earliest.
+static constexpr Duration LeastTurnWait = std::chrono::milliseconds(20);
 /// Asks of one node for one upstream are apart by this part of the time after
 /// which another node's turn begins, and never less than the shortest time.
 static constexpr double AskAgainPart = 0.25;
@@ -40,7 +43,7 @@
     if (Other.Info.State != MemberState::Alive)
       continue;
     SendPace Theirs;
-    paceSet(Theirs, U.Pace.Turns, pacePhase(Other.Info.Incarnation, U.Place),
+    paceSet(Theirs, U.Pace.Turns, turnPhase(Id, Other.Info.Incarnation, U),
             Origin);
     if (paceInTurn(Theirs, Timers->now()))
       Owners.push_back(Id);
@@ -132,4 +135,30 @@
   return std::nullopt;
 }
 
+/// Has a request wait for this node's next turn, where its stages are done and
+/// it could still be on time: refused, their work would be thrown away.
+/// \return Whether it waits.
+bool GatewayService::waitForTurn(ForwardRequest &R, const Pool &P) {
+  if (R.Stages.empty())
+    return false;
+  TimePoint Now = Timers->now();
+  TimePoint Next = TimePoint::max();
+  for (const Upstream &U : P.Upstreams) {
+    bool Tried =
+        std::find(R.Tried.begin(), R.Tried.end(), U.Id) != R.Tried.end();
+    if (Tried || !U.Listed || U.Leaving || !RateLimited->of(U.Start))
+      continue;
+    Next = std::min(Next, paceNext(U.Pace, Now));
+  }
+  if (Next == TimePoint::max() || Next + timesOf(R).FirstEvent > R.OnTimeBy)
+    return false;
+  R.TurnAsked = false;
+  Duration Wait = std::max(LeastTurnWait, Next - Now);
+  R.RetryTimer = Timers->after(Wait, [this, Serial = R.Serial] {
+    if (find(Serial))
+      sendAttempt(Serial);
+  });
+  return true;
+}
+
 } // namespace fulmar
--- a/src/peer_service.cpp
+++ b/src/peer_service.cpp
@@ -48,6 +48,7 @@
   Message.Incarnation = Incarnation;
   Message.Sequence = ++LastSequence;
   Message.SentMs = EventLoop::wallClock();
+  Message.MemberDigest = Views.Own;
   Message.FleetTime = fleetTime(Clock, Timers.now());
   Message.BundleVersion = BundleVersion;
   Message.BundleRoot = BundleRoot;
@@ -85,6 +86,7 @@
     ++Counts.Replayed;
     return;
   }
+  Views.Others[Message->Sender] = {Message->MemberDigest, Timers.now()};
   fleetTimeHeard(Clock, Message->FleetTime, Timers.now());
   ++Counts.Received;
   Counts.ReceivedBytes += Bytes.size();
--- a/src/peer_service.h
+++ b/src/peer_service.h
@@ -10,6 +10,7 @@
 #include "datagram.h"
 #include "fleet_clock.h"
 #include "kernel.h"
+#include "member_view.h"
 #include "peer_type.h"
 #include "peer_window.h"
 #include "settings_type.h"
@@ -62,6 +63,10 @@
   /// Sets what every message says of the bundle in force.
   void announceBundle(std::uint64_t Version, std::uint64_t RootHash);
 
+  /// Sets what every message says of the nodes that this one knows.
+  void announceMembers(std::uint64_t Digest) { Views.Own = Digest; }
+  /// \return Whether the other nodes know the same nodes.
+  bool membersAgree() const { return viewsAgree(Views, Timers.now()); }
   /// \return The fleet's time, as this node knows it.
   const FleetClock &clock() const { return Clock; }
   /// \return Counts so far.
@@ -82,6 +87,7 @@
   AnyHandler Any;                                      ///< For every message.
   std::unordered_map<std::string, PeerWindow> Windows; ///< By sender.
   FleetClock Clock;                                    ///< Shared by all nodes.
+  MemberViews Views;                                   ///< Who knows whom.
   PeerCounts Counts;                                   ///< For operators.
   std::unique_ptr<DatagramSocket> Datagrams;           ///< Small messages.
   std::unique_ptr<BulkTransport> Bulk;                 ///< Large messages.
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -50,6 +50,7 @@
   std::uint64_t BundleRoot = 0;    ///< First bytes of its content hash.
   PeerBody Body;                   ///< What it is about.
   Duration FleetTime{};            ///< When it was sent, by the fleet's time.
+  std::uint64_t MemberDigest = 0;  ///< Of the nodes that its sender knows.
 };
 
 } // namespace fulmar
--- a/src/send_pace.cpp
+++ b/src/send_pace.cpp
@@ -9,16 +9,17 @@
 static constexpr std::uint64_t GoldenStep = 0x9E3779B97F4A7C15;
 static constexpr std::uint64_t RootStep = 0x6A09E667F3BCC909;
 
-PaceTurns paceTurns(double PerSecond, double Nodes, Duration Length) {
+PaceTurns paceTurns(double PerSecond, double Nodes, Duration Length,
+                    double Share) {
   constexpr double MsPerSecond = 1e3;
   if (PerSecond <= 0)
     return {};
-  return {fromMs(MsPerSecond * Nodes / (PerSecond * PaceShare)), Length};
+  return {fromMs(MsPerSecond * Nodes / (PerSecond * Share)), Length};
 }
 
-double pacePhase(std::uint64_t Incarnation, std::size_t Place) {
+double pacePhase(std::uint64_t Number, std::size_t Place) {
   // The product wraps, which leaves its fraction.
-  std::uint64_t Sum = Incarnation * GoldenStep + Place * RootStep;
+  std::uint64_t Sum = Number * GoldenStep + Place * RootStep;
   return static_cast<double>(Sum >> 11) * 0x1.0p-53;
 }
 
--- a/src/send_pace.h
+++ b/src/send_pace.h
@@ -13,6 +13,8 @@
 /// Part of what an upstream takes that all nodes together send. The rest is
 /// for nodes that know too few of the others and take too large a share.
 inline constexpr double PaceShare = 0.45;
+/// The same, where all nodes know the same ones.
+inline constexpr double AgreedShare = 0.9;
 /// How long a node may make use of its turn, where an upstream bears so many
 /// requests in each second. Longer, and the turns of many nodes overlap;
 /// shorter, and most of them pass unused.
@@ -42,15 +44,18 @@
 /// \param PerSecond requests that the upstream takes; zero: no limit is known.
 /// \param Nodes the most that may send, this one included.
 /// \param Length of a turn.
-PaceTurns paceTurns(double PerSecond, double Nodes, Duration Length);
+/// \param Share of what the upstream takes that all nodes together send.
+PaceTurns paceTurns(double PerSecond, double Nodes, Duration Length,
+                    double Share = PaceShare);
 
 /// \return Where in the interval a node's turns begin, from 0 to 1. The turns
 /// of nodes that joined one after the other are spread evenly, whatever each of
 /// them knows of the others; and so are one node's turns at the upstreams of a
 /// pool.
-/// \param Incarnation of the node's process.
+/// \param Number of the node: its incarnation, or its place among all nodes
+/// where they agree on who there is.
 /// \param Place of the upstream in its pool.
-double pacePhase(std::uint64_t Incarnation, std::size_t Place);
+double pacePhase(std::uint64_t Number, std::size_t Place);
 
 /// Sets the turns. \param Origin when the fleet's time was zero.
 void paceSet(SendPace &Pace, PaceTurns Turns, double Phase, TimePoint Origin);
--- a/tests/test_rate_limit.cpp
+++ b/tests/test_rate_limit.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway_world.h"
 #include "member_service.h"
+#include "member_view.h"
 #include "node_services.h"
 #include "rate_limit_service.h"
 #include "send_pace.h"
@@ -300,6 +301,63 @@
   }));
 }
 
+TEST_CASE("nodes that know the same ones use most of a limit, and keep it "
+          "(property)") {
+  // Guards against turns that come together when their share is large.
+  CHECK(rc::check("agreed turns", [] {
+    auto Nodes = *rc::gen::element<std::size_t>(3, 8, 85, 295);
+    double Limit = *rc::gen::element(0.5, 1.0, 5.0, 20.0);
+    Random Rng(*rc::gen::arbitrary<std::uint64_t>());
+    TimePoint Now{seconds(1000)};
+    TimePoint Origin = Now - fromMs(1e6 * randomUnit(Rng));
+    std::vector<SendPace> Paces(Nodes);
+    PaceTurns Turns = paceTurns(Limit, static_cast<double>(Nodes),
+                                RateLimitTurn, AgreedShare);
+    for (std::size_t I = 0; I < Nodes; ++I)
+      paceSet(Paces[I], Turns, pacePhase(I, 7), Origin);
+    std::deque<TimePoint> Latest;
+    double Sends = 0;
+    constexpr int Seconds = 40;
+    TimePoint End = Now + seconds(Seconds);
+    while (Now < End) {
+      Now += milliseconds(3);
+      SendPace &Pace = Paces[randomIndex(Rng, Nodes)];
+      // As if it had been lent: any node's request may use any turn.
+      auto Open = std::find_if(Paces.begin(), Paces.end(), [&](const auto &P) {
+        return paceAllows(P, Now);
+      });
+      SendPace *Used = paceAllows(Pace, Now) ? &Pace
+                       : Open == Paces.end() ? nullptr
+                                             : &*Open;
+      if (!Used)
+        continue;
+      paceSent(*Used, Now);
+      ++Sends;
+      Latest.push_back(Now);
+      while (Now - Latest.front() > Window)
+        Latest.pop_front();
+      RC_ASSERT(static_cast<double>(Latest.size()) <= allowed(Limit));
+    }
+    RC_ASSERT(Sends >= Limit * Seconds * 0.8 - 2);
+  }));
+}
+
+SCENARIO("nodes find out whether they know the same nodes") {
+  TimePoint Now{seconds(100)};
+  MemberViews Views;
+  Views.Own = memberDigest({"a", "b", "c"});
+  CHECK_FALSE(viewsAgree(Views, Now));
+  Views.Others["b"] = {memberDigest({"a", "b", "c"}), Now};
+  CHECK(viewsAgree(Views, Now));
+  SECTION("one knows fewer") {
+    Views.Others["c"] = {memberDigest({"a", "c"}), Now};
+    CHECK_FALSE(viewsAgree(Views, Now));
+  }
+  SECTION("nothing was heard for long") {
+    CHECK_FALSE(viewsAgree(Views, Now + seconds(6)));
+  }
+}
+
 SCENARIO("one node's turns") {
   SendPace Pace;
   TimePoint Now{seconds(100)};
