--- a/tests/test_rate_limit.cpp
+++ b/tests/test_rate_limit.cpp
@@ -26,7 +26,8 @@
 struct LimitWorld : GatewayWorld {
   std::size_t NextNode = 0; ///< That gets the next request.
 
-  explicit LimitWorld(int NodeCount) {
+  explicit LimitWorld(int NodeCount, int Target = 500) {
+    TargetMs = Target;
     for (std::string Name : {"0", "1"}) {
       addRunner("engine", {"e-" + Name, milliseconds(5), 1});
       addRunner("plain", {"p-" + Name});
@@ -195,6 +196,35 @@
   CHECK(Refused >= 15);
 }
 
+SCENARIO("stages are done for an engine that names a limit") {
+  // Guards against requests that are refused after their stages were done,
+  // while a turn would have come in time.
+  LimitWorld W(2, /*Target=*/3000);
+  W.TimeoutMs = 6000;
+  W.configure();
+  for (std::string Name : {"e-0", "e-1"})
+    W.Runners[Name]->RateLimit = PerSecond;
+  W.load("/stream/x", seconds(1), milliseconds(30));
+  runUntil(W.Loop,
+           [&] { return W.allHold("e-0", true) && W.allHold("e-1", true); });
+  HttpHeaders More = {{"X-Pieces", "2,1,1"},
+                      {"X-Piece-Key", "k"},
+                      {"X-Deadline-Remaining-Milliseconds", "6000"}};
+  std::vector<std::shared_ptr<ClientResult>> Asked;
+  for (int I = 0; I < 6; ++I) {
+    Asked.push_back(W.send("/staged/x", More, static_cast<std::size_t>(I % 2)));
+    W.load("/stream/x", milliseconds(200), milliseconds(100));
+  }
+  int Served = 0;
+  for (const auto &Result : Asked) {
+    runUntil(
+        W.Loop, [&] { return Result->Ended; }, seconds(8));
+    Served += Result->Answer.Status == HttpOk ? 1 : 0;
+  }
+  CAPTURE(Served);
+  CHECK(Served >= 4);
+}
+
 SCENARIO("what an upstream says of its limit") {
   RateLimits Limits;
   Incarnation Who{"i", 1};
