Requests are refused before their stages where engines name less than is asked for

Change: while all upstreams of the pool at a route's end name a limit, requests are taken in one after the other at the rate that this node can pass on, as long as one can wait for its place and be on time; others are refused at once, told when to come back.

--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -137,6 +137,10 @@
     R.RetryIn = std::max(R.Expected - R.Route->Target, LeastComeBack);
     return ResultCode::StageHopeless;
   }
+  if (auto Wait = limitedWait(R)) {
+    R.RetryIn = std::max(*Wait, LeastComeBack);
+    return ResultCode::UpstreamsBusy;
+  }
   return ResultCode::Complete;
 }
 
--- a/src/gateway_rate_limit.cpp
+++ b/src/gateway_rate_limit.cpp
@@ -9,6 +9,8 @@
 
 namespace fulmar {
 
+static constexpr double MsPerSecond = 1e3;
+
 /// Learns from the head of an answer what its upstream says of its limit.
 void GatewayService::reportRateLimit(const ForwardRequest &R,
                                      const ForwardReply &Reply) {
@@ -28,6 +30,43 @@
   }
 }
 
+/// \return Requests a second that this node can pass on to a pool; nothing
+/// while some upstream of it names no limit.
+std::optional<double> GatewayService::limitedRate(const Pool &P) const {
+  RouterPolicy AnyTurn = Policy;
+  AnyTurn.KeepPace = false;
+  double PerSecond = 0;
+  for (const Upstream &U : P.Upstreams) {
+    if (!upstreamEligible(U, AnyTurn, Timers->now()))
+      continue;
+    Duration Interval = limitTurns(U).Interval;
+    if (Interval <= Duration::zero())
+      return std::nullopt;
+    PerSecond += MsPerSecond / toMs(Interval);
+  }
+  if (PerSecond <= 0)
+    return std::nullopt;
+  return PerSecond;
+}
+
+/// Takes a request in where its stages would be done for nothing: more is asked
+/// for than the upstreams at its end take.
+/// \return When it should come back; nothing when it is taken in.
+std::optional<Duration> GatewayService::limitedWait(const ForwardRequest &R) {
+  auto Found = Pools.find(R.PoolName);
+  bool Staged = !R.Route->Stages.empty() && Found != Pools.end();
+  if (!Staged || RateLimited->size() == 0)
+    return std::nullopt;
+  auto PerSecond = limitedRate(Found->second);
+  if (!PerSecond) {
+    LimitQueues.erase(R.PoolName);
+    return std::nullopt;
+  }
+  Duration Spare = R.OnTimeBy - R.Arrived - R.Expected;
+  return limitQueueTake(LimitQueues[R.PoolName], *PerSecond,
+                        std::max(Duration::zero(), Spare), Timers->now());
+}
+
 /// \return How often each node may send to an upstream that names a limit.
 PaceTurns GatewayService::limitTurns(const Upstream &U) const {
   auto PerSecond = RateLimited->of(U.Start);
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -7,6 +7,7 @@
 #include "gateway_metrics.h"
 #include "gateway_request.h"
 #include "gateway_settings.h"
+#include "limit_queue.h"
 #include "policy_type.h"
 #include "rate_limit_type.h"
 #include "read_wait.h"
@@ -120,6 +121,8 @@
   // gateway_rate_limit.cpp: upstreams in need.
   void reportRateLimit(const ForwardRequest &R, const ForwardReply &Reply);
   void rateLimitChanged(const Incarnation &Start);
+  std::optional<double> limitedRate(const Pool &P) const;
+  std::optional<Duration> limitedWait(const ForwardRequest &R);
   PaceTurns limitTurns(const Upstream &U) const;
   double turnPhase(const std::string &Node, std::uint64_t Incarnation,
                    const Upstream &U) const;
@@ -193,8 +196,10 @@
   std::map<std::string, std::string> DomainOf; ///< Of upstreams, by address.
   std::map<std::string, double> ColdRates; ///< By pool; requests a second that
                                            ///< a cold upstream bears.
-  std::map<std::string, RetryWindow> Retries;       ///< By pool.
-  std::map<std::string, RouteTimes> Times;          ///< By route.
+  std::map<std::string, LimitQueue> LimitQueues; ///< By pool, while all of its
+                                                 ///< upstreams name a limit.
+  std::map<std::string, RetryWindow> Retries;    ///< By pool.
+  std::map<std::string, RouteTimes> Times;       ///< By route.
   std::map<RequestSerial, ForwardRequest> Requests; ///< In progress.
   std::uint64_t LastSerial = 0;                     ///< Counts requests.
   std::uint32_t LastUpstream = 0;                   ///< Counts upstreams.
--- a/tests/test_rate_limit.cpp
+++ b/tests/test_rate_limit.cpp
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include "gateway_world.h"
+#include "limit_queue.h"
 #include "member_service.h"
 #include "member_view.h"
 #include "node_services.h"
@@ -225,6 +226,50 @@
   CHECK(Served >= 4);
 }
 
+SCENARIO("more is asked for than engines that name a limit take") {
+  // Guards against stages that are done for requests which no engine will take.
+  LimitWorld W(2, /*Target=*/1000);
+  for (std::string Name : {"e-0", "e-1"})
+    W.Runners[Name]->RateLimit = PerSecond;
+  W.load("/stream/x", seconds(1), milliseconds(30));
+  runUntil(W.Loop,
+           [&] { return W.allHold("e-0", true) && W.allHold("e-1", true); });
+  HttpHeaders Pieces = {{"X-Pieces", "2,1,1"}, {"X-Piece-Key", "k"}};
+  auto Made = [&] {
+    return W.Runners["b-0"]->Pieces + W.Runners["b-1"]->Pieces;
+  };
+  int Before = Made();
+  W.load("/staged/x", seconds(4), milliseconds(25), Pieces);
+  // Four pieces for each of the 2 requests a second that both engines take, and
+  // half as many again; 160 requests were asked for.
+  CHECK(Made() - Before <= 4 * 2 * 4 * 3 / 2);
+  CHECK(Made() - Before >= 4 * 2);
+}
+
+SCENARIO("requests are taken in as fast as limits allow") {
+  LimitQueue Queue;
+  TimePoint Now{seconds(100)};
+  Duration Spare = seconds(1);
+  auto Take = [&] { return limitQueueTake(Queue, 2, Spare, Now); };
+  for (int I = 0; I < 3; ++I)
+    REQUIRE_FALSE(Take());
+  SECTION("those that would wait for too long are told when to come back") {
+    CHECK(Take() == milliseconds(500));
+    CHECK(Take() == milliseconds(500));
+  }
+  SECTION("one more each half second") {
+    Now += milliseconds(500);
+    CHECK_FALSE(Take());
+    CHECK(Take());
+  }
+  SECTION("nothing is saved up") {
+    Now += seconds(60);
+    for (int I = 0; I < 3; ++I)
+      CHECK_FALSE(Take());
+    CHECK(Take());
+  }
+}
+
 SCENARIO("what an upstream says of its limit") {
   RateLimits Limits;
   Incarnation Who{"i", 1};
