--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -27,7 +27,7 @@
 /// Weight of the newest call in an upstream's slowness.
 static constexpr double SlownessGain = 0.4;
 static constexpr double LeastSlowness = 0.5;
-/// Part of an idle upstream's slowness that is forgotten in each tick: after
+/// Part of an idle upstream's slowness that is forgotten in a period: after
 /// some seconds it is worth another try, and would otherwise never get one.
 static constexpr double SlownessForgotten = 0.02;
 /// A call that takes this many times its expected time has its pieces sent to
@@ -122,9 +122,24 @@
                   LeastComeBack);
 }
 
+/// Lets what was learnt count less, for the time since this was last done. A
+/// pool without work is not ticked.
+static void age(BatchPool &P, TimePoint Now) {
+  double Periods = toMs(Now - P.AgedAt) / toMs(BatchTickPeriod);
+  double Kept = std::pow(1 - SlownessForgotten, Periods);
+  for (auto &[Start, U] : P.Upstreams) {
+    if (U.InFlight == 0)
+      U.Slowness = 1 + (U.Slowness - 1) * Kept;
+  }
+  sharesAge(P.Shares, Now);
+  P.AgedAt = Now;
+}
+
 BatchRequestId batchSubmit(BatchPool &P, const BatchRequest &Request,
                            TimePoint Now, BatchActions &Out) {
   assert(Request.Pieces > 0);
+  if (batchIdle(P))
+    age(P, Now);
   ++P.Counts.Asks;
   if (P.Jobs.size() >= MaxJobs)
     return refuse(P, BatchEnd::Full, P.Spec.CallTime, Out);
@@ -484,11 +499,7 @@
   }
   for (const std::string &Handle : Expired)
     releaseRoom(P, Handle);
-  for (auto &[Start, U] : P.Upstreams) {
-    if (U.InFlight == 0)
-      U.Slowness += (1 - U.Slowness) * SlownessForgotten;
-  }
-  sharesAge(P.Shares, Now);
+  age(P, Now);
   dropExpired(P, Now, Out);
   hedge(P, Now);
   tellRead(P, Now, Out);
--- a/src/batch_backend.h
+++ b/src/batch_backend.h
@@ -21,7 +21,7 @@
   /// Estimates what pieces that are asked for now would take.
   /// \return Nothing when it is not known.
   virtual std::optional<BatchForecast>
-  forecast(const std::string &Pool, const BatchRequest &Request) const = 0;
+  forecast(const std::string &Pool, const BatchRequest &Request) = 0;
   /// Nobody waits any more; \p Done is not called.
   virtual void cancel(BatchTicket Ticket) = 0;
   /// Results of \p Pool are not needed any more.
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -114,6 +114,7 @@
   double CallFill = 0;  ///< Pieces in a call when more wait, smoothed; 0: none
                         ///< was sent so far.
   TimePoint LastSent{}; ///< Of the latest call.
+  TimePoint AgedAt{};   ///< When what it has learnt was last aged.
   TimePoint PumpAt{};   ///< Pieces are held back until then; zero: none are.
   std::uint64_t LastRequest = 0; ///< Counts asks.
   std::uint64_t LastCall = 0;    ///< Counts calls.
--- a/src/batch_coordinator.cpp
+++ b/src/batch_coordinator.cpp
@@ -2,6 +2,7 @@
 #include "batch_coordinator.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include "core/hash.h"
 #include "member_func.h"
@@ -26,6 +27,18 @@
   return Part == 0 ? Pool : Pool + "#" + std::to_string(Part);
 }
 
+BatchPart batchPartCalled(const std::string &Name) {
+  std::size_t Mark = Name.rfind('#');
+  if (Mark == std::string::npos)
+    return {Name, 0};
+  BatchPart Out{Name.substr(0, Mark), 0};
+  const char *End = Name.data() + Name.size();
+  auto [Rest, Wrong] = std::from_chars(Name.data() + Mark + 1, End, Out.Part);
+  if (Rest != End || Wrong != std::errc())
+    return {Name, 0};
+  return Out;
+}
+
 std::size_t batchPartOf(const std::string &RequestId, std::size_t Upstreams) {
   std::size_t Parts = batchParts(Upstreams);
   // Upstreams are dealt to the parts in turn, the one at an index to the part
--- a/src/batch_coordinator.h
+++ b/src/batch_coordinator.h
@@ -25,6 +25,15 @@
 /// \return The name of one part of a pool.
 std::string batchPartName(const std::string &Pool, std::size_t Part);
 
+/// One part of a pool.
+struct BatchPart {
+  std::string Pool;     ///< Which pool.
+  std::size_t Part = 0; ///< Which part of it.
+};
+
+/// \return The part that is called \p Name.
+BatchPart batchPartCalled(const std::string &Name);
+
 /// \return The part of a pool of \p Upstreams that serves a request; parts get
 /// requests in proportion to their upstreams.
 std::size_t batchPartOf(const std::string &RequestId, std::size_t Upstreams);
--- a/src/batch_func.h
+++ b/src/batch_func.h
@@ -9,6 +9,9 @@
 
 namespace fulmar {
 
+/// Between two looks at what is overdue; a tenth of an ordinary call.
+inline constexpr Duration BatchTickPeriod = std::chrono::milliseconds(30);
+
 /// Takes in the pieces of one stage of one request.
 /// \return Its name here. It may have been refused: then the answer is among
 /// \p Out.
@@ -34,6 +37,11 @@
 /// Does what has become due: gives up, doubles slow calls, sends.
 void batchTick(BatchPool &P, TimePoint Now, BatchActions &Out);
 
+/// \return Whether a pool has nothing in progress and need not be ticked.
+inline bool batchIdle(const BatchPool &P) {
+  return P.Jobs.empty() && P.Calls.empty() && P.Kept.empty();
+}
+
 /// Sends what waits to whoever is free. To be called at PumpAt.
 void batchPump(BatchPool &P, TimePoint Now, BatchActions &Out);
 
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "batch_coordinator.h"
 #include "log_func.h"
@@ -14,8 +15,6 @@
 
 namespace fulmar {
 
-/// Between two looks at what is overdue; a tenth of an ordinary call.
-static constexpr Duration TickPeriod = std::chrono::milliseconds(30);
 /// Results are given back together within this time. It is short against the
 /// time of a call, so that the space is there for the next one.
 static constexpr Duration FreeDelay = std::chrono::milliseconds(25);
@@ -37,55 +36,106 @@
   RateLimited->onChange(
       [this](const Incarnation &Start) { rateLimitChanged(Start); });
   Tickets.start(Services.find<LoopService>(service::Loop).Loop);
-  Timers->every(TickPeriod, [this] { tick(); });
+  Timers->every(BatchTickPeriod, [this] { tick(); });
 }
 
+/// Parts without work are left alone: a large pool has hundreds.
 void BatchService::tick() {
-  for (auto &[Name, P] : Pools) {
+  for (const std::string &Name : std::exchange(Busy, {})) {
+    BatchPool &P = Pools.at(Name);
     BatchActions Out;
     batchTick(P, Timers->now(), Out);
     perform(P, Out);
   }
 }
 
+static bool isBefore(const UpstreamEntry &A, const UpstreamEntry &B) {
+  return std::tie(A.FailureDomain, A.Instance) <
+         std::tie(B.FailureDomain, B.Instance);
+}
+
 void BatchService::update(const RouteTable &Table,
                           const std::map<std::string, UpstreamEntry> &Listed,
-                          const RetryAllowance &Allowance) {
-  std::map<std::string, std::vector<UpstreamEntry>> ByPool;
-  for (const auto &[Instance, Entry] : Listed)
-    ByPool[Entry.Pool].push_back(Entry);
+                          const RetryAllowance &Whole) {
+  Allowance = Whole;
+  for (auto &[Name, L] : Listings)
+    L.All.clear();
   for (const ServiceSpec &Spec : Table.Services) {
-    if (!Spec.Batch)
-      continue;
-    std::vector<UpstreamEntry> &All = ByPool[Spec.Name];
-    std::sort(All.begin(), All.end(),
-              [](const UpstreamEntry &A, const UpstreamEntry &B) {
-                return std::tie(A.FailureDomain, A.Instance) <
-                       std::tie(B.FailureDomain, B.Instance);
-              });
-    std::size_t Count = batchParts(All.size());
-    Sizes[Spec.Name] = All.size();
-    // A pool that has shrunk keeps its parts, for asks in progress are theirs.
-    for (std::size_t Part = 0;
-         Part < Count || Pools.count(batchPartName(Spec.Name, Part)); ++Part)
-      updatePart(Spec, All, Part, Allowance);
+    if (Spec.Batch)
+      Listings[Spec.Name].Spec = *Spec.Batch;
+  }
+  for (const auto &[Instance, Entry] : Listed) {
+    auto Found = Listings.find(Entry.Pool);
+    if (Found != Listings.end())
+      Found->second.All.push_back(Entry);
+  }
+  for (auto &[Name, L] : Listings)
+    std::sort(L.All.begin(), L.All.end(), isBefore);
+  for (auto &[Name, P] : Pools)
+    updatePart(P);
+}
+
+void BatchService::change(const UpstreamChanges &Changes) {
+  std::set<std::string> Changed;
+  auto Place = [this](const UpstreamEntry &Entry) {
+    std::vector<UpstreamEntry> &All = Listings.at(Entry.Pool).All;
+    return std::lower_bound(All.begin(), All.end(), Entry, isBefore);
+  };
+  for (const auto &[Before, After] : Changes) {
+    if (Before && Listings.count(Before->Pool)) {
+      std::vector<UpstreamEntry> &All = Listings.at(Before->Pool).All;
+      auto Found = Place(*Before);
+      if (Found != All.end() && Found->Instance == Before->Instance)
+        All.erase(Found);
+      Changed.insert(Before->Pool);
+    }
+    if (After && Listings.count(After->Pool)) {
+      Listings.at(After->Pool).All.insert(Place(*After), *After);
+      Changed.insert(After->Pool);
+    }
+  }
+  for (auto &[Name, P] : Pools) {
+    if (Changed.count(batchPartCalled(Name).Pool))
+      updatePart(P);
   }
 }
 
-/// Brings one part of a pool up to date.
-void BatchService::updatePart(const ServiceSpec &Spec,
-                              const std::vector<UpstreamEntry> &All,
-                              std::size_t Part,
-                              const RetryAllowance &Allowance) {
-  std::string Name = batchPartName(Spec.Name, Part);
-  BatchPool &P = Pools[Name];
-  P.Name = Name;
-  P.Spec = *Spec.Batch;
+void BatchService::share(const RetryAllowance &Whole) {
+  Allowance = Whole;
+  for (auto &[Name, P] : Pools)
+    setAllowance(P, size(batchPartCalled(Name).Pool));
+}
+
+void BatchService::setAllowance(BatchPool &P, std::size_t Upstreams) const {
   P.Allowance = Allowance;
-  P.Allowance.Extra /= static_cast<double>(batchParts(All.size()));
+  P.Allowance.Extra /= static_cast<double>(batchParts(Upstreams));
   P.Allowance.Nodes = NodesPerPart;
+}
+
+/// \return A part of a pool. It is made when it is first asked for: most nodes
+/// of a large fleet form the calls of none.
+BatchPool *BatchService::find(const std::string &Part) {
+  auto Found = Pools.find(Part);
+  if (Found != Pools.end())
+    return &Found->second;
+  auto Listed = Listings.find(batchPartCalled(Part).Pool);
+  if (Listed == Listings.end())
+    return nullptr;
+  BatchPool &P = Pools[Part];
+  P.Name = Part;
+  updatePart(P);
+  return &P;
+}
+
+/// Brings one part of a pool up to date. A pool that has shrunk keeps its
+/// parts, for asks in progress are theirs.
+void BatchService::updatePart(BatchPool &P) {
+  BatchPart Part = batchPartCalled(P.Name);
+  const Listing &L = Listings.at(Part.Pool);
+  P.Spec = L.Spec;
+  setAllowance(P, L.All.size());
   BatchActions Out;
-  batchUpstreams(P, batchPartUpstreams(All, Part), Timers->now(), Out);
+  batchUpstreams(P, batchPartUpstreams(L.All, Part.Part), Timers->now(), Out);
   setPaces(P);
   perform(P, Out);
 }
@@ -117,15 +167,15 @@
 }
 
 std::size_t BatchService::size(const std::string &Pool) const {
-  auto Found = Sizes.find(Pool);
-  return Found == Sizes.end() ? 0 : Found->second;
+  auto Found = Listings.find(Pool);
+  return Found == Listings.end() ? 0 : Found->second.All.size();
 }
 
 BatchTicket BatchService::ask(const std::string &Pool,
                               const BatchRequest &Request, DoneFn Done,
                               ReadFn Read) {
-  auto Found = Pools.find(Pool);
-  if (Found == Pools.end()) {
+  BatchPool *P = find(Pool);
+  if (!P) {
     BatchTicket Ticket =
         Tickets.add({Pool, {}}, std::move(Done), std::move(Read));
     BatchResult Result;
@@ -136,21 +186,19 @@
   BatchActions Out;
   BatchRequest Marked = Request;
   Marked.Crashes = Quarantined->crashes(Request.Content);
-  BatchRequestId Id = batchSubmit(Found->second, Marked, Timers->now(), Out);
+  BatchRequestId Id = batchSubmit(*P, Marked, Timers->now(), Out);
   BatchTicket Ticket =
       Tickets.add({Pool, Id}, std::move(Done), std::move(Read));
-  perform(Found->second, Out);
+  perform(*P, Out);
   return Ticket;
 }
 
 std::optional<BatchForecast>
-BatchService::forecast(const std::string &Pool,
-                       const BatchRequest &Request) const {
-  auto Found = Pools.find(Pool);
-  if (Found == Pools.end())
+BatchService::forecast(const std::string &Pool, const BatchRequest &Request) {
+  const BatchPool *P = find(Pool);
+  if (!P)
     return std::nullopt;
-  return batchForecast(Found->second, Request.Pieces, Request.Priority,
-                       Timers->now());
+  return batchForecast(*P, Request.Pieces, Request.Priority, Timers->now());
 }
 
 void BatchService::cancel(BatchTicket Ticket) {
@@ -187,6 +235,8 @@
     else
       queueFree(std::get<FreeBatchAction>(Action).Handle);
   }
+  if (!batchIdle(P))
+    Busy.insert(P.Name);
   planPump(P);
 }
 
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -10,6 +10,7 @@
 #include "kernel.h"
 #include "restart_func.h"
 #include "timer_base.h"
+#include "upstream_registry.h"
 #include "wire_format.h"
 
 namespace fulmar {
@@ -26,8 +27,8 @@
 
   BatchTicket ask(const std::string &Pool, const BatchRequest &Request,
                   DoneFn Done, ReadFn Read) override;
-  std::optional<BatchForecast>
-  forecast(const std::string &Pool, const BatchRequest &Request) const override;
+  std::optional<BatchForecast> forecast(const std::string &Pool,
+                                        const BatchRequest &Request) override;
   void cancel(BatchTicket Ticket) override;
   void free(const std::string &Pool,
             const std::vector<std::string> &Handles) override;
@@ -36,16 +37,26 @@
   void update(const RouteTable &Table,
               const std::map<std::string, UpstreamEntry> &Listed,
               const RetryAllowance &Allowance);
-  /// An upstream has started again; to be called before update().
+  /// Entries have changed.
+  void change(const UpstreamChanges &Changes);
+  /// Another number of nodes shares what may be repeated.
+  void share(const RetryAllowance &Allowance);
+  /// An upstream has started again; to be called before update() or change().
   void restarted(const UpstreamRestart &Restart);
 
-  /// \return The pools, for status and metrics.
+  /// \return The parts of pools that were asked for work here, for metrics.
   const std::map<std::string, BatchPool> &pools() const { return Pools; }
 
 private:
-  void updatePart(const ServiceSpec &Spec,
-                  const std::vector<UpstreamEntry> &All, std::size_t Part,
-                  const RetryAllowance &Allowance);
+  /// A pool that works on batches.
+  struct Listing {
+    BatchSpec Spec;                 ///< What its upstreams can do.
+    std::vector<UpstreamEntry> All; ///< By failure domain and instance.
+  };
+
+  BatchPool *find(const std::string &Part);
+  void updatePart(BatchPool &P);
+  void setAllowance(BatchPool &P, std::size_t Upstreams) const;
   void perform(BatchPool &P, const BatchActions &Actions);
   void send(BatchPool &P, const SendBatchAction &Send);
   void reportCall(const std::string &Address,
@@ -65,8 +76,10 @@
   HttpClient *Client = nullptr;             ///< Makes calls.
   QuarantineService *Quarantined = nullptr; ///< Hears of upstreams that end.
   RateLimitService *RateLimited = nullptr;  ///< Upstreams in need.
-  std::map<std::string, BatchPool> Pools;   ///< By name.
-  std::map<std::string, std::size_t> Sizes; ///< Of each pool.
+  std::map<std::string, Listing> Listings;  ///< By pool.
+  std::map<std::string, BatchPool> Pools;   ///< Parts of them, by name.
+  std::set<std::string> Busy;               ///< Parts with work in progress.
+  RetryAllowance Allowance;                 ///< Of all pools.
   BatchTickets Tickets;                     ///< Who waits.
   std::map<std::string, std::vector<std::string>> Frees; ///< By address.
   std::set<std::string> PumpPlanned; ///< Pools that will be pumped.
--- a/src/domain_drain.cpp
+++ b/src/domain_drain.cpp
@@ -25,11 +25,15 @@
 domainDrainApply(const std::map<std::string, UpstreamEntry> &Listed,
                  const DrainedDomains &Known) {
   std::map<std::string, UpstreamEntry> Out = Listed;
-  for (auto &[Instance, Entry] : Out) {
-    if (Known.Names.count(Entry.FailureDomain))
-      Entry.Leaving = true;
-  }
+  for (auto &[Instance, Entry] : Out)
+    Entry = domainDrainApply(std::move(Entry), Known);
   return Out;
 }
 
+UpstreamEntry domainDrainApply(UpstreamEntry Entry,
+                               const DrainedDomains &Known) {
+  Entry.Leaving = Entry.Leaving || Known.Names.count(Entry.FailureDomain) > 0;
+  return Entry;
+}
+
 } // namespace fulmar
--- a/src/domain_drain_func.h
+++ b/src/domain_drain_func.h
@@ -25,6 +25,10 @@
 domainDrainApply(const std::map<std::string, UpstreamEntry> &Listed,
                  const DrainedDomains &Known);
 
+/// \return One of them as it is to be used.
+UpstreamEntry domainDrainApply(UpstreamEntry Entry,
+                               const DrainedDomains &Known);
+
 } // namespace fulmar
 
 #endif
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -279,6 +279,7 @@
   if (!U)
     return;
   --U->InFlight;
+  Judged.insert(R.PoolName);
   // An upstream that is full says so; that is no fault. One that answers with
   // its own error may be ill although its health checks are good.
   bool Full = Effect == AttemptEffect::SaidNotRun;
--- a/src/gateway_rate_limit.cpp
+++ b/src/gateway_rate_limit.cpp
@@ -25,7 +25,7 @@
   for (auto &[Name, P] : Pools) {
     for (Upstream &U : P.Upstreams) {
       if (U.Start == Start)
-        setPace(U, ColdRates[Name]);
+        setPace(P, U, ColdRates[Name]);
     }
   }
 }
@@ -88,7 +88,13 @@
 }
 
 /// Sets this node's turns to send to an upstream that takes little.
-void GatewayService::setPace(Upstream &U, double ColdRate) {
+void GatewayService::setPace(Pool &P, Upstream &U, double ColdRate) {
+  if (!U.Cold && !RateLimited->of(U.Start)) {
+    U.Pace.Turns = PaceTurns();
+    return;
+  }
+  numberPlaces(P);
+  Paced.insert(P.Spec.Name);
   const MemberInfo &Self = Members->state().Self;
   TimePoint Origin = fleetOrigin(Peers->clock());
   PaceTurns Cold;
--- a/src/gateway_restart.cpp
+++ b/src/gateway_restart.cpp
@@ -37,7 +37,7 @@
   Client->closeIdle(Restart.Earlier.Address);
   OwnPools->restarted(Restart);
   // What is sent again may go to the new start.
-  upstreamsChanged();
+  upstreamsChanged({{Restart.Earlier, Restart.Later}});
   std::vector<RequestSerial> Cut;
   std::vector<RequestSerial> LostInputs;
   for (const auto &[Serial, R] : Requests) {
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -3,7 +3,6 @@
 
 #include <utility>
 
-#include "domain_drain_func.h"
 #include "gateway_reply.h"
 #include "log_func.h"
 #include "loop_service.h"
@@ -27,10 +26,6 @@
 static constexpr Duration EndMargin = std::chrono::milliseconds(700);
 /// Part by which times to come back are longer at most.
 static constexpr double ComeBackSpread = 0.4;
-/// Part of an upstream's connections that all nodes together use; it counts
-/// those that are being closed, and other callers may exist.
-static constexpr double ConnectionShare = 0.8;
-
 /// Calls of this node that one engine may have above the others' mean before a
 /// session is sent elsewhere. A session's part of a prompt is several thousand
 /// tokens, a tenth of a second of an engine's time; a few more requests beside
@@ -69,7 +64,8 @@
   Routes->onChange([this] { configChanged(); });
   Upstreams->onRestart(
       [this](const UpstreamRestart &Restart) { upstreamRestarted(Restart); });
-  Upstreams->onChange([this] { upstreamsChanged(); });
+  Upstreams->onChange(
+      [this](const UpstreamChanges &Changes) { upstreamsChanged(Changes); });
   Members->onChange([this] { membersChanged(); });
   Timers->every(SweepPeriod, [this] { sweep(); });
   EventLoop &Loop = Services.find<LoopService>(service::Loop).Loop;
@@ -133,11 +129,15 @@
   A.Ratio = Config.RetryRatio;
   A.Extra = Config.RetryExtra;
   A.Window = fromMs(Config.RetryWindowS * 1e3);
-  A.Nodes =
-      static_cast<double>(std::max<std::size_t>(1, Members->ids().size()));
+  A.Nodes = sharingNodes();
   return A;
 }
 
+/// \return Nodes that share what upstreams take, this one included.
+double GatewayService::sharingNodes() const {
+  return static_cast<double>(std::max<std::size_t>(1, Members->size()));
+}
+
 RouteTimes &GatewayService::timesOf(const ForwardRequest &R) {
   RouteTimes &Found = Times[R.Route->Name];
   Found.Stages.resize(std::max(Found.Stages.size(), R.Route->Stages.size()));
@@ -152,78 +152,26 @@
   Bounds.HeadTimeout = Limits.HeadTimeout;
   Bounds.IdleTimeout = Limits.IdleTimeout;
   Server->setLimits(Bounds);
-  upstreamsChanged();
-}
-
-/// Brings one pool's upstreams and limits up to date.
-void GatewayService::setPool(
-    const ServiceSpec &Spec,
-    const std::map<std::string, UpstreamEntry> &Entries) {
-  Pool &P = Pools[Spec.Name];
-  P.Spec.Name = Spec.Name;
-  P.Declared = true;
-  double Share = ConnectionShare * Spec.ConnectionLimit / allowance().Nodes;
-  P.Spec.MaxLimit = std::max<std::int64_t>(1, static_cast<std::int64_t>(Share));
-  P.Spec.StartLimit = P.Spec.MaxLimit;
-  std::vector<UpstreamSpec> Listed;
-  for (const auto &[Instance, Entry] : Entries) {
-    if (Entry.Pool == Spec.Name)
-      Listed.push_back({Entry.Address, Entry.Pool, Entry.FailureDomain,
-                        Entry.Leaving, Entry.incarnation(), Entry.cold()});
-  }
-  updateUpstreams(P, Listed, Config.FailureDomain, LastUpstream);
-  MostNodes = std::max(MostNodes, allowance().Nodes);
-  ColdRates[Spec.Name] = Spec.ColdRate;
-  for (Upstream &U : P.Upstreams) {
-    U.Limit.Max = static_cast<double>(P.Spec.MaxLimit);
-    setPace(U, Spec.ColdRate);
-  }
-}
-
-void GatewayService::upstreamsChanged() {
-  const RouteTablePtr &Table = Routes->table();
-  if (!Table || !Upstreams->registry().Known)
-    return;
-  // Everybody who chooses an upstream goes by these, so that a drained failure
-  // domain gets no request, repeat, hedge or piece, whoever sends it.
-  const std::map<std::string, UpstreamEntry> &Listed =
-      Upstreams->registry().Entries;
-  std::map<std::string, UpstreamEntry> Marked;
-  // Each change of membership comes here; the whole list is copied only when
-  // something in it changes.
-  bool Drained = !Routes->drained().Names.empty();
-  if (Drained)
-    Marked = domainDrainApply(Listed, Routes->drained());
-  const std::map<std::string, UpstreamEntry> &Entries =
-      Drained ? Marked : Listed;
-  for (const ServiceSpec &Spec : Table->Services) {
-    if (!Spec.Batch)
-      setPool(Spec, Entries);
-  }
-  DomainOf.clear();
-  for (const auto &[Instance, Entry] : Entries)
-    DomainOf[Entry.Address] = Entry.FailureDomain;
-  OwnPools->update(*Table, Entries, allowance());
+  rebuildPools();
 }
 
-/// Only how many nodes share the limits matters here. In a large fleet some
-/// member's state changes all the time, and each change would go through the
-/// whole list of upstreams.
 void GatewayService::membersChanged() {
   Nodes = Members->ids();
   Peers->announceMembers(memberDigest(Nodes));
-  if (std::exchange(SharingNodes, Nodes.size()) != Nodes.size())
-    upstreamsChanged();
+  if (std::exchange(SharingNodes, sharingNodes()) != sharingNodes())
+    shareLimits();
 }
 
 void GatewayService::sweep() {
   NodesAgree = Peers->membersAgree();
-  for (auto &[Name, P] : Pools) {
-    ejectSlow(P, Policy, Timers->now());
+  for (const std::string &Name : std::exchange(Judged, {}))
+    ejectSlow(Pools[Name], Policy, Timers->now());
+  for (const std::string &Name : std::exchange(Paced, {})) {
+    Pool &P = Pools[Name];
     // The fleet's time moves on when another node turns out to be ahead.
     for (Upstream &U : P.Upstreams) {
       if (U.Pace.Turns.Interval > Duration::zero())
-        setPace(U, ColdRates[Name]);
+        setPace(P, U, ColdRates[Name]);
     }
   }
 }
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -126,7 +126,7 @@
   PaceTurns limitTurns(const Upstream &U) const;
   double turnPhase(const std::string &Node, std::uint64_t Incarnation,
                    const Upstream &U) const;
-  void setPace(Upstream &U, double ColdRate);
+  void setPace(Pool &P, Upstream &U, double ColdRate);
 
   // gateway_turns.cpp: turns of other nodes.
   std::string turnOwner(const Upstream &U);
@@ -160,11 +160,18 @@
 
   // gateway_service.cpp: the rest.
   void configChanged();
-  void upstreamsChanged();
   void membersChanged();
+  void sweep();
+
+  // gateway_pools.cpp: pools and their upstreams.
+  void rebuildPools();
+  void upstreamsChanged(const UpstreamChanges &Changes);
+  void unlist(const UpstreamEntry &Entry);
+  void list(const UpstreamEntry &Entry, bool Fresh);
   void setPool(const ServiceSpec &Spec,
                const std::map<std::string, UpstreamEntry> &Entries);
-  void sweep();
+  std::int64_t connectionShare(const ServiceSpec &Spec) const;
+  void shareLimits();
   void deadline(RequestSerial Serial);
   void clientLeft(RequestSerial Serial);
   Duration comeBackIn(ResultCode Code, Duration RetryIn);
@@ -173,6 +180,7 @@
   void finishStream(ForwardRequest &R);
   void conclude(ForwardRequest &R, ResultCode Code, int Status);
   ForwardRequest *find(RequestSerial Serial);
+  double sharingNodes() const;
   RetryAllowance allowance() const;
   RouteTimes &timesOf(const ForwardRequest &R);
 
@@ -189,10 +197,12 @@
   PeerService *Peers = nullptr;      ///< The fleet's time.
   BatchRelay *Batches = nullptr;     ///< Work to be done before.
   BatchService *OwnPools = nullptr;  ///< Pools whose calls are formed here.
-  QuarantineService *Quarantined = nullptr;    ///< Requests not to be sent.
-  RateLimitService *RateLimited = nullptr;     ///< Upstreams in need.
-  std::unique_ptr<HttpServer> Server;          ///< Listens for clients.
-  std::map<std::string, Pool> Pools;           ///< Plain pools and engines.
+  QuarantineService *Quarantined = nullptr; ///< Requests not to be sent.
+  RateLimitService *RateLimited = nullptr;  ///< Upstreams in need.
+  std::unique_ptr<HttpServer> Server;       ///< Listens for clients.
+  std::map<std::string, Pool> Pools;        ///< Plain pools and engines.
+  std::set<std::string> Judged; ///< Pools with calls that ended lately.
+  std::set<std::string> Paced;  ///< Pools with upstreams that take little.
   std::map<std::string, std::string> DomainOf; ///< Of upstreams, by address.
   std::map<std::string, double> ColdRates; ///< By pool; requests a second that
                                            ///< a cold upstream bears.
@@ -204,8 +214,8 @@
   std::uint64_t LastSerial = 0;                     ///< Counts requests.
   std::uint32_t LastUpstream = 0;                   ///< Counts upstreams.
   std::vector<std::string> Nodes;                   ///< Known and live, sorted.
-  bool NodesAgree = false;      ///< The others know the same ones.
-  std::size_t SharingNodes = 0; ///< Live nodes, when limits were last shared.
+  bool NodesAgree = false; ///< The others know the same ones.
+  double SharingNodes = 0; ///< Live nodes, when limits were last shared.
   double MostNodes = 1; ///< That were known at any time. Nodes that are cut off
                         ///< from each other still send to the same upstreams.
   ReadWait InputsRead;  ///< Until upstreams have read a run's inputs.
--- a/src/join_service.cpp
+++ b/src/join_service.cpp
@@ -36,6 +36,10 @@
 static constexpr int FailuresPerPause = 8;
 static constexpr int MostPauses = 4;
 
+bool isNodeEntry(const KvItem &Item) {
+  return Item.Key.rfind(NodePrefix, 0) == 0;
+}
+
 void JoinService::start() {
   Timers = &Services.find<TimerService>(service::Timers);
   Tree = &Services.find<KvTree>(service::Kv);
@@ -124,7 +128,7 @@
     if (Item.Key == KeyName)
       takeKey(Item.Value);
     auto Address = parseHostPort(Item.Value);
-    if (Item.Key.rfind(NodePrefix, 0) == 0 && Address)
+    if (isNodeEntry(Item) && Address)
       Seeds.push_back(*Address);
   }
   Members->seeds(Seeds);
--- a/src/join_service.h
+++ b/src/join_service.h
@@ -13,6 +13,9 @@
 
 class MemberService;
 
+/// \return Whether \p Item is the entry of a node.
+bool isNodeEntry(const KvItem &Item);
+
 /// Keys of a fleet in the key-value service begin so.
 inline constexpr std::string_view FleetPrefix = "fulmarstep/";
 
--- a/src/kv_tree.h
+++ b/src/kv_tree.h
@@ -20,6 +20,7 @@
 struct KvItems {
   KvStatus Status = KvStatus::Unavailable; ///< Whether the rest counts.
   bool HistoryLost = false;   ///< Changes since then are not known any more.
+  bool Partial = false;       ///< More was there and was not wanted.
   std::uint64_t Revision = 0; ///< Of the service, at the answer.
   std::vector<KvItem> Items;  ///< Keys, or changes in order.
   std::string Why;            ///< For logs, when it failed.
@@ -29,10 +30,14 @@
 class KvTree {
 public:
   using ItemsFn = std::function<void(const KvItems &)>;
+  /// \return Whether the rest is wanted.
+  using GoOnFn = std::function<bool()>;
 
   virtual ~KvTree() = default;
   /// Reads every key that begins with \p Prefix, as the service has it now.
-  virtual void range(const std::string &Prefix, ItemsFn Done) = 0;
+  /// \param GoOn is asked before each further page, if there is one.
+  virtual void range(const std::string &Prefix, ItemsFn Done,
+                     GoOnFn GoOn = nullptr) = 0;
   /// Waits for changes of such keys after \p Revision, for \p Wait at most;
   /// without any, the answer is empty.
   virtual void follow(const std::string &Prefix, std::uint64_t Revision,
--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -2,6 +2,7 @@
 #include "route_feed.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "domain_drain_func.h"
 #include "event_loop.h"
@@ -28,10 +29,18 @@
 /// Ten kilobytes on a link of 20 Mbit/s take 4 ms, and a reader has up to 75
 /// nodes to serve.
 static constexpr Duration CopyPatience = std::chrono::milliseconds(500);
-/// Longest configuration that nodes give each other. A reader's 75 copies of it
-/// take a second of a link of 20 Mbit/s; longer ones are read from the service,
-/// whose link is faster.
+/// Longest configuration that nodes of a small fleet give each other. A
+/// reader's 75 copies of it take a second of a link of 20 Mbit/s; longer ones
+/// are read from the service, whose link is faster. In a large fleet all nodes
+/// together would fill that link too, and copies go by way of relays on strong
+/// hosts.
 static constexpr std::size_t LongestCopy = std::size_t{32} << 10;
+/// In a large fleet, nodes that hear nothing go on asking others for this long,
+/// and for as many times the longer as the fleet has nodes.
+static constexpr Duration LargePatience = std::chrono::milliseconds(1500);
+static constexpr Duration PatiencePerNode = std::chrono::milliseconds(5);
+/// Until a node that has no configuration yet looks whether it should read.
+static constexpr Duration FirstPatience = std::chrono::milliseconds(100);
 /// A node whose own calls have failed this often and for this long tells the
 /// others, which choose another reader. A shorter time would have each slow
 /// answer choose another one; in a longer one its whole share of the fleet
@@ -62,7 +71,37 @@
   Services.find<KvEpochs>(service::Kv).onEpoch([this](std::uint64_t) {
     ConfirmFrom = Timers->now() + RestoreTime;
   });
-  read();
+  Readers->onBegin([this] { begin(); });
+}
+
+/// Reads the configuration for the first time, or asks for it.
+void RouteFeed::begin() {
+  if (std::exchange(Begun, true))
+    return;
+  heardNow();
+  if (Readers->reads() || !Readers->leavesReading())
+    return read();
+  Readers->ask();
+  readAfter(FirstPatience);
+}
+
+/// This node knows what is in force now.
+void RouteFeed::heardNow() {
+  HeardAt = Timers->now();
+  OwnReadAfter = LargePatience + fromMs(toMs(PatiencePerNode) *
+                                        static_cast<double>(Readers->nodes()) *
+                                        randomUnit(Rng));
+}
+
+/// Nobody has told of the configuration for a while.
+void RouteFeed::due() {
+  bool Own = Readers->reads() || !Readers->leavesReading() ||
+             Timers->now() - HeardAt > OwnReadAfter;
+  if (Own)
+    return read();
+  Fetching = false;
+  Readers->ask();
+  readAfter(SyncPatience);
 }
 
 /// The version in force was the newest when a call was sent at \p Sent, or when
@@ -121,6 +160,7 @@
   Fetching = false;
   if (Readers->reads())
     return follow();
+  heardNow();
   if (Failures > 0 && Timers->now() >= ProbeAt)
     return read();
   readAfter(SyncPatience);
@@ -129,7 +169,10 @@
 /// Reads after \p Pause, unless somebody tells enough before.
 void RouteFeed::readAfter(Duration Pause) {
   Timers->cancel(Fallback);
-  Fallback = Timers->after(Pause, [this] { read(); });
+  Fallback = Timers->after(Pause, [this] {
+    Fallback = TimerId{};
+    due();
+  });
 }
 
 /// Takes in what a reader knows. While it tells that nothing has changed, this
@@ -137,13 +180,12 @@
 void RouteFeed::synced(const StateSync &Heard) {
   takeDrained(Heard.Answer.Drained, "peer");
   // A read of our own is under way, or we follow the service ourselves.
-  if (Fallback == TimerId{} || !Table)
-    return;
-  if (Heard.Answer.ConfigAge > MostSyncedAge)
+  if (Fallback == TimerId{} || Heard.Answer.ConfigAge > MostSyncedAge)
     return;
-  if (Heard.Answer.ConfigVersion < Table->Version)
+  std::uint64_t Mine = Table ? Table->Version : 0;
+  if (Heard.Answer.ConfigVersion < Mine || Heard.Answer.ConfigVersion == 0)
     return;
-  if (Heard.Answer.ConfigVersion > Table->Version)
+  if (Heard.Answer.ConfigVersion > Mine)
     return fetch();
   confirm(Heard.AskedBoot - Heard.Answer.ConfigAge);
   next();
@@ -162,11 +204,11 @@
 }
 
 void RouteFeed::copied(const ConfigHeard &Heard) {
-  if (!Fetching || !Table || Heard.Copy.Age > MostSyncedAge)
+  if (!Fetching || Heard.Copy.Age > MostSyncedAge)
     return;
   Fetching = false;
   take(Heard.Copy.Text);
-  if (Table->Version != Heard.Copy.Version)
+  if (!Table || Table->Version != Heard.Copy.Version)
     return;
   confirm(Heard.AskedBoot - Heard.Copy.Age);
   next();
@@ -223,6 +265,9 @@
               {"age_ms", age() ? toMs(*age()) : -1}});
   if (Failures == 1)
     FailingSince = Timers->now();
+  // Other nodes may know more meanwhile.
+  if (Readers->leavesReading())
+    heardNow();
   ProbeAt = Timers->now() + fromMs(toMs(ProbePause) * (0.5 + randomUnit(Rng)));
   Duration Pause = RetryPause * Readers->retryFactor();
   Duration Spread = fromMs(toMs(Pause) * 2 * randomUnit(Rng));
@@ -247,7 +292,8 @@
             {"keys", Next->ByKey.size()},
             {"bytes", Value.size()}});
   Table = std::move(Next);
-  Text = Value.size() <= LongestCopy ? Value : std::string();
+  bool Given = Readers->leavesReading() || Value.size() <= LongestCopy;
+  Text = Given ? Value : std::string();
   tell();
 }
 
--- a/src/route_feed.h
+++ b/src/route_feed.h
@@ -52,6 +52,9 @@
   void read();
   void follow();
   void next();
+  void begin();
+  void due();
+  void heardNow();
   void readAfter(Duration Pause);
   void synced(const StateSync &Heard);
   void fetch();
@@ -71,13 +74,18 @@
   TimerService *Timers = nullptr;             ///< Time.
   KvTree *Tree = nullptr;                     ///< The key-value service.
   RouteTablePtr Table;                        ///< In force.
-  std::string Text;                           ///< Of it, if it is short.
+  std::string Text;                           ///< Of it, if it is given to
+                                              ///< other nodes.
   Freshness Fresh;                            ///< Its age.
   TimePoint ConfirmFrom{};                    ///< Not sure of it before then.
   DrainedDomains Drained;                     ///< Failure domains.
   std::uint64_t Revision = 0;                 ///< Changes up to it are known.
   StateSyncService *Readers = nullptr;        ///< Tells what others read.
-  TimerId Fallback;                           ///< Reads when nobody tells.
+  TimerId Fallback;                           ///< When nobody tells.
+  TimePoint HeardAt{};                        ///< When somebody did.
+  Duration OwnReadAfter{};                    ///< Without word, this node reads
+                                              ///< itself then.
+  bool Begun = false;                         ///< begin() has run.
   bool Fetching = false;                      ///< A copy was asked for.
   int Failures = 0;                           ///< Calls in a row that failed.
   TimePoint FailingSince{};                   ///< When the first of them did.
--- a/src/state_sync.cpp
+++ b/src/state_sync.cpp
@@ -1,5 +1,7 @@
 /// \file state_sync.cpp Which nodes read the key-value service for the others.
 #include <algorithm>
+#include <span>
+#include <tuple>
 
 #include "core/hash.h"
 #include "member_func.h"
@@ -10,47 +12,71 @@
 /// Chooses the same readers on every node.
 static constexpr std::uint64_t ReaderKey = 0x7265616465722e31;
 
-/// \return The nodes that may read for others. When none is fit, the key-value
-/// service is away for all of them: the same few go on trying, and the others
-/// hear from them. With each node on its own, a fleet would call a service that
-/// is down a thousand times a second, and each node would find out by itself,
-/// seconds apart, that it is back.
-static std::vector<const MemberInfo *> readerCandidates(const Membership &M) {
-  std::vector<const MemberInfo *> Nodes;
-  auto Consider = [&](const MemberInfo &Info) {
-    if (memberServes(Info.State))
-      Nodes.push_back(&Info);
-  };
-  Consider(M.Self);
-  for (const auto &[Id, Other] : M.Members)
-    Consider(Other.Info);
+/// A node may read or relay if its host has this part of the strength of the
+/// strongest one: lists and configurations for many nodes go over its link.
+static constexpr double StrengthShare = 0.7;
+
+using Nodes = std::vector<const MemberInfo *>;
+
+/// Nodes that say they are not up to date by their own means are left out while
+/// this part of the fleet is. Where fewer are, a fleet is starting, or the
+/// key-value service is away: if each node that comes back first were asked by
+/// all, it would be crushed, and with each node on its own the fleet would call
+/// a service that is down a thousand times a second.
+static constexpr double SoundShare = 0.5;
+
+/// \return The nodes that may read for others.
+static Nodes candidates(const Membership &M,
+                        const std::set<std::string> &Silent) {
+  Nodes Out;
+  if (memberServes(M.Self.State))
+    Out.push_back(&M.Self);
+  for (const auto &[Id, Other] : M.Members) {
+    if (memberServes(Other.Info.State) && !Silent.count(Id))
+      Out.push_back(&Other.Info);
+  }
   auto Unsound = [](const MemberInfo *Info) { return !memberSound(*Info); };
-  if (!std::all_of(Nodes.begin(), Nodes.end(), Unsound))
-    std::erase_if(Nodes, Unsound);
-  return Nodes;
+  auto Lost =
+      static_cast<double>(std::count_if(Out.begin(), Out.end(), Unsound));
+  if (Lost <= (1 - SoundShare) * static_cast<double>(Out.size()))
+    std::erase_if(Out, Unsound);
+  return Out;
 }
 
-/// \return The nodes that read, the same ones on every node.
-static std::vector<const MemberInfo *> readers(const Membership &M) {
-  std::vector<const MemberInfo *> Nodes = readerCandidates(M);
-  std::sort(Nodes.begin(), Nodes.end(),
-            [](const MemberInfo *A, const MemberInfo *B) {
-              return rendezvousWeight(ReaderKey, A->Id) >
-                     rendezvousWeight(ReaderKey, B->Id);
-            });
-  std::size_t Readers = 1 + Nodes.size() / NodesPerReader;
-  if (Nodes.size() > Readers)
-    Nodes.resize(Readers);
-  return Nodes;
+/// Leaves out the nodes of weak hosts, while the strong ones are enough.
+static void keepStrong(Nodes &All, std::size_t Wanted) {
+  std::uint32_t Strongest = 0;
+  for (const MemberInfo *Info : All)
+    Strongest = std::max(Strongest, Info->Strength);
+  auto Weak = [Least = StrengthShare * Strongest](const MemberInfo *Info) {
+    return Info->Strength < Least;
+  };
+  auto Strong = All.size() - static_cast<std::size_t>(
+                                 std::count_if(All.begin(), All.end(), Weak));
+  if (Strong >= Wanted)
+    std::erase_if(All, Weak);
+}
+
+/// Sorts nodes in an order that is the same on every node, sound ones first.
+static void sortByRank(Nodes &All) {
+  using Rank = std::tuple<bool, std::uint64_t, const MemberInfo *>;
+  std::vector<Rank> Ranked;
+  Ranked.reserve(All.size());
+  for (const MemberInfo *Info : All)
+    Ranked.emplace_back(memberSound(*Info),
+                        rendezvousWeight(ReaderKey, Info->Id), Info);
+  std::sort(Ranked.begin(), Ranked.end(), std::greater<>());
+  for (std::size_t I = 0; I < All.size(); ++I)
+    All[I] = std::get<const MemberInfo *>(Ranked[I]);
 }
 
-std::string chooseReader(const Membership &M) {
+/// \return One of \p From, different ones for different nodes. Its own failure
+/// domain goes first: a question there costs the least.
+static std::string nearest(const Membership &M,
+                           std::span<const MemberInfo *> From) {
   std::string Best = M.Self.Id;
   std::pair<bool, std::uint64_t> BestRank;
-  for (const MemberInfo *Info : readers(M)) {
-    if (Info->Id == M.Self.Id)
-      return Info->Id;
-    // Its own failure domain first: a question there costs the least.
+  for (const MemberInfo *Info : From) {
     std::pair<bool, std::uint64_t> Rank = {
         Info->FailureDomain == M.Self.FailureDomain,
         rendezvousWeight(hash64(M.Self.Id), Info->Id)};
@@ -62,4 +88,27 @@
   return Best;
 }
 
+SyncSource chooseSyncSource(const Membership &M,
+                            const std::set<std::string> &Silent) {
+  Nodes All = candidates(M, Silent);
+  std::size_t Fleet = All.size();
+  std::size_t Readers = std::min(1 + Fleet / NodesPerReader, MostReaders);
+  bool Tiered = Fleet >= MostReaders * NodesPerReader;
+  std::size_t Relays = Tiered ? 1 + Fleet / NodesPerRelay : Readers;
+  keepStrong(All, std::max(Readers, Relays / 2));
+  sortByRank(All);
+  All.resize(std::min(All.size(), Relays));
+  std::span<const MemberInfo *> Sources(All);
+  auto Reading = Sources.first(std::min(All.size(), Readers));
+  if (Tiered && Sources.size() > Readers)
+    Sources = Sources.subspan(Readers);
+  auto Self = std::find(All.begin(), All.end(), &M.Self);
+  auto Place = static_cast<std::size_t>(Self - All.begin());
+  if (Place < Reading.size() || All.empty())
+    return {SyncRole::Reader, M.Self.Id};
+  if (Self != All.end())
+    return {SyncRole::Relay, nearest(M, Reading)};
+  return {SyncRole::Follower, nearest(M, Sources)};
+}
+
 } // namespace fulmar
--- a/src/state_sync_service.h
+++ b/src/state_sync_service.h
@@ -2,11 +2,14 @@
 #ifndef FULMARSTEP_STATE_SYNC_SERVICE_H
 #define FULMARSTEP_STATE_SYNC_SERVICE_H
 
+#include <deque>
 #include <functional>
+#include <map>
 
 #include "core/random.h"
 #include "kernel.h"
 #include "kv_tree.h"
+#include "state_sync_func.h"
 #include "state_sync_type.h"
 #include "timer_base.h"
 
@@ -55,8 +58,20 @@
   void ask();
   /// Asks the node that reads for this one for its configuration.
   void fetchConfig();
+  /// Calls \p Fn when this node may begin to read or to ask: once it is known
+  /// that the fleet is small, and once it has had time to hear of the others.
+  void onBegin(std::function<void()> Fn) { Begin.push_back(std::move(Fn)); }
+  /// \return Whether this node has had time to hear of the others.
+  bool settled() const;
   /// \return Whether this node reads for itself.
   bool reads() const;
+  /// \return Whether the fleet is so large that its nodes leave lists and
+  /// configurations to those that read, and wait for them.
+  bool leavesReading() const;
+  /// \return Whether this node may read what takes many calls.
+  bool mayReadMuch() const;
+  /// \return Live nodes, or those that were listed when this one joined.
+  std::size_t nodes() const;
   /// \return How many times longer than alone this node waits before it repeats
   /// a failed call. Who has a reader hears from it when the service is back;
   /// all nodes of a large fleet that keep trying would be an outage of their
@@ -64,8 +79,24 @@
   int retryFactor() const;
 
 private:
-  std::string reader() const;
+  /// A question that was sent.
+  struct Question {
+    std::uint64_t Nonce = 0; ///< Its name.
+    Duration Boot{};         ///< When it was sent, boot-time clock.
+    TimePoint At{};          ///< The same on the monotonic clock.
+  };
+
+  static std::optional<Question> takeQuestion(std::deque<Question> &From,
+                                              std::uint64_t Nonce);
+  void addQuestion(std::deque<Question> &To, std::uint64_t Name) const;
+  const SyncSource &source() const;
+  void waitSettled();
+  void listed(const KvItems &Found);
+  void begin() const;
+  void tick();
+  void heard(const std::string &From, const StateSyncResponse &Answer);
   void sendCopy(const std::string &Node, const ConfigFetch &Asked);
+  void answer(const std::string &Node, StateSyncRequest Asked);
   StateSyncResponse ownAnswer(const StateSyncRequest &Asked) const;
 
   Kernel &Services;                  ///< Finds the others.
@@ -76,12 +107,25 @@
   UpstreamFeed *Upstreams = nullptr; ///< What this node knows.
   KvEpochs *Epochs = nullptr;        ///< Of the key-value service.
   std::uint64_t Nonce;               ///< Of the latest question.
-  Duration AskedBoot{};              ///< When it was sent.
-  TimePoint AskedAt{};               ///< When it was sent.
+  std::deque<Question> Questions;    ///< Answers to which are heard.
+  Question Answered;                 ///< The latest one; more parts of its
+                                     ///< answer may follow.
+  TimePoint PartsUntil{};            ///< They are waited for until then.
   std::uint64_t FetchNonce;          ///< Of the latest wish for a copy.
-  Duration FetchedBoot{};            ///< When it was sent.
+  std::deque<Question> Fetches;      ///< Wishes that may still be answered.
   std::vector<StateSyncFn> Hear;     ///< Subscribers.
-  std::vector<ConfigFn> HearConfig;  ///< Subscribers.
+  std::vector<std::function<void()>> Begin;    ///< Called twice at most.
+  std::size_t Entered = 0;                     ///< Nodes that were listed when
+                                               ///< this one joined.
+  std::map<std::string, TimePoint> Silent;     ///< Not asked until then.
+  std::string Asked;                           ///< Whom the latest question
+                                               ///< went to.
+  TimePoint AskedSince{};                      ///< Without an answer; zero:
+                                               ///< none is waited for.
+  std::uint64_t Ticks = 0;                     ///< Counts periods.
+  mutable SyncSource Source;                   ///< As it was chosen
+  mutable std::uint64_t SourceChanges = ~0ULL; ///< at these changes.
+  std::vector<ConfigFn> HearConfig;            ///< Subscribers.
 };
 
 } // namespace fulmar
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 #include "core/hash.h"
 #include "limit_func.h"
@@ -318,6 +319,84 @@
     if (Found != Places.end())
       U.Place = Found->second;
   }
+  P.PlacesStale = false;
+}
+
+void numberPlaces(Pool &P) {
+  if (!std::exchange(P.PlacesStale, false))
+    return;
+  std::vector<Upstream *> Listed;
+  for (Upstream &U : P.Upstreams) {
+    if (U.Listed)
+      Listed.push_back(&U);
+  }
+  std::sort(Listed.begin(), Listed.end(),
+            [](const Upstream *A, const Upstream *B) {
+              return identity(*A) < identity(*B);
+            });
+  for (std::size_t I = 0; I < Listed.size(); ++I)
+    Listed[I]->Place = I;
+}
+
+/// \return An upstream that has just been listed.
+static Upstream makeUpstream(const Pool &P, const UpstreamSpec &Spec,
+                             const std::string &OwnDomain,
+                             std::uint32_t &LastId) {
+  Upstream U;
+  U.Id = UpstreamId{++LastId};
+  U.Address = Spec.Address;
+  U.Start = Spec.Start;
+  U.FailureDomain = Spec.FailureDomain;
+  U.Leaving = Spec.Leaving;
+  U.Cold = Spec.Cold;
+  U.Local = Spec.FailureDomain == OwnDomain;
+  U.Limit.Limit = static_cast<double>(P.Spec.StartLimit);
+  U.Limit.Max = static_cast<double>(P.Spec.MaxLimit);
+  return U;
+}
+
+/// Forgets upstreams that are not listed. Calls in progress still refer to one.
+static void dropUnlisted(Pool &P) {
+  std::erase_if(P.Upstreams,
+                [](const Upstream &U) { return !U.Listed && U.InFlight == 0; });
+  P.Unlisted = static_cast<std::size_t>(
+      std::count_if(P.Upstreams.begin(), P.Upstreams.end(),
+                    [](const Upstream &U) { return !U.Listed; }));
+}
+
+/// Takes in what the list says of an upstream that is known.
+static Upstream &relist(Pool &P, Upstream &U, const UpstreamSpec &Spec) {
+  P.PlacesStale = P.PlacesStale || !U.Listed;
+  P.Unlisted -= U.Listed ? 0 : 1;
+  U.Listed = true;
+  U.Leaving = Spec.Leaving;
+  U.Cold = Spec.Cold;
+  return U;
+}
+
+Upstream &listUpstream(Pool &P, const UpstreamSpec &Spec, bool Fresh,
+                       const std::string &OwnDomain, std::uint32_t &LastId) {
+  bool MayBeKnown = !Fresh || P.Unlisted > 0;
+  if (MayBeKnown) {
+    auto Known =
+        std::find_if(P.Upstreams.begin(), P.Upstreams.end(),
+                     [&](const Upstream &U) { return U.Start == Spec.Start; });
+    if (Known != P.Upstreams.end())
+      return relist(P, *Known, Spec);
+  }
+  P.PlacesStale = true;
+  P.Upstreams.push_back(makeUpstream(P, Spec, OwnDomain, LastId));
+  return P.Upstreams.back();
+}
+
+void unlistUpstream(Pool &P, const Incarnation &Start) {
+  for (Upstream &U : P.Upstreams) {
+    if (U.Start != Start)
+      continue;
+    U.Listed = false;
+    P.PlacesStale = true;
+  }
+  dropUnlisted(P);
 }
 
 void updateUpstreams(Pool &P, std::span<const UpstreamSpec> Listed,
@@ -334,23 +413,11 @@
     U.Cold = Found->second->Cold;
     New.erase(Found);
   }
-  // Calls in progress still refer to an upstream that is no longer listed.
-  std::erase_if(P.Upstreams,
-                [](const Upstream &U) { return !U.Listed && U.InFlight == 0; });
+  dropUnlisted(P);
   for (const UpstreamSpec &Spec : Listed) {
     if (New.erase(identity(Spec)) == 0)
       continue;
-    Upstream U;
-    U.Id = UpstreamId{++LastId};
-    U.Address = Spec.Address;
-    U.Start = Spec.Start;
-    U.FailureDomain = Spec.FailureDomain;
-    U.Leaving = Spec.Leaving;
-    U.Cold = Spec.Cold;
-    U.Local = Spec.FailureDomain == OwnDomain;
-    U.Limit.Limit = static_cast<double>(P.Spec.StartLimit);
-    U.Limit.Max = static_cast<double>(P.Spec.MaxLimit);
-    P.Upstreams.push_back(std::move(U));
+    P.Upstreams.push_back(makeUpstream(P, Spec, OwnDomain, LastId));
   }
   setPlaces(P, Listed);
 }
--- a/src/upstream_base.h
+++ b/src/upstream_base.h
@@ -61,6 +61,8 @@
   PoolSpec Spec;                   ///< From the bundle.
   bool Declared = false;           ///< In the bundle in force.
   std::vector<Upstream> Upstreams; ///< Listed, and unlisted with calls left.
+  std::size_t Unlisted = 0;        ///< Of them those with calls left.
+  bool PlacesStale = false;        ///< Upstream::Place is not up to date.
   FairQueue Queue;                 ///< Waiting calls.
   std::size_t NextTurn = 0;        ///< For round robin.
   TimePoint NextProbe{};           ///< While down: when one more may try.
--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -1,27 +1,36 @@
 /// \file upstream_feed.cpp Follows the list of upstreams.
 #include "upstream_feed.h"
 
+#include <utility>
+
 #include "event_loop.h"
 #include "log_func.h"
 #include "node_services.h"
 
 namespace fulmar {
 
-/// Between two reads. An upstream that leaves must get nothing new 2 s after
-/// its entry says so; the rest is for a read that is slow.
-static constexpr Duration ReadPeriod = std::chrono::milliseconds(900);
+/// Without word from a reader for this long, a node reads the list itself. An
+/// upstream that leaves must get nothing new 2 s after its entry says so; the
+/// rest is for a read that is slow.
+static constexpr Duration SyncPatience = std::chrono::milliseconds(900);
+/// The same where it has no list yet, and until it asks again.
+static constexpr Duration FirstPatience = std::chrono::milliseconds(100);
+/// In a large fleet, nodes that hear nothing go on asking others for this long,
+/// and for as many times the longer as the fleet has nodes: its list is long,
+/// and all nodes lose the service together. They would fill its link.
+static constexpr Duration LargePatience = std::chrono::seconds(4);
+static constexpr Duration PatiencePerNode = std::chrono::milliseconds(50);
+/// Until such a node asks again.
+static constexpr Duration AskAgain = std::chrono::milliseconds(200);
 /// A reader whose list is older than this has lost the service.
 static constexpr Duration MostSyncedAge = std::chrono::milliseconds(1300);
 /// Without an answer that compares the parts of the list for this long, a node
 /// reads all of it.
 static constexpr Duration ComparePatience = std::chrono::milliseconds(650);
-/// Before a failed read is repeated.
-static constexpr Duration RetryPause = std::chrono::milliseconds(150);
 /// Each pause varies by this part, so that nodes do not read together.
 static constexpr double Spread = 0.3;
-/// Entries of one read that are logged as unreadable; a program that fills the
-/// prefix with its own must not fill the log.
-static constexpr std::size_t MostLoggedUnreadable = 20;
+/// Changes that are logged one by one; more at once are counted.
+static constexpr std::size_t MostLogged = 100;
 
 UpstreamFeed::UpstreamFeed(Kernel &K, const WireFormat &W, std::uint64_t Seed)
     : Services(K), Wire(W), Rng(Seed) {}
@@ -34,27 +43,46 @@
   Services.find<KvEpochs>(service::Kv).onEpoch([this](std::uint64_t) {
     registryRestored(Registry, Timers->now());
   });
-  read();
+  Readers->onBegin([this] { begin(); });
 }
 
-void UpstreamFeed::read() {
-  Tree->range(Wire.upstreamsPrefix(), [this](const KvItems &Found) {
-    bool Good = Found.Status == KvStatus::Ok;
-    if (Good)
-      answered(Found);
-    else if (Failures++ == 0)
-      logEvent(LogLevel::Warning, "upstream_list_lost",
-               {{"why", Found.Why}, {"listed", Registry.Entries.size()}});
-    readAfter(Good ? ReadPeriod : RetryPause * Readers->retryFactor());
-  });
+/// Reads the list for the first time, or asks for it.
+void UpstreamFeed::begin() {
+  if (std::exchange(Begun, true))
+    return;
+  heardNow();
+  if (Readers->reads() || !Readers->leavesReading())
+    return read();
+  Readers->ask();
+  readAfter(FirstPatience);
+}
+
+/// The list is recent now.
+void UpstreamFeed::heardNow() {
+  HeardAt = Timers->now();
+  OwnReadAfter = LargePatience + fromMs(toMs(PatiencePerNode) *
+                                        static_cast<double>(Readers->nodes()) *
+                                        randomUnit(Rng));
+}
+
+/// Nobody has told of the list for a while.
+void UpstreamFeed::due() {
+  if (Readers->reads() || !Readers->leavesReading() ||
+      Timers->now() - HeardAt > OwnReadAfter)
+    return read();
+  Readers->ask();
+  readAfter(AskAgain);
+}
+
+Duration UpstreamFeed::spread(Duration Pause) {
+  return fromMs(toMs(Pause) * (1 - Spread / 2 + Spread * randomUnit(Rng)));
 }
 
 void UpstreamFeed::readAfter(Duration Pause) {
-  double Factor = 1 - Spread / 2 + Spread * randomUnit(Rng);
   Timers->cancel(NextRead);
-  NextRead = Timers->after(fromMs(toMs(Pause) * Factor), [this] {
+  NextRead = Timers->after(spread(Pause), [this] {
     NextRead = TimerId{};
-    read();
+    due();
   });
 }
 
@@ -72,12 +100,15 @@
     if (!takeChange(Answer, ReadAt))
       return fellBehind();
     // The rest of a change that is too long for one answer.
+    if (Answer.More)
+      return readAfter(SyncPatience);
     if (Registry.Digest != Answer.ListDigest)
       return Readers->ask();
   }
   Behind = false;
   Registry.ReadAt = std::max(Registry.ReadAt, ReadAt);
-  readAfter(ReadPeriod);
+  heardNow();
+  readAfter(SyncPatience);
 }
 
 /// \return Whether a reader's change leads on from this node's list.
@@ -85,12 +116,13 @@
                               TimePoint ReadAt) {
   if (!Answer.ListChange)
     return false;
-  std::map<std::string, UpstreamEntry> Before = Registry.Entries;
   bool Whole = Answer.ListChange->To == Answer.ListDigest;
   if (!registryApply(Registry, *Answer.ListChange,
-                     Whole ? ReadAt : Registry.ReadAt))
+                     Whole ? ReadAt : Registry.ReadAt, Whole))
     return false;
-  changed(Before);
+  // A list of which parts are missing is not to be chosen from.
+  if (Registry.Known)
+    changed();
   return true;
 }
 
@@ -100,6 +132,11 @@
 /// it. So the lists are compared by parts; a reader that does not answer leaves
 /// the read that is due.
 void UpstreamFeed::fellBehind() {
+  if (Readers->leavesReading()) {
+    // An answer to an earlier question leads on from an earlier list.
+    Behind = true;
+    return;
+  }
   if (Behind || !Registry.Known)
     return readAfter(Duration::zero());
   Behind = true;
@@ -107,52 +144,25 @@
   Readers->ask();
 }
 
-void UpstreamFeed::answered(const KvItems &Found) {
-  if (Failures > 0)
-    logEvent(LogLevel::Info, "upstream_list_regained",
-             {{"failures", Failures}, {"revision", Found.Revision}});
-  Failures = 0;
-  Behind = false;
-  std::vector<UpstreamEntry> Listed;
-  std::map<std::string, std::string> Bad;
-  for (const KvItem &Item : Found.Items) {
-    if (auto Entry = readEntry(Item, Bad))
-      Listed.push_back(std::move(*Entry));
-  }
-  Unreadable = std::move(Bad);
-  std::map<std::string, UpstreamEntry> Before = Registry.Entries;
-  if (!registryRead(Registry, Listed, Timers->now()))
-    return;
-  changed(Before);
+void UpstreamFeed::changed() {
+  UpstreamChanges Latest = std::exchange(Registry.Untold, {});
+  logChanges(Latest);
+  tellRestarts(Latest);
+  for (const ChangeFn &Fn : Changes)
+    Fn(Latest);
 }
 
-/// Reads one entry. Other programs may write below the same prefix: what is not
-/// an upstream's is left out, and the others hold. It is read once a second for
-/// as long as it is there, and logged when it is new.
-std::optional<UpstreamEntry>
-UpstreamFeed::readEntry(const KvItem &Item,
-                        std::map<std::string, std::string> &Bad) {
-  std::string Why;
-  auto Entry = Wire.readUpstream(Item.Key, Item.Value, Why);
-  if (Entry)
-    return Entry;
-  auto Known = Unreadable.find(Item.Key);
-  if ((Known == Unreadable.end() || Known->second != Why) &&
-      Bad.size() < MostLoggedUnreadable)
-    logEvent(LogLevel::Warning, "upstream_entry_unreadable",
-             {{"key", Item.Key},
-              {"revision", Item.Revision},
-              {"bytes", Item.Value.size()},
-              {"why", Why}});
-  Bad[Item.Key] = std::move(Why);
-  return std::nullopt;
-}
-
-void UpstreamFeed::changed(
-    const std::map<std::string, UpstreamEntry> &Before) const {
-  logChanges(Before);
-  for (const UpstreamRestart &Restart : findRestarts(
-           Before, Registry.Entries, EventLoop::wallClock(), Timers->now())) {
+void UpstreamFeed::tellRestarts(const UpstreamChanges &Latest) const {
+  std::map<std::string, UpstreamEntry> Before;
+  std::map<std::string, UpstreamEntry> After;
+  for (const UpstreamChange &Change : Latest) {
+    if (!Change.Before || !Change.After)
+      continue;
+    Before.try_emplace(Change.Before->Instance, *Change.Before);
+    After[Change.After->Instance] = *Change.After;
+  }
+  for (const UpstreamRestart &Restart :
+       findRestarts(Before, After, EventLoop::wallClock(), Timers->now())) {
     logEvent(LogLevel::Info, "upstream_restarted",
              {{"instance", Restart.Later.Instance},
               {"born_ms", Restart.Later.BornMs},
@@ -161,33 +171,48 @@
     for (const auto &Fn : Restarts)
       Fn(Restart);
   }
-  for (const auto &Fn : Changes)
-    Fn();
 }
 
-void UpstreamFeed::logChanges(
-    const std::map<std::string, UpstreamEntry> &Before) const {
-  auto Log = [](const UpstreamEntry &Entry, std::string_view State) {
+/// Logs one change.
+static void logChange(const UpstreamChange &Change) {
+  const UpstreamEntry &Entry = Change.After ? *Change.After : *Change.Before;
+  auto Log = [&](std::string_view State) {
     logEvent(LogLevel::Info, "upstream_changed",
              {{"instance", Entry.Instance},
               {"pool", Entry.Pool},
               {"address", Entry.Address},
               {"state", State}});
   };
-  for (const auto &[Instance, Entry] : Registry.Entries) {
-    auto Old = Before.find(Instance);
-    if (Old == Before.end())
-      Log(Entry, Entry.Leaving ? "listed_leaving" : "listed");
-    else if (Old->second.Leaving != Entry.Leaving)
-      Log(Entry, Entry.Leaving ? "leaving" : "back");
-    bool WasCold = Old != Before.end() && Old->second.cold();
-    if (Entry.cold() != WasCold)
-      Log(Entry, Entry.cold() ? "cold" : "warm");
+  if (!Change.After)
+    return Log("gone");
+  if (!Change.Before)
+    Log(Entry.Leaving ? "listed_leaving" : "listed");
+  else if (Change.Before->Leaving != Entry.Leaving)
+    Log(Entry.Leaving ? "leaving" : "back");
+  if (Entry.cold() != (Change.Before && Change.Before->cold()))
+    Log(Entry.cold() ? "cold" : "warm");
+}
+
+void UpstreamFeed::logChanges(const UpstreamChanges &Latest) const {
+  if (Latest.size() <= MostLogged) {
+    for (const UpstreamChange &Change : Latest)
+      logChange(Change);
+    return;
   }
-  for (const auto &[Instance, Entry] : Before) {
-    if (!Registry.Entries.count(Instance))
-      Log(Entry, "gone");
+  std::size_t Listed = 0;
+  std::size_t Gone = 0;
+  std::size_t Leaving = 0;
+  for (const UpstreamChange &Change : Latest) {
+    Listed += Change.Before ? 0 : 1;
+    Gone += Change.After ? 0 : 1;
+    Leaving += Change.After && Change.After->Leaving ? 1 : 0;
   }
+  logEvent(LogLevel::Info, "upstreams_changed",
+           {{"listed", Listed},
+            {"gone", Gone},
+            {"leaving", Leaving},
+            {"changed", Latest.size()},
+            {"known", Registry.Entries.size()}});
 }
 
 } // namespace fulmar
--- a/src/upstream_feed.h
+++ b/src/upstream_feed.h
@@ -22,8 +22,10 @@
 
   void start() override;
 
-  /// Calls \p Fn whenever an entry changes.
-  void onChange(std::function<void()> Fn) { Changes.push_back(std::move(Fn)); }
+  /// Hears what has changed in the list.
+  using ChangeFn = std::function<void(const UpstreamChanges &)>;
+  /// Calls \p Fn whenever entries change.
+  void onChange(ChangeFn Fn) { Changes.push_back(std::move(Fn)); }
 
   /// Calls \p Fn when an upstream has started again, before the change is told.
   void onRestart(std::function<void(const UpstreamRestart &)> Fn) {
@@ -38,16 +40,29 @@
   std::size_t unreadable() const { return Unreadable.size(); }
 
 private:
-  void read();
+  // upstream_feed.cpp: what is known, and who is told.
+  void begin();
+  void due();
   void readAfter(Duration Pause);
+  Duration spread(Duration Pause);
+  void heardNow();
   void synced(const StateSync &Heard);
   bool takeChange(const StateSyncResponse &Answer, TimePoint ReadAt);
   void fellBehind();
+  void changed();
+  void tellRestarts(const UpstreamChanges &Latest) const;
+  void logChanges(const UpstreamChanges &Latest) const;
+
+  // upstream_feed_read.cpp: reading the key-value service.
+  void read();
+  void readWhole();
+  void readFailed(const std::string &Why);
   void answered(const KvItems &Found);
+  bool mayFollow() const;
+  void follow();
+  void takeEvents(const std::vector<KvItem> &Events, TimePoint Sent);
   std::optional<UpstreamEntry>
   readEntry(const KvItem &Item, std::map<std::string, std::string> &Bad);
-  void changed(const std::map<std::string, UpstreamEntry> &Before) const;
-  void logChanges(const std::map<std::string, UpstreamEntry> &Before) const;
 
   Kernel &Services;                    ///< Finds the others.
   const WireFormat &Wire;              ///< Reads entries.
@@ -57,10 +72,15 @@
   UpstreamRegistry Registry;           ///< What is listed.
   StateSyncService *Readers = nullptr; ///< Tells what others read.
   TimerId NextRead;                    ///< Of our own; none: one is under way.
-  bool Behind = false; ///< Parts of the list are compared, not changes.
-  int Failures = 0;    ///< Reads in a row that failed.
+  TimePoint HeardAt{};        ///< When the list was known to be recent.
+  Duration OwnReadAfter{};    ///< Without word, this node reads itself then.
+  bool Behind = false;        ///< Parts of the list are compared, not changes.
+  std::uint64_t Revision = 0; ///< Changes up to it are in the list; 0: none.
+  TimePoint WholeAt{};        ///< When all of the list was read.
+  bool Begun = false;         ///< It was read, or asked for.
+  int Failures = 0;           ///< Reads in a row that failed.
   std::map<std::string, std::string> Unreadable; ///< Why, by key.
-  std::vector<std::function<void()>> Changes;    ///< Subscribers.
+  std::vector<ChangeFn> Changes;                 ///< Subscribers.
   std::vector<std::function<void(const UpstreamRestart &)>>
       Restarts; ///< Subscribers.
 };
--- a/src/upstream_func.h
+++ b/src/upstream_func.h
@@ -59,6 +59,20 @@
 void updateUpstreams(Pool &P, std::span<const UpstreamSpec> Listed,
                      const std::string &OwnDomain, std::uint32_t &LastId);
 
+/// Brings one upstream in line with the list. It costs a look at the pool, and
+/// not a new list of it.
+/// \param Fresh whether it was not listed before.
+/// \return The upstream. It may move when another one is listed.
+Upstream &listUpstream(Pool &P, const UpstreamSpec &Spec, bool Fresh,
+                       const std::string &OwnDomain, std::uint32_t &LastId);
+
+/// A start of an upstream is not listed any more.
+void unlistUpstream(Pool &P, const Incarnation &Start);
+
+/// Numbers the upstreams as they are listed, if some came or went. Only who
+/// needs Upstream::Place asks for it.
+void numberPlaces(Pool &P);
+
 } // namespace fulmar
 
 #endif
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -2,7 +2,6 @@
 #include "upstream_registry.h"
 
 #include <algorithm>
-#include <set>
 #include <string_view>
 
 #include "core/hash.h"
@@ -10,10 +9,14 @@
 namespace fulmar {
 
 /// Changes that are remembered: half a minute of an upstream that comes or goes
-/// every second, which is more than a node that listens is behind.
+/// every second, which is more than a node that listens is behind. Of many that
+/// come and go in a second, a reader takes in several at once.
 static constexpr std::size_t ChangesKept = 32;
+/// Entries in a change that is remembered at most. After a longer one, lists
+/// are compared by parts.
+static constexpr std::size_t ChangedKept = 2000;
 /// Entries that are given at once; 100 bytes each. Who has no list and would
-/// need more reads it itself; who has another one gets the rest with the next
+/// need more gets it in parts; who has another one gets the rest with the next
 /// answers.
 static constexpr std::size_t LargestWhole = 500;
 
@@ -56,22 +59,46 @@
   return Out;
 }
 
+static std::size_t sizeOf(const RegistryChange &Change) {
+  return Change.Listed.size() + Change.Gone.size();
+}
+
+/// Remembers a change for nodes that ask.
+static void remember(UpstreamRegistry &Registry, RegistryChange Change) {
+  if (sizeOf(Change) > ChangedKept)
+    return Registry.Latest.clear();
+  Registry.Latest.push_back(std::move(Change));
+  if (Registry.Latest.size() > ChangesKept)
+    Registry.Latest.pop_front();
+}
+
 /// Takes a change into the list, and remembers it for others.
 static void takeIn(UpstreamRegistry &Registry, RegistryChange Change,
                    const BucketDigests &Buckets) {
-  for (const UpstreamEntry &Entry : Change.Listed)
-    Registry.Entries[Entry.Instance] = Entry;
-  for (const std::string &Instance : Change.Gone)
-    Registry.Entries.erase(Instance);
+  for (const UpstreamEntry &Entry : Change.Listed) {
+    auto [Found, Fresh] = Registry.Entries.try_emplace(Entry.Instance);
+    UpstreamChange Told{std::nullopt, Entry};
+    if (Fresh)
+      Registry.Instances[bucketOf(Entry.Instance)].insert(Entry.Instance);
+    else
+      Told.Before = std::move(Found->second);
+    Found->second = Entry;
+    Registry.Untold.push_back(std::move(Told));
+  }
+  for (const std::string &Instance : Change.Gone) {
+    auto Found = Registry.Entries.find(Instance);
+    if (Found == Registry.Entries.end())
+      continue;
+    Registry.Untold.push_back({std::move(Found->second), std::nullopt});
+    Registry.Entries.erase(Found);
+    Registry.Instances[bucketOf(Instance)].erase(Instance);
+  }
   Change.From = Registry.Digest;
   Registry.Buckets = Buckets;
   Registry.Digest = sumOf(Buckets);
   Change.To = Registry.Digest;
-  if (Change.To == Change.From)
-    return;
-  Registry.Latest.push_back(std::move(Change));
-  if (Registry.Latest.size() > ChangesKept)
-    Registry.Latest.pop_front();
+  if (Change.To != Change.From)
+    remember(Registry, std::move(Change));
 }
 
 /// \return What leads from the present list to \p Next.
@@ -168,6 +195,29 @@
   return Changed;
 }
 
+bool registryEvents(UpstreamRegistry &Registry,
+                    const std::vector<UpstreamEntry> &Listed,
+                    const std::vector<std::string> &Gone, TimePoint Now) {
+  RegistryChange Change;
+  for (const UpstreamEntry &Entry : Listed) {
+    const UpstreamEntry &Latest = latestStart(Registry, Entry);
+    auto Old = Registry.Entries.find(Entry.Instance);
+    if (Old == Registry.Entries.end() || Old->second != Latest)
+      Change.Listed.push_back(Latest);
+  }
+  for (const std::string &Instance : Gone) {
+    if (Registry.Entries.count(Instance))
+      Change.Gone.push_back(Instance);
+  }
+  Registry.ReadAt = std::max(Registry.ReadAt, Now);
+  if (sizeOf(Change) == 0)
+    return false;
+  rememberGone(Registry, Change.Gone, Now);
+  BucketDigests Buckets = bucketsAfter(Registry, Change);
+  takeIn(Registry, std::move(Change), Buckets);
+  return true;
+}
+
 /// \return The whole list as a change from nothing.
 static std::optional<RegistryChange>
 wholeRegistry(const UpstreamRegistry &Registry) {
@@ -209,9 +259,6 @@
 RegistryChange registryBucketsSince(const UpstreamRegistry &Registry,
                                     std::uint64_t From,
                                     const BucketDigests &Buckets) {
-  std::array<std::vector<const UpstreamEntry *>, RegistryBuckets> Sorted;
-  for (const auto &[Instance, Entry] : Registry.Entries)
-    Sorted[bucketOf(Instance)].push_back(&Entry);
   RegistryChange Change{From, From, {}, {}, {}};
   if (From == EmptyRegistry)
     Change.To = VacantRegistry;
@@ -219,11 +266,11 @@
     if (Buckets[I] == Registry.Buckets[I])
       continue;
     if (!Change.Whole.empty() &&
-        Change.Listed.size() + Sorted[I].size() > LargestWhole)
+        Change.Listed.size() + Registry.Instances[I].size() > LargestWhole)
       break;
     Change.Whole.push_back(static_cast<std::uint32_t>(I));
-    for (const UpstreamEntry *Entry : Sorted[I])
-      Change.Listed.push_back(*Entry);
+    for (const std::string &Instance : Registry.Instances[I])
+      Change.Listed.push_back(Registry.Entries.at(Instance));
     Change.To += Registry.Buckets[I] - Buckets[I];
   }
   return Change;
@@ -236,16 +283,19 @@
   std::set<std::string_view> Kept;
   for (const UpstreamEntry &Entry : Change.Listed)
     Kept.insert(Entry.Instance);
-  std::set<std::size_t> Whole(Change.Whole.begin(), Change.Whole.end());
-  for (const auto &[Instance, Entry] : Registry.Entries) {
-    if (Whole.count(bucketOf(Instance)) && !Kept.count(Instance))
-      Change.Gone.push_back(Instance);
+  for (std::uint32_t Bucket : Change.Whole) {
+    if (Bucket >= RegistryBuckets)
+      continue;
+    for (const std::string &Instance : Registry.Instances[Bucket]) {
+      if (!Kept.count(Instance))
+        Change.Gone.push_back(Instance);
+    }
   }
   Change.Whole.clear();
 }
 
 bool registryApply(UpstreamRegistry &Registry, const RegistryChange &Offered,
-                   TimePoint ReadAt) {
+                   TimePoint ReadAt, bool Complete) {
   if (Offered.From != Registry.Digest)
     return false;
   RegistryChange Change = Offered;
@@ -256,7 +306,7 @@
   rememberGone(Registry, Change.Gone, ReadAt);
   takeIn(Registry, std::move(Change), Buckets);
   Registry.ReadAt = std::max(Registry.ReadAt, ReadAt);
-  Registry.Known = true;
+  Registry.Known = Registry.Known || Complete;
   return true;
 }
 
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,13 @@
 /// Digest of a list that was read and holds nothing.
 inline constexpr std::uint64_t VacantRegistry = 1;
 
+/// An entry of the list that is new, gone or not what it was.
+struct UpstreamChange {
+  std::optional<UpstreamEntry> Before; ///< Nothing: it was not listed.
+  std::optional<UpstreamEntry> After;  ///< Nothing: it is not listed any more.
+};
+using UpstreamChanges = std::vector<UpstreamChange>;
+
 /// An upstream that is not listed any more.
 struct GoneUpstream {
   std::int64_t BornMs = 0; ///< Its start.
@@ -57,9 +65,12 @@
 /// Upstreams as they were last read.
 struct UpstreamRegistry {
   std::map<std::string, UpstreamEntry> Entries; ///< By instance.
+  std::array<std::set<std::string>, RegistryBuckets> Instances; ///< Of each
+                                                                ///< part.
   std::uint64_t Digest = EmptyRegistry; ///< Equal lists have equal ones.
   BucketDigests Buckets{};              ///< The same of each part.
   std::deque<RegistryChange> Latest;    ///< Changes, the last one last.
+  UpstreamChanges Untold;               ///< Changes that nobody was told of.
   TimePoint ReadAt{};                   ///< Of the latest read.
   TimePoint BackAt{};                   ///< End of the latest outage.
   TimePoint
@@ -81,6 +92,12 @@
 bool registryRead(UpstreamRegistry &Registry,
                   const std::vector<UpstreamEntry> &Listed, TimePoint Now);
 
+/// Takes in what has changed since the list was read.
+/// \return Whether anything changed.
+bool registryEvents(UpstreamRegistry &Registry,
+                    const std::vector<UpstreamEntry> &Listed,
+                    const std::vector<std::string> &Gone, TimePoint Now);
+
 /// \return What leads from the list with digest \p From to this one; a whole
 /// list for who has none. Nothing when that is too long ago, or too much.
 std::optional<RegistryChange>
@@ -94,9 +111,10 @@
 
 /// Takes in what another node's list has besides this one.
 /// \param ReadAt when the other node's list was read.
+/// \param Complete whether nothing is missing after it.
 /// \return Whether it fits: it begins at this list and leads to what it says.
 bool registryApply(UpstreamRegistry &Registry, const RegistryChange &Change,
-                   TimePoint ReadAt);
+                   TimePoint ReadAt, bool Complete = true);
 
 } // namespace fulmar
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -102,7 +102,8 @@
   auto Calls = [](const GatewayNode &Node) {
     const auto &Pools =
         Node.services().find<BatchService>(service::Batches).pools();
-    return Pools.at("batch").Counts.Calls;
+    auto Found = Pools.find("batch");
+    return Found == Pools.end() ? 0 : Found->second.Counts.Calls;
   };
   CHECK(Served >= 5);
   CHECK(Calls(Coordinator) > 0);
