Nodes with a share of less than one repeat ask others for theirs

Cause: what all nodes may repeat is divided by the number of nodes. At 985 nodes a share is 0.74 repeats in a window, and a node that has taken in less than two requests of the pool may make none; at twice the size it is 0.37.

Change: where shares are below one, as many nodes have a whole one as there are repeats, by a lot that every node can work out; a node that lacks one for a request asks one of them, waits 30 ms, and decides then. Who lends counts the repeat, so the sum over all nodes stays what it was.

Measured in virtual time (tests/test_fleet.cpp), failures at nodes that see nothing else, 9, 300, 1,000 and 2,000 nodes: more than 0.8 of them are sent again at each size, never more than the allowance in a window.

--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -132,14 +132,15 @@
        static_cast<double>(RateLimited.counts().Named)},
       {"fulmarstep_rate_limited_sends_total", "counter",
        static_cast<double>(RateLimited.counts().Sends)},
+      {"fulmarstep_retries_lent_total", "counter",
+       static_cast<double>(Gateway->metrics().RetriesLent)},
       {"fulmarstep_turns_lent_total", "counter",
        static_cast<double>(Gateway->metrics().TurnsLent)},
       {"fulmarstep_turns_kept_total", "counter",
        static_cast<double>(Gateway->metrics().TurnsKept)},
       {"fulmarstep_peer_messages_total", "counter",
        static_cast<double>(Peers.SentMessages)},
-      {"fulmarstep_members", "gauge",
-       static_cast<double>(Members->ids().size())}};
+      {"fulmarstep_members", "gauge", static_cast<double>(Members->size())}};
   const BatchService &Batches = Services.find<BatchService>(service::Batches);
   BatchCounts Sum;
   double Waiting = 0;
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -1,6 +1,7 @@
 /// \file gateway_attempt.cpp Sends to upstreams, and what comes of them.
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 #include "attempt_decision_func.h"
 #include "core/hash.h"
@@ -138,10 +139,11 @@
   ForwardRequest *R = find(Serial);
   R->Attempt->Sent = true;
   planFree(*R);
-  if (R->Sends++ > 0) {
+  if (R->Sends++ == 0)
+    return;
+  ++Metrics.Repeats;
+  if (!std::exchange(R->RetryLent, false))
     retryWindowRepeat(Retries[R->PoolName], Timers->now());
-    ++Metrics.Repeats;
-  }
 }
 
 void GatewayService::attemptHead(RequestSerial Serial,
@@ -337,29 +339,40 @@
   Facts.Runs = R.Runs;
   Facts.Sends = R.Sends;
   Facts.MaxRuns = R.Route->Attempts;
-  Facts.Budget =
-      retryWindowAllows(Retries[R.PoolName], allowance(), Timers->now());
+  Facts.Budget = retryWindowAllows(Retries[R.PoolName], allowance(R.PoolName),
+                                   Timers->now());
   Facts.Elsewhere = R.Attempt && hasElsewhere(R);
   Facts.TimeLeft = R.Deadline - Timers->now() > LeastRetryTime;
   Facts.Expired = Expired;
+  if (askForRetry(R, Facts, Answer))
+    return;
+  follow(R, Facts, Answer);
+}
+
+/// Does what follows an attempt.
+void GatewayService::follow(ForwardRequest &R, const AttemptFacts &Facts,
+                            const HttpAnswer &Answer) {
   AttemptDecision Next = attemptDecisionAfter(Facts);
-  bool Quiet =
-      Next == AttemptDecision::PassOn && Outcome == AttemptOutcome::Success;
+  bool Quiet = Next == AttemptDecision::PassOn &&
+               Facts.Outcome == AttemptOutcome::Success;
   if (!Quiet)
     logEvent(LogLevel::Info, "attempt_failed",
              {{"id", R.Ask.RequestId},
               {"fingerprint", fingerprintText(R.Content)},
               {"upstream", R.LastUpstream},
-              {"why", Expired ? "time over" : R.LastFailure},
-              {"effect", attemptEffectName(Effect)},
+              {"why", Facts.Expired ? "time over" : R.LastFailure},
+              {"effect", attemptEffectName(Facts.Effect)},
               {"decision", attemptDecisionName(Next)},
               {"sends", R.Sends},
               {"runs", R.Runs},
               {"budget", Facts.Budget ? 1 : 0},
+              {"asked", R.RetryAsked ? 1 : 0},
               {"took_ms",
                R.Attempt ? toMs(Timers->now() - R.Attempt->Started) : 0.0}});
-  judgeUpstream(R, Outcome, Effect);
-  bool Streaming = R.Attempt && R.Attempt->Streaming;
+  bool Streaming =
+      R.Ended ? R.Ended->Streaming : R.Attempt && R.Attempt->Streaming;
+  R.Ended.reset();
+  judgeUpstream(R, Facts.Outcome, Facts.Effect);
   closeAttempt(R);
   switch (Next) {
   case AttemptDecision::PassOn:
@@ -369,9 +382,9 @@
       return redoStages(R);
     return httpBrokeOff(Answer) ? retryAfterCrash(R) : sendAttempt(R.Serial);
   case AttemptDecision::RefuseNotRun:
-    if (Expired)
+    if (Facts.Expired)
       return finish(R, ResultCode::DeadlineInQueue);
-    return finish(R, Effect == AttemptEffect::SaidNotRun
+    return finish(R, Facts.Effect == AttemptEffect::SaidNotRun
                          ? ResultCode::UpstreamsBusy
                          : ResultCode::NoUpstream);
   case AttemptDecision::FailUnknown:
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -28,6 +28,7 @@
   Histogram FirstEvent{latencyEdgesMs()};  ///< Send to first event, ms.
   std::uint64_t Accepted = 0;              ///< Requests taken in.
   std::uint64_t Repeats = 0;               ///< Sends beyond the first.
+  std::uint64_t RetriesLent = 0;           ///< To other nodes.
   std::uint64_t TurnsLent = 0; ///< Turns that other nodes asked for and got.
   std::uint64_t TurnsKept = 0; ///< The same, and did not get.
 };
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -2,6 +2,7 @@
 #ifndef FULMARSTEP_GATEWAY_REQUEST_H
 #define FULMARSTEP_GATEWAY_REQUEST_H
 
+#include "attempt_decision_type.h"
 #include "batch_relay.h"
 #include "event_stream.h"
 #include "fair_queue_base.h"
@@ -54,6 +55,13 @@
   EventSplitter Splitter;  ///< Takes the stream apart.
 };
 
+/// An attempt that has ended, while it is not decided yet what follows.
+struct EndedAttempt {
+  AttemptFacts Facts;     ///< What is known of it.
+  HttpAnswer Answer;      ///< What it came to.
+  bool Streaming = false; ///< Its answer was passed on as it came.
+};
+
 /// A request in progress.
 struct ForwardRequest {
   RequestSerial Serial;             ///< Its name on this node.
@@ -78,6 +86,9 @@
   TimePoint StagesDone{};                ///< When the last one was done.
   std::optional<ForwardAttempt> Attempt; ///< In progress.
   std::vector<UpstreamId> Tried;         ///< Upstreams that it was sent to.
+  std::optional<EndedAttempt> Ended;     ///< Waits for another node's repeat.
+  bool RetryAsked = false;               ///< It has asked for one.
+  bool RetryLent = false;                ///< Its next repeat is counted there.
   bool TurnAsked = false;                ///< It has asked for a turn once.
   std::optional<UpstreamId> Lent;        ///< It has got a turn there.
   int Sends = 0;                         ///< Attempts that were sent.
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -60,6 +60,13 @@
   Peers->on<TurnAnswer>([this](const PeerMessage &, const TurnAnswer &Answer) {
     turnAnswered(Answer);
   });
+  Peers->on<RetryAsk>([this](const PeerMessage &From, const RetryAsk &Ask) {
+    lendRetry(From.Sender, Ask);
+  });
+  Peers->on<RetryAnswer>(
+      [this](const PeerMessage &, const RetryAnswer &Answer) {
+        retryAnswered(Answer);
+      });
   Quarantined->onHeld([this](Fingerprint Content) { endQuarantined(Content); });
   Routes->onChange([this] { configChanged(); });
   Upstreams->onRestart(
@@ -181,6 +188,8 @@
   if (!R)
     return;
   R->DeadlineTimer = TimerId{};
+  if (R->Ended)
+    return retryAnswered({Serial.Value, /*Lent=*/false});
   bool Sent = R->Attempt && R->Attempt->Sent;
   if (R->Attempt)
     Client->cancel(R->Attempt->Call);
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -136,6 +136,14 @@
   bool waitForTurn(ForwardRequest &R, const Pool &P);
   std::optional<std::size_t> lentUpstream(ForwardRequest &R, const Pool &P);
 
+  // gateway_retry.cpp: repeats of other nodes.
+  RetryAllowance allowance(const std::string &Pool) const;
+  std::string retryOwner(const std::string &Pool);
+  bool askForRetry(ForwardRequest &R, AttemptFacts Facts,
+                   const HttpAnswer &Answer);
+  void lendRetry(const std::string &From, const RetryAsk &Ask);
+  void retryAnswered(const RetryAnswer &Answer);
+
   // gateway_attempt.cpp: sends and their answers.
   void sendAttempt(RequestSerial Serial);
   void planFree(ForwardRequest &R);
@@ -149,6 +157,8 @@
   void afterAttempt(ForwardRequest &R, AttemptOutcome Outcome,
                     AttemptEffect Effect, const HttpAnswer &Answer,
                     bool Expired);
+  void follow(ForwardRequest &R, const AttemptFacts &Facts,
+              const HttpAnswer &Answer);
   void redoStages(ForwardRequest &R);
   Duration patience(const ForwardRequest &R) const;
   void watchSilence(ForwardRequest &R);
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -11,6 +11,7 @@
 #include "member_type.h"
 #include "quarantine_type.h"
 #include "rate_limit_type.h"
+#include "retry_window.h"
 #include "state_sync_type.h"
 
 namespace fulmar {
@@ -38,7 +39,7 @@
                  BatchAnswerMessage, BatchReleaseMessage, StateSyncRequest,
                  StateSyncResponse, ConfigFetch, ConfigCopy, CrashReport,
                  QuarantineUpdate, QuarantineObjection, RateLimitUpdate,
-                 TurnAsk, TurnAnswer>;
+                 TurnAsk, TurnAnswer, RetryAsk, RetryAnswer>;
 
 /// A message between nodes, with what every message says.
 struct PeerMessage {
--- a/tests/test_fleet.cpp
+++ b/tests/test_fleet.cpp
@@ -1,7 +1,11 @@
 /// \file test_fleet.cpp What holds at each size of a fleet.
 #include <catch2/catch.hpp>
 
+#include "core/hash.h"
 #include "fleet_net.h"
+#include "retry_window.h"
+#include "state_sync_func.h"
+#include "upstream_registry.h"
 
 using namespace fulmar;
 using namespace std::chrono_literals;
@@ -72,3 +76,140 @@
   // 60 bytes each; three kB a second in all.
   CHECK(static_cast<double>(Net.Beliefs) / PerSecond < 50);
 }
+
+SCENARIO("a part of what all nodes may repeat is used by few") {
+  // Guards against shares of less than one repeat, which no node may make.
+  std::size_t Size = GENERATE(9, 300, 1000, 2000);
+  RetryAllowance A{0.2, 1040, 10s, static_cast<double>(Size)};
+  Random Rng(Size);
+  std::vector<RetryWindow> Windows(Size);
+  auto Allows = [&](std::size_t Node, TimePoint Now) {
+    A.Lot = static_cast<double>(hash64(std::to_string(Node)) >> 11) * 0x1.0p-53;
+    if (!retryWindowAllows(Windows[Node], A, Now))
+      return false;
+    retryWindowRepeat(Windows[Node], Now);
+    return true;
+  };
+  int Wanted = 0;
+  int Made = 0;
+  std::deque<TimePoint> Latest;
+  std::size_t MostInWindow = 0;
+  for (TimePoint Now{20s}; Now < TimePoint{60s}; Now += 100ms) {
+    // Each request of a node that sees nothing else fails.
+    std::size_t Node = randomIndex(Rng, Size);
+    ++Wanted;
+    bool Own = Allows(Node, Now);
+    if (!Own && retrySharesSmall(A)) {
+      std::size_t Owner = randomIndex(Rng, Size);
+      for (int Draw = 0; Draw < 16; ++Draw) {
+        A.Lot = static_cast<double>(hash64(std::to_string(Owner)) >> 11) *
+                0x1.0p-53;
+        if (retryShare(A) >= 1)
+          break;
+        Owner = randomIndex(Rng, Size);
+      }
+      Own = Allows(Owner, Now);
+    }
+    Made += Own ? 1 : 0;
+    if (Own)
+      Latest.push_back(Now);
+    while (!Latest.empty() && Latest.front() + 10s <= Now)
+      Latest.pop_front();
+    MostInWindow = std::max(MostInWindow, Latest.size());
+  }
+  INFO(Size << " nodes: " << Made << " of " << Wanted);
+  CHECK(Made > 0.8 * Wanted);
+  CHECK(MostInWindow <= 1040);
+  double Shares = 0;
+  for (std::size_t I = 0; I < Size; ++I) {
+    A.Lot = static_cast<double>(hash64(std::to_string(I)) >> 11) * 0x1.0p-53;
+    Shares += retryShare(A);
+  }
+  CHECK(Shares < 0.8 * 1040);
+}
+
+SCENARIO("few nodes read for a fleet of any size") {
+  // Guards against calls to the key-value service that grow with the fleet, and
+  // against nodes that serve more others the larger it is.
+  std::size_t Size = GENERATE(9, 300, 1000, 2000);
+  FleetNet Net(Size, Size);
+  Membership M;
+  for (Membership &Node : Net.Nodes) {
+    Node.Self.Unfit = false;
+    M.Members[Node.Self.Id].Info = Node.Self;
+  }
+  auto Sources = [&](const std::set<std::string> &Silent) {
+    std::map<std::string, std::size_t> Served;
+    for (Membership &Node : Net.Nodes) {
+      if (Silent.count(Node.Self.Id))
+        continue;
+      M.Self = Node.Self;
+      M.Members.erase(Node.Self.Id);
+      SyncSource Source = chooseSyncSource(M, Silent);
+      M.Members[Node.Self.Id].Info = Node.Self;
+      CHECK((Source.Role == SyncRole::Reader) == (Source.Node == Node.Self.Id));
+      ++Served[Source.Role == SyncRole::Reader ? "" : Source.Node];
+    }
+    return Served;
+  };
+  auto Served = Sources({});
+  CHECK(Served[""] <= 5);
+  for (const auto &[Node, Count] : Served) {
+    INFO(Size << " nodes, " << Node << " serves " << Count);
+    CHECK(Count <= 2 * NodesPerReader);
+  }
+  THEN("those that do not answer are replaced by others") {
+    std::set<std::string> Silent;
+    for (const auto &[Node, Count] : Served) {
+      if (!Node.empty() && Silent.size() < Size / 3)
+        Silent.insert(Node);
+    }
+    auto Others = Sources(Silent);
+    CHECK(Others[""] <= 5);
+    for (const std::string &Node : Silent)
+      CHECK(Others.count(Node) == 0);
+  }
+}
+
+SCENARIO("lists are compared while they grow") {
+  // Guards against a comparison that never ends, as each of its parts comes
+  // from a later list.
+  std::size_t Size = GENERATE(90, 3000, 10000, 20000);
+  auto Named = [](std::size_t I) {
+    UpstreamEntry Entry;
+    Entry.Instance = std::string("u").append(std::to_string(I));
+    Entry.Pool = "p";
+    Entry.Address = "10.0.0.1:1";
+    return Entry;
+  };
+  UpstreamRegistry Reader;
+  std::vector<UpstreamEntry> All;
+  for (std::size_t I = 0; I < Size; ++I)
+    All.push_back(Named(I));
+  registryRead(Reader, All, TimePoint{1s});
+  UpstreamRegistry Listener;
+  registryRead(Listener, {Named(Size)}, TimePoint{1s});
+  std::size_t Parts = 0;
+  BucketDigests Known = Listener.Buckets;
+  std::uint64_t Digest = Listener.Digest;
+  while (Digest != Reader.Digest && ++Parts <= RegistryBuckets) {
+    RegistryChange Part = registryBucketsSince(Reader, Digest, Known);
+    for (std::uint32_t Bucket : Part.Whole)
+      Known[Bucket] = Reader.Buckets[Bucket];
+    Digest = Part.To;
+    REQUIRE(registryApply(Listener, Part, TimePoint{2s}));
+  }
+  CHECK(Listener.Entries == Reader.Entries);
+  THEN("a change of one is told alone") {
+    Listener.Untold.clear();
+    UpstreamEntry Leaving = Named(7);
+    Leaving.Leaving = true;
+    std::uint64_t Before = Reader.Digest;
+    CHECK(registryEvents(Reader, {Leaving}, {}, TimePoint{3s}));
+    auto Change = registryChangesSince(Reader, Before);
+    REQUIRE(Change);
+    CHECK(Change->Listed.size() == 1);
+    CHECK(registryApply(Listener, *Change, TimePoint{3s}));
+    CHECK(Listener.Untold.size() == 1);
+  }
+}
