--- a/src/state_sync_service.cpp
+++ b/src/state_sync_service.cpp
@@ -22,9 +22,14 @@
 /// after 1.3 s at most where nodes ask readers, and somewhat later by way of
 /// relays.
 static constexpr Duration AskPeriod = std::chrono::milliseconds(150);
-/// Without an answer for this long, another node is asked. A large part of a
-/// list over a small host's link takes some hundred ms.
-static constexpr Duration AnswerPatience = std::chrono::milliseconds(900);
+/// Without an answer for this long, another node is asked.
+static constexpr Duration AnswerPatience = std::chrono::milliseconds(450);
+/// The same where lists are compared: a large part of one over a small host's
+/// link takes some hundred ms.
+static constexpr Duration ComparePatience = std::chrono::milliseconds(900);
+/// In a large fleet a node that knows nothing more recent is not asked for a
+/// while: the key-value service may turn it away, or those that it asks.
+static constexpr Duration MostSourceAge = std::chrono::milliseconds(1300);
 /// For the next part of an answer.
 static constexpr Duration PartPatience = std::chrono::milliseconds(300);
 /// How long a silent node is not asked.
@@ -139,6 +144,14 @@
     To.pop_front();
 }
 
+/// A node is not asked for a while.
+void StateSyncService::leaveOut(const std::string &Node, std::string_view Why) {
+  logRoutine("sync_source_left", {{"node", Node}, {"why", Why}});
+  Silent[Node] = Timers->now() + SilentTime;
+  SourceChanges = NeverChosen;
+  AskedSince = TimePoint{};
+}
+
 void StateSyncService::heard(const std::string &From,
                              const StateSyncResponse &Answer) {
   if (From == Asked)
@@ -147,6 +160,11 @@
     Answered = *Asking;
   else if (Answer.Nonce != Answered.Nonce)
     return; // The answer to an earlier question is too old to use.
+  // The next question goes to another node, and not at once: while the service
+  // is away none knows more.
+  if (leavesReading() && Answer.ConfigVersion != 0 &&
+      Answer.ConfigAge > MostSourceAge)
+    leaveOut(From, "stale");
   PartsUntil = Answer.More ? Timers->now() + PartPatience : TimePoint{};
   Epochs->heardEpoch(Answer.Epoch);
   for (const StateSyncFn &Fn : Hear)
@@ -219,18 +237,16 @@
     return;
   TimePoint Now = Timers->now();
   bool Compares = Upstreams->behind() || !Upstreams->registry().Known;
-  bool Waits = AskedSince > TimePoint{} && Now - AskedSince <= AnswerPatience;
+  Duration Patience = Compares ? ComparePatience : AnswerPatience;
+  bool Waits = AskedSince > TimePoint{} && Now - AskedSince <= Patience;
   // The answer to a comparison may be long, and is on its way.
   if (Asked == Source.Node && (Now < PartsUntil || (Compares && Waits)))
     return;
   if (std::exchange(Asked, Source.Node) != Source.Node ||
       AskedSince == TimePoint{})
     AskedSince = Now;
-  if (Now - AskedSince > AnswerPatience) {
-    logRoutine("sync_source_silent", {{"node", Asked}});
-    Silent[Asked] = Now + SilentTime;
-    SourceChanges = NeverChosen;
-    AskedSince = TimePoint{};
+  if (Now - AskedSince > Patience) {
+    leaveOut(Asked, "silent");
     return ask();
   }
   addQuestion(Questions, ++Nonce);
--- a/src/state_sync_service.h
+++ b/src/state_sync_service.h
@@ -92,6 +92,7 @@
   const SyncSource &source() const;
   void waitSettled();
   void listed(const KvItems &Found);
+  void leaveOut(const std::string &Node, std::string_view Why);
   void begin() const;
   void tick();
   void heard(const std::string &From, const StateSyncResponse &Answer);
