A node that joins reads one page of the fleet's keys

Cause: each of 985 nodes read the entries of all others, up to five pages, when it joined: calls and bytes that grow with the square of the fleet; long lists were read whole by each reader every 20 s beside the changes that it follows.

Change: entries of nodes stand after the fleet's other keys, and a read ends after the page with which it has 128 keys; who finds so many takes the fleet for large. Entries of earlier versions are still read. A list that is followed by its changes is read whole once a minute; lost history is read at once, as before.

tests/test_restore.cpp erases the entries under their new name.

--- a/src/join_service.cpp
+++ b/src/join_service.cpp
@@ -15,7 +15,11 @@
 
 static const std::string Prefix(FleetPrefix);
 static const std::string KeyName = Prefix + "peer-key";
-static const std::string NodePrefix = Prefix + "nodes/";
+/// Entries of nodes come after all other keys of the fleet, so that the first
+/// page of a read has those, and as many nodes as one needs to find the rest.
+static const std::string NodePrefix = Prefix + "running/";
+/// As earlier versions wrote them.
+static const std::string EarlierNodePrefix = Prefix + "nodes/";
 /// An entry outlives its process by this much. It is only a seed for others,
 /// so it may be long, and renewals few.
 static constexpr Duration LeaseTime = std::chrono::seconds(30);
@@ -37,7 +41,8 @@
 static constexpr int MostPauses = 4;
 
 bool isNodeEntry(const KvItem &Item) {
-  return Item.Key.rfind(NodePrefix, 0) == 0;
+  return Item.Key.rfind(NodePrefix, 0) == 0 ||
+         Item.Key.rfind(EarlierNodePrefix, 0) == 0;
 }
 
 void JoinService::start() {
@@ -110,14 +115,24 @@
   });
 }
 
+/// Keys of the fleet that are read at least, if there are so many. Each node of
+/// a large fleet would otherwise read the entries of all others.
+static constexpr std::size_t EnoughKeys = 128;
+
+/// \return Whether a read of the fleet's keys goes on after a page.
+static bool wantsMore(const KvItems &SoFar) {
+  return SoFar.Items.size() < EnoughKeys;
+}
+
 void JoinService::read() {
-  Tree->range(Prefix, [this, Now = Turn](const KvItems &Found) {
+  auto Done = [this, Now = Turn](const KvItems &Found) {
     if (Now != Turn)
       return;
     if (Found.Status != KvStatus::Ok)
       return later(&JoinService::read, Found.Status);
     taken(Found);
-  });
+  };
+  Tree->range(Prefix, Done, wantsMore);
 }
 
 void JoinService::taken(const KvItems &Found) {
@@ -206,10 +221,11 @@
 void JoinService::readIfAlone() {
   if (Members->ids().size() > 1)
     return;
-  Tree->range(Prefix, [this](const KvItems &Found) {
+  auto Done = [this](const KvItems &Found) {
     if (Found.Status == KvStatus::Ok)
       taken(Found);
-  });
+  };
+  Tree->range(Prefix, Done, wantsMore);
 }
 
 void JoinService::renew() {
--- a/src/kv_tree.h
+++ b/src/kv_tree.h
@@ -30,8 +30,8 @@
 class KvTree {
 public:
   using ItemsFn = std::function<void(const KvItems &)>;
-  /// \return Whether the rest is wanted.
-  using GoOnFn = std::function<bool()>;
+  /// Hears what was read so far. \return Whether the rest is wanted.
+  using GoOnFn = std::function<bool(const KvItems &)>;
 
   virtual ~KvTree() = default;
   /// Reads every key that begins with \p Prefix, as the service has it now.
--- a/src/state_sync_service.cpp
+++ b/src/state_sync_service.cpp
@@ -106,6 +106,8 @@
   bool First = Entered == 0;
   Entered = 1 + static_cast<std::size_t>(std::count_if(
                     Found.Items.begin(), Found.Items.end(), isNodeEntry));
+  if (Found.Partial)
+    Entered = std::max(Entered, LeaveReadingFrom);
   if (First && !leavesReading())
     begin();
 }
--- a/src/upstream_feed_read.cpp
+++ b/src/upstream_feed_read.cpp
@@ -14,7 +14,7 @@
 /// length, and read whole once in a while, as a check.
 static constexpr std::size_t LongList = 500;
 static constexpr Duration FollowWait = std::chrono::milliseconds(500);
-static constexpr Duration WholePeriod = std::chrono::seconds(20);
+static constexpr Duration WholePeriod = std::chrono::seconds(60);
 /// Between two waits. Of a release of many upstreams each change would
 /// otherwise end a wait of its own.
 static constexpr Duration FollowPause = std::chrono::milliseconds(100);
@@ -44,7 +44,7 @@
     readAfter(mayFollow() ? FollowPause : ReadPeriod);
   };
   Tree->range(Wire.upstreamsPrefix(), Done,
-              [this] { return Readers->mayReadMuch(); });
+              [this](const KvItems &) { return Readers->mayReadMuch(); });
 }
 
 void UpstreamFeed::readFailed(const std::string &Why) {
--- a/tests/test_restore.cpp
+++ b/tests/test_restore.cpp
@@ -143,14 +143,14 @@
   // because entries are only renewed every few seconds.
   RestoreWorld W(2);
   for (const char *Node : {"n0", "n1"})
-    W.Store.erase("fulmarstep/nodes/" + std::string(Node));
+    W.Store.erase("fulmarstep/running/" + std::string(Node));
   W.Store.keepCopy();
   W.restore();
   CHECK(runUntil(
       W.Loop,
       [&] {
-        return !W.Store.value("fulmarstep/nodes/n0").empty() &&
-               !W.Store.value("fulmarstep/nodes/n1").empty();
+        return !W.Store.value("fulmarstep/running/n0").empty() &&
+               !W.Store.value("fulmarstep/running/n1").empty();
       },
       seconds(2)));
   W.addNode();
@@ -162,8 +162,8 @@
   // secret, and nodes that start after the return and create another one.
   RestoreWorld W(2);
   W.Store.erase("fulmarstep/peer-key");
-  W.Store.erase("fulmarstep/nodes/n0");
-  W.Store.erase("fulmarstep/nodes/n1");
+  W.Store.erase("fulmarstep/running/n0");
+  W.Store.erase("fulmarstep/running/n1");
   W.Store.keepCopy();
   W.restore();
   W.startNode("n2");
