Log and count what upstreams announce about themselves

Change, without effect on any choice: WireFormat::readNotice reads Server-Leaving, Retry-After of 503 and 429, and the rate limit at one place, for requests and stage calls; UpstreamNoticeService keeps it by incarnation, logs upstream_backoff and upstream_leaving, and counts sends within a backoff (fulmarstep_backoff_sends_total).

--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -12,6 +12,7 @@
 #include "node_services.h"
 #include "quarantine_service.h"
 #include "rate_limit_service.h"
+#include "upstream_notice_service.h"
 
 namespace fulmar {
 
@@ -33,6 +34,7 @@
   Client = &Services.find<HttpClientService>(service::Http).Client;
   Quarantined = &Services.find<QuarantineService>(service::Quarantine);
   RateLimited = &Services.find<RateLimitService>(service::RateLimits);
+  Notices = &Services.find<UpstreamNoticeService>(service::Notices);
   RateLimited->onChange(
       [this](const Incarnation &Start) { rateLimitChanged(Start); });
   Tickets.start(Services.find<LoopService>(service::Loop).Loop);
@@ -299,6 +301,7 @@
   Call.Timeout = Send.Timeout;
   HttpCallbacks On;
   RateLimited->sent(Send.Upstream);
+  On.OnSent = [this, Upstream = Send.Upstream] { Notices->sent(Upstream); };
   On.OnDone = [this, Pool = P.Name, Id = Send.Call, Address = Send.Address,
                Upstream = Send.Upstream, Size = Send.Items.size(),
                Contents = fingerprintsOf(Send.Items),
@@ -306,7 +309,9 @@
     BatchCallResult Result = Wire.readBatch(Answer);
     Result.Crashed = peerClosedEarly(Answer);
     reportCall(Address, Contents, Result);
-    RateLimited->heard(Upstream, {Result.RateLimit, Result.Answered, Started});
+    UpstreamNotice Notice = Wire.readNotice(Answer);
+    RateLimited->heard(Upstream, {Notice.RateLimit, Result.Answered, Started});
+    Notices->heard(Upstream, Notice);
     logEvent(LogLevel::Debug, "batch_call_ended",
              {{"pool", Pool},
               {"upstream", Address},
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -18,6 +18,7 @@
 
 class QuarantineService;
 class RateLimitService;
+class UpstreamNoticeService;
 
 /// Runs the pools that this node coordinates: sends their calls and carries out
 /// their other actions.
@@ -79,6 +80,7 @@
   HttpClient *Client = nullptr;             ///< Sends calls.
   QuarantineService *Quarantined = nullptr; ///< Receives reports of crashes.
   RateLimitService *RateLimited = nullptr;  ///< Announced rate limits.
+  UpstreamNoticeService *Notices = nullptr; ///< Announcements of upstreams.
   std::map<std::string, Listing> Listings;  ///< By pool.
   std::map<std::string, BatchPool> Pools;   ///< Pool parts, by name.
   std::set<std::string> ActiveParts; ///< Pool parts with work in progress.
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -136,8 +136,6 @@
   bool Crashed = false; ///< The upstream closed the connection during the call.
   std::vector<PieceResult> Pieces;  ///< In the order of the call.
   std::optional<UpstreamLoad> Load; ///< Load that the upstream reported.
-  std::optional<double> RateLimit; ///< Calls a second that the upstream accepts
-                                   ///< from all nodes together.
   std::string Why; ///< Reason for the log, when the response cannot be read.
 };
 
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -15,6 +15,7 @@
 #include "route_feed.h"
 #include "settings_func.h"
 #include "upstream_feed.h"
+#include "upstream_notice_service.h"
 
 namespace fulmar {
 
@@ -96,6 +97,8 @@
       Services.find<QuarantineService>(service::Quarantine);
   const RateLimitService &RateLimited =
       Services.find<RateLimitService>(service::RateLimits);
+  const UpstreamNoticeCounts &Notices =
+      Services.find<UpstreamNoticeService>(service::Notices).counts();
   auto Age = Routes->age();
   std::vector<UnlabelledMetric> Plain = {
       {"fulmarstep_requests_accepted_total", "counter",
@@ -132,6 +135,12 @@
        static_cast<double>(RateLimited.counts().Named)},
       {"fulmarstep_rate_limited_sends_total", "counter",
        static_cast<double>(RateLimited.counts().Sends)},
+      {"fulmarstep_upstream_backoffs_total", "counter",
+       static_cast<double>(Notices.Backoffs)},
+      {"fulmarstep_backoff_sends_total", "counter",
+       static_cast<double>(Notices.BackoffSends)},
+      {"fulmarstep_upstreams_leaving_total", "counter",
+       static_cast<double>(Notices.Leaving)},
       {"fulmarstep_retries_lent_total", "counter",
        static_cast<double>(Gateway->metrics().RetriesLent)},
       {"fulmarstep_turns_lent_total", "counter",
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -50,14 +50,20 @@
   int Slots = 0;   ///< Requests that it can run at once.
 };
 
+/// What an upstream announces about itself in the head of an answer.
+struct UpstreamNotice {
+  bool Leaving = false; ///< It is going to stop and wants no new requests.
+  Duration Backoff{};   ///< It wants no requests from this node for this long.
+  std::optional<double> RateLimit; ///< Requests per second that it accepts from
+                                   ///< all nodes together.
+};
+
 /// Metadata in the head of an upstream's answer.
 struct ForwardResponseInfo {
   bool Signed = false;     ///< It has the upstream's signature.
   bool SaidNotRun = false; ///< The upstream did not run the request.
   bool InputsGone = false; ///< A stage's result is missing at its upstream.
   bool Elsewhere = false;  ///< Sent by another upstream than the addressed one.
-  std::optional<double> RateLimit; ///< Requests per second that the upstream
-                                   ///< accepts from all nodes together.
 };
 
 } // namespace fulmar
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -14,6 +14,7 @@
 #include "retry_window.h"
 #include "route_func.h"
 #include "upstream_func.h"
+#include "upstream_notice_service.h"
 
 namespace fulmar {
 
@@ -98,6 +99,7 @@
   R->LastUpstream = U.Address;
   R->Attempt.emplace();
   R->Attempt->Upstream = U.Id;
+  R->Attempt->Start = U.Start;
   R->Attempt->Address = U.Address;
   R->Attempt->Started = Now;
   R->Attempt->LastEventAt = Now;
@@ -105,6 +107,19 @@
   startEventTimer(*R);
 }
 
+/// Reports what the upstream of an attempt announces about itself in the head
+/// of its answer.
+void GatewayService::reportNotice(const ForwardRequest &R,
+                                  const HttpResponse &Answer,
+                                  const ForwardResponseInfo &Reply) {
+  if (Reply.Elsewhere)
+    return;
+  const ForwardAttempt &A = *R.Attempt;
+  UpstreamNotice Notice = Wire.readNotice(Answer);
+  RateLimited->heard(A.Start, {Notice.RateLimit, Reply.Signed, A.Started});
+  Notices->heard(A.Start, Notice);
+}
+
 /// \return Whether some of a request's results occupy scarce space.
 static bool holdsScarceSpace(const ForwardRequest &R) {
   auto Scarce = [](const StageProgress &Stage) {
@@ -140,6 +155,7 @@
 void GatewayService::attemptSent(RequestSerial Serial) {
   ForwardRequest *R = find(Serial);
   R->Attempt->Sent = true;
+  Notices->sent(R->Attempt->Start);
   scheduleInputRelease(*R);
   if (R->Sends++ == 0)
     return;
@@ -154,7 +170,7 @@
   ForwardAttempt &A = *R->Attempt;
   A.Head = Answer;
   ForwardResponseInfo Reply = Wire.readResponseInfo(Answer);
-  reportRateLimit(*R, Reply);
+  reportNotice(*R, Answer, Reply);
   constexpr int FirstBadStatus = 300;
   bool Good = Answer.Status >= HttpOk && Answer.Status < FirstBadStatus;
   A.Streaming = R->Route->Kind == RouteKind::Streaming && Good && Reply.Signed;
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -18,6 +18,7 @@
 #include "route_feed.h"
 #include "state_sync_service.h"
 #include "upstream_feed.h"
+#include "upstream_notice_service.h"
 
 namespace fulmar {
 
@@ -78,6 +79,8 @@
                std::make_unique<QuarantineService>(Services, Quarantined));
   Services.add(service::RateLimits,
                std::make_unique<RateLimitService>(Services));
+  Services.add(service::Notices,
+               std::make_unique<UpstreamNoticeService>(Services));
   Services.add(service::Gateway, std::make_unique<GatewayService>(
                                      Services, Config, Wire, Seed + 5));
   Services.add(service::Entries,
--- a/src/gateway_rate_limit.cpp
+++ b/src/gateway_rate_limit.cpp
@@ -12,16 +12,6 @@
 
 static constexpr double MsPerSecond = 1e3;
 
-/// Reports the rate limit in the head of an answer, or that it has none.
-void GatewayService::reportRateLimit(const ForwardRequest &R,
-                                     const ForwardResponseInfo &Reply) {
-  const Upstream *U = upstreamById(Pools[R.PoolName], R.Attempt->Upstream);
-  if (!U || Reply.Elsewhere)
-    return;
-  RateLimited->heard(U->Start,
-                     {Reply.RateLimit, Reply.Signed, R.Attempt->Started});
-}
-
 void GatewayService::rateLimitChanged(const Incarnation &Start) {
   for (auto &[Name, P] : Pools) {
     for (Upstream &U : P.Upstreams) {
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -42,6 +42,7 @@
 struct ForwardAttempt {
   HttpCallId Call;         ///< HTTP call.
   UpstreamId Upstream;     ///< Upstream that it is sent to.
+  Incarnation Start;       ///< Start of that upstream.
   std::string Address;     ///< Address of the upstream.
   TimePoint Started{};     ///< When the call was started.
   bool Sent = false;       ///< A byte may have reached the upstream.
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -16,6 +16,7 @@
 #include "settings_func.h"
 #include "upstream_feed.h"
 #include "upstream_func.h"
+#include "upstream_notice_service.h"
 
 namespace fulmar {
 
@@ -52,6 +53,7 @@
   OwnPools = &Services.find<BatchService>(service::Batches);
   Quarantined = &Services.find<QuarantineService>(service::Quarantine);
   RateLimited = &Services.find<RateLimitService>(service::RateLimits);
+  Notices = &Services.find<UpstreamNoticeService>(service::Notices);
   RateLimited->onChange(
       [this](const Incarnation &Start) { rateLimitChanged(Start); });
   Peers->on<TurnAsk>([this](const PeerMessage &From, const TurnAsk &Ask) {
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -21,6 +21,7 @@
 class PeerService;
 class QuarantineService;
 class RateLimitService;
+class UpstreamNoticeService;
 
 /// Recent times of a route's requests, smoothed.
 struct RouteTimes {
@@ -120,8 +121,6 @@
   void endQuarantined(Fingerprint Content);
 
   // gateway_rate_limit.cpp: upstreams that announce a rate limit.
-  void reportRateLimit(const ForwardRequest &R,
-                       const ForwardResponseInfo &Reply);
   void rateLimitChanged(const Incarnation &Start);
   std::optional<double> limitedRate(const Pool &P) const;
   std::optional<Duration> limitedWait(const ForwardRequest &R);
@@ -151,6 +150,8 @@
   void scheduleInputRelease(ForwardRequest &R);
   HttpCallbacks attemptCallbacks(RequestSerial Serial);
   void abandonAttempt(ForwardRequest &R, std::string Why);
+  void reportNotice(const ForwardRequest &R, const HttpResponse &Answer,
+                    const ForwardResponseInfo &Reply);
   void attemptSent(RequestSerial Serial);
   void attemptHead(RequestSerial Serial, const HttpResponse &Answer);
   void attemptChunk(RequestSerial Serial, std::string_view Bytes);
@@ -211,6 +212,7 @@
   BatchService *OwnPools = nullptr; ///< Batch pools that this node coordinates.
   QuarantineService *Quarantined = nullptr; ///< Quarantined requests.
   RateLimitService *RateLimited = nullptr;  ///< Upstreams with a rate limit.
+  UpstreamNoticeService *Notices = nullptr; ///< Announcements of upstreams.
   std::unique_ptr<HttpServer> Server;       ///< Listens for clients.
   std::map<std::string, Pool> Pools;        ///< Plain pools and engines.
   /// Pools with attempts that ended since the latest sweep().
--- a/src/node_services.h
+++ b/src/node_services.h
@@ -26,6 +26,7 @@
 inline constexpr std::string_view Relay = "relay";
 inline constexpr std::string_view Quarantine = "quarantine";
 inline constexpr std::string_view RateLimits = "rate_limits";
+inline constexpr std::string_view Notices = "upstream_notices";
 inline constexpr std::string_view Gateway = "gateway";
 inline constexpr std::string_view Entries = "entries";
 inline constexpr std::string_view Callers = "callers";
--- a/src/rate_limit_service.cpp
+++ b/src/rate_limit_service.cpp
@@ -65,10 +65,7 @@
   rateLimitsExpire(
       State,
       [this](const Incarnation &Upstream) {
-        const auto &Entries = Upstreams->registry().Entries;
-        auto Found = Entries.find(Upstream.Instance);
-        return Found != Entries.end() &&
-               Found->second.incarnation() == Upstream;
+        return Upstreams->registry().lists(Upstream);
       },
       Timers->now());
   RateLimitUpdate Update{rateLimitNotices(State, Timers->now())};
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -79,6 +79,12 @@
   TimePoint RestoredAt{};
   std::map<std::string, GoneUpstream> Gone; ///< Left recently, by instance.
   bool Known = false;                       ///< It was read at least once.
+
+  /// \return Whether this start of an upstream is listed.
+  bool lists(const Incarnation &Upstream) const {
+    auto Found = Entries.find(Upstream.Instance);
+    return Found != Entries.end() && Found->second.incarnation() == Upstream;
+  }
 };
 
 /// Records that the store was restored from an older copy: until upstreams have
--- a/src/wire_format.h
+++ b/src/wire_format.h
@@ -49,6 +49,9 @@
   /// Reads the head of an upstream's response.
   virtual ForwardResponseInfo
   readResponseInfo(const HttpResponse &Answer) const = 0;
+  /// \return What the sender of a response announces about itself; empty if
+  /// another upstream than the addressed one has responded.
+  virtual UpstreamNotice readNotice(const HttpResponse &Answer) const = 0;
   /// \return The headers of an upstream's response that are passed to the
   /// client.
   virtual HttpHeaders replyHeaders(const HttpResponse &Answer) const = 0;
