--- a/tests/test_rate_limit.cpp
+++ b/tests/test_rate_limit.cpp
@@ -79,7 +79,7 @@
 std::size_t mostInWindow(const StandinRunner &Runner, TimePoint Since) {
   std::size_t Most = 0;
   std::deque<TimePoint> Latest;
-  for (TimePoint At : Runner.Arrivals) {
+  for (const auto &[At, RequestId] : Runner.Arrivals) {
     if (At < Since)
       continue;
     Latest.push_back(At);
