Follow Server-Leaving in upstreams' responses

Callers saw: requests to upstreams that are about to end, while the list still says that they are ready: it is late, away, or never says so. Cause: the same as for Retry-After, what an upstream says of itself in its responses was not read. Evidence: 'an upstream announces in its responses that it is leaving' fails on all four paths, with a store that is away, with lists and configurations that change, and for an upstream that refuses. Change: once a node has heard it, that start of the upstream gets nothing new from this node, whatever the list says later; a later start under the same name is free of it.

--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -30,6 +30,8 @@
   TimePoint AvoidUntil{};     ///< Gets no calls until then, after failures.
   TimePoint FullUntil{}; ///< Gets no calls until then, after it reported that
                          ///< it was full.
+  bool SaidLeaving = false; ///< It announced that it is leaving, whatever the
+                            ///< list says.
   TimePoint BackoffUntil{}; ///< It wants no calls from this node until then.
   double SpaceUsed = 0;     ///< Bytes of stored and reserved results.
   SendPace Pace; ///< Paces calls while the upstream names a rate limit.
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -12,7 +12,7 @@
 
 /// \return Whether calls may be sent to \p U, now or after its backoff.
 static bool usableAfterBackoff(const BatchUpstream &U, TimePoint Now) {
-  return U.Listed && !U.Entry.Leaving && U.AvoidUntil <= Now;
+  return U.Listed && !U.Entry.Leaving && !U.SaidLeaving && U.AvoidUntil <= Now;
 }
 
 bool batchUsable(const BatchUpstream &U, TimePoint Now) {
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -147,11 +147,13 @@
   perform(P, Out);
 }
 
-/// Applies what the upstreams of a part have announced: backoffs and rate
-/// limits. One node forms all calls of a part.
+/// Applies what the upstreams of a part have announced: that they are leaving,
+/// backoffs and rate limits. One node forms all calls of a part.
 void BatchService::applyNotices(BatchPool &P) {
   for (auto &[Start, U] : P.Upstreams) {
-    U.BackoffUntil = Notices->of(Start).BackoffUntil;
+    UpstreamNoticeEntry Entry = Notices->of(Start);
+    U.SaidLeaving = Entry.Leaving;
+    U.BackoffUntil = Entry.BackoffUntil;
     PaceTurns Turns;
     if (auto PerSecond = RateLimited->of(Start))
       Turns = paceTurns(*PerSecond, /*Nodes=*/1, RateLimitTurn, AgreedShare);
--- a/src/gateway_notice.cpp
+++ b/src/gateway_notice.cpp
@@ -1,5 +1,5 @@
 /// \file gateway_notice.cpp Upstreams that announce in their answers that they
-/// want no requests from this node.
+/// are leaving, or want no requests from this node for some time.
 #include "gateway_service.h"
 #include "rate_limit_service.h"
 #include "upstream_feed.h"
@@ -36,7 +36,10 @@
 
 /// Copies to an upstream of a pool what it has announced.
 void GatewayService::applyNotice(Upstream &U) const {
-  U.BackoffUntil = Notices->of(U.Start).BackoffUntil;
+  UpstreamNoticeEntry Entry = Notices->of(U.Start);
+  U.BackoffUntil = Entry.BackoffUntil;
+  U.SaidLeaving = Entry.Leaving;
+  U.Leaving = U.Leaving || Entry.Leaving;
 }
 
 /// Takes back an attempt of which nothing was sent, if its upstream wants no
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -388,7 +388,7 @@
   P.PlacesStale = P.PlacesStale || !U.Listed;
   P.Unlisted -= U.Listed ? 0 : 1;
   U.Listed = true;
-  U.Leaving = Spec.Leaving;
+  U.Leaving = Spec.Leaving || U.SaidLeaving;
   U.Cold = Spec.Cold;
   return U;
 }
@@ -429,7 +429,7 @@
     U.Listed = Found != New.end();
     if (!U.Listed)
       continue;
-    U.Leaving = Found->second->Leaving;
+    U.Leaving = Found->second->Leaving || U.SaidLeaving;
     U.Cold = Found->second->Cold;
     New.erase(Found);
   }
--- a/src/upstream_base.h
+++ b/src/upstream_base.h
@@ -40,6 +40,8 @@
   std::string FailureDomain; ///< Failure domain it runs in.
   bool Listed = true;        ///< Still in the host list.
   bool Leaving = false;      ///< Gets no new work.
+  bool SaidLeaving = false;  ///< It announced that it is leaving, whatever the
+                             ///< host list says.
   bool Cold = false;         ///< Just started, with reduced capacity.
   SendPace Pace;             ///< Turns to send while its rate is limited.
   std::size_t Place = 0;     ///< Index in the pool's list.
--- a/src/upstream_notice_service.cpp
+++ b/src/upstream_notice_service.cpp
@@ -38,9 +38,10 @@
 }
 
 bool UpstreamNoticeService::withhold(const Incarnation &Upstream) {
-  bool InBackoff = of(Upstream).BackoffUntil > Timers->now();
-  Counts.Withheld += InBackoff ? 1 : 0;
-  return InBackoff;
+  UpstreamNoticeEntry Entry = of(Upstream);
+  bool WantsNone = Entry.Leaving || Entry.BackoffUntil > Timers->now();
+  Counts.Withheld += WantsNone ? 1 : 0;
+  return WantsNone;
 }
 
 UpstreamNoticeEntry
--- a/src/upstream_notice_service.h
+++ b/src/upstream_notice_service.h
@@ -33,7 +33,7 @@
   /// \return What an upstream has announced.
   UpstreamNoticeEntry of(const Incarnation &Upstream) const;
   /// Checks a request at the last moment before its first byte is sent. The
-  /// upstream may have asked for a backoff since it was chosen, while the
+  /// upstream may have announced something since it was chosen, while the
   /// connection was established.
   /// \return Whether the request must not be sent.
   bool withhold(const Incarnation &Upstream);
