Follow a backoff that the key-value service asks for

Calls within the backoff end with 503 at once without being sent; 5 s are followed at most, since keys of clients cannot be confirmed meanwhile. One reader of Retry-After (refusalBackoff) for upstreams, the router of pipelines and stores.

--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -25,7 +25,6 @@
 static constexpr Duration FitnessPeriod = std::chrono::milliseconds(100);
 static constexpr const char *MetricsPath = "/metrics";
 static constexpr int NotFound = 404;
-static constexpr int Unavailable = 503;
 
 EntryApi::EntryApi(Kernel &K, const GatewaySettings &S, const WireFormat &W,
                    std::uint64_t Seed)
@@ -86,7 +85,7 @@
 }
 
 void EntryApi::answerReady(const HttpExchangePtr &Exchange) {
-  Exchange->reply(Gateway->ready() ? HttpOk : Unavailable, "", {});
+  Exchange->reply(Gateway->ready() ? HttpOk : HttpUnavailable, "", {});
 }
 
 void EntryApi::answerMetrics(const HttpExchangePtr &Exchange) {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -114,6 +114,10 @@
   /// Starts a call. No callback runs before this returns.
   HttpCallId start(HttpCall Call, HttpCallbacks Callbacks);
 
+  /// Ends a call with a response of this process, without sending it. No
+  /// callback runs before this returns.
+  void respondLocally(HttpResponse Answer, HttpCallbacks Callbacks);
+
   /// Closes a call's connection; its callbacks are no longer run.
   void cancel(HttpCallId Id);
 
--- a/src/http_type.cpp
+++ b/src/http_type.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
+#include <cmath>
 
 #include "core/text.h"
 
@@ -30,6 +32,19 @@
   return Found ? Found->Value : std::string();
 }
 
+Duration refusalBackoff(int Status, const HttpHeaders &Headers) {
+  if (Status != HttpUnavailable && Status != HttpTooManyRequests)
+    return Duration::zero();
+  constexpr double MaxSeconds = 3600;
+  std::string Text = headerValue(Headers, header::RetryAfter);
+  double Seconds = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Rest, Wrong] = std::from_chars(Text.data(), End, Seconds);
+  if (Wrong != std::errc() || !std::isfinite(Seconds) || Seconds <= 0)
+    return Duration::zero();
+  return fromMs(std::min(Seconds, MaxSeconds) * 1e3);
+}
+
 bool isHopHeader(const HttpHeaders &Headers, std::string_view Name) {
   static constexpr std::string_view HopByHop[] = {
       "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -3,6 +3,7 @@
 #ifndef FULMARSTEP_HTTP_TYPE_H
 #define FULMARSTEP_HTTP_TYPE_H
 
+#include "core/time_type.h"
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +23,11 @@
 /// \return The value of the header \p Name, or an empty string.
 std::string headerValue(const HttpHeaders &Headers, std::string_view Name);
 
+/// \return How long the sender of a response with \p Status wants no requests:
+/// the time in the Retry-After header of a refusal, an hour at most; zero if it
+/// does not ask for a backoff. The header may have fractions of a second.
+Duration refusalBackoff(int Status, const HttpHeaders &Headers);
+
 /// \return Whether \p Name is a hop-by-hop header: a standard one, or one that
 /// the Connection header in \p Headers lists.
 bool isHopHeader(const HttpHeaders &Headers, std::string_view Name);
@@ -31,7 +37,8 @@
 
 inline constexpr int HttpOk = 200; ///< Status code for success.
 inline constexpr int HttpTooManyRequests =
-    429; ///< Status code for a rate limit.
+    429;                                    ///< Status code for a rate limit.
+inline constexpr int HttpUnavailable = 503; ///< Status code for overload.
 
 /// Header names used by the HTTP interfaces of this project.
 namespace header {
--- a/src/kv_consul.cpp
+++ b/src/kv_consul.cpp
@@ -44,7 +44,7 @@
     ++Counts.Failed;
     Done(KvStatus::Unavailable, KvEntry());
   };
-  Client.start(std::move(Call), std::move(Callbacks));
+  startWithBackoff(Client, Backoff, std::move(Call), std::move(Callbacks));
 }
 
 void ConsulKv::get(const std::string &Key, ReadFn Done) {
@@ -90,7 +90,7 @@
       ++Counts.Failed;
     Done(Status);
   };
-  Client.start(std::move(Call), std::move(Callbacks));
+  startWithBackoff(Client, Backoff, std::move(Call), std::move(Callbacks));
 }
 
 void ConsulKv::remove(const std::string &Key) {
@@ -101,7 +101,7 @@
   Call.Path = "/v1/kv/" + Key;
   Call.Timeout = CallTimeout;
   // A failed removal does no harm: it leaves a value that nobody reads.
-  Client.start(std::move(Call), HttpCallbacks());
+  startWithBackoff(Client, Backoff, std::move(Call), HttpCallbacks());
 }
 
 } // namespace fulmar
--- a/src/kv_consul.h
+++ b/src/kv_consul.h
@@ -2,7 +2,7 @@
 #ifndef FULMARSTEP_KV_CONSUL_H
 #define FULMARSTEP_KV_CONSUL_H
 
-#include "http_client.h"
+#include "http_backoff.h"
 #include "kernel.h"
 #include "kv_type.h"
 
@@ -38,6 +38,7 @@
 
   HttpClient &Client;  ///< Makes the calls.
   std::string Address; ///< IP:PORT.
+  HttpBackoff Backoff; ///< That the service has asked for.
   KvCounts Counts;     ///< For operators.
 };
 
--- a/tests/test_upstream_notice.cpp
+++ b/tests/test_upstream_notice.cpp
@@ -3,8 +3,10 @@
 #include <catch2/catch.hpp>
 
 #include "gateway_world.h"
+#include "node_services.h"
 #include "platform/standin/notice_check.h"
-#include "upstream_notice_func.h"
+#include "route_feed.h"
+#include "upstream_notice_service.h"
 
 using namespace fulmar;
 using platform::RunnerMode;
@@ -275,3 +277,79 @@
   // Another upstream than the addressed one has responded.
   CHECK_FALSE(Read(421, {{"Server-Leaving", "1"}}).Leaving);
 }
+
+SCENARIO("stages run while all engines are in backoff") {
+  // Guards against stages that run for a request which no engine will accept in
+  // time, and against requests that are refused after their stages although the
+  // backoff ends soon.
+  NoticeWorld W;
+  W.load("/staged/x", milliseconds(300));
+  for (std::string Name : {"e-0", "e-1"}) {
+    W.Runners[Name]->Mode = RunnerMode::Full;
+    W.Runners[Name]->RetryAfter = 1.5;
+  }
+  W.load("/stream/x", milliseconds(200));
+  for (std::string Name : {"e-0", "e-1"})
+    W.Runners[Name]->Mode = RunnerMode::Serving;
+  int Pieces = W.Runners["b-0"]->Pieces + W.Runners["b-1"]->Pieces;
+
+  WHEN("the backoff ends after the request would be late") {
+    ClientResult Got = W.ask("/staged/x", OnePieceEach);
+    CHECK(Got.Answer.Status == 503);
+    CHECK(std::stod("0" + Got.Answer.header("Retry-After")) > 1);
+    CHECK(W.Runners["b-0"]->Pieces + W.Runners["b-1"]->Pieces == Pieces);
+  }
+  WHEN("the backoff ends before the request is late") {
+    TimePoint End = W.Timers.now() + milliseconds(1200);
+    runUntil(W.Loop, [&] { return W.Timers.now() >= End; });
+    ClientResult Got = W.ask("/staged/x", OnePieceEach);
+    CHECK(Got.Answer.Status == 200);
+  }
+}
+
+SCENARIO("results are freed at an upstream that is in backoff") {
+  // Guards against calls that free results being counted as requests that the
+  // upstream did not want.
+  NoticeWorld W;
+  W.load("/staged/x", milliseconds(300));
+  for (std::string Name : {"b-0", "b-1"})
+    W.refuseAt(Name);
+  W.load("/staged/x", milliseconds(300));
+  for (std::string Name : {"b-0", "b-1"}) {
+    StandinRunner &Runner = *W.Runners[Name];
+    REQUIRE_FALSE(Runner.Backoffs.empty());
+    TimePoint Told = Runner.Backoffs.front().Refusal.At;
+    TimePoint End = Told + fromMs(BackoffSeconds * 1e3);
+    runUntil(W.Loop, [&] { return W.Timers.now() > End + milliseconds(300); });
+    for (TimePoint At : Runner.Releases)
+      CHECK((At < Told + platform::BackoffGrace || At >= End));
+    CHECK(Runner.Results.empty());
+  }
+}
+
+SCENARIO("the key-value service asks for a backoff") {
+  // Guards against a service that is called during a backoff, and against a
+  // node that does not return to it afterwards.
+  NoticeWorld W;
+  W.Store.RetryAfter = 2;
+  W.Store.Mode = platform::StoreMode::Refusing;
+  TimePoint End = W.Timers.now() + seconds(1);
+  runUntil(W.Loop, [&] { return W.Timers.now() >= End; });
+  int Before = W.Store.Calls;
+  End = W.Timers.now() + milliseconds(700);
+  runUntil(W.Loop, [&] { return W.Timers.now() >= End; });
+  CHECK(W.Store.Calls == Before);
+  W.Store.Mode = platform::StoreMode::Serving;
+  W.configure();
+  int Later = W.Version;
+  runUntil(
+      W.Loop,
+      [&] {
+        const RouteTablePtr &Table =
+            W.Nodes[0]->services().find<RouteFeed>(service::Routes).table();
+        return Table && Table->Version == static_cast<std::uint64_t>(Later);
+      },
+      seconds(6));
+  CHECK(W.ask("/get/x").Answer.Status == 200);
+  CHECK(W.Store.Calls > Before);
+}
