Router of pipelines: follow Retry-After, keep a leaving upstream out

Retry-After of a refusal was not read, and an upstream's own word that it is leaving was overwritten by the next host list, which lags. Change: the upstream gets nothing new until the end of the backoff; for 30 s after it said that it is leaving, whatever the list says. Tests: 'an upstream asks for a backoff', 'a list is older than an upstream's response'.

--- a/src/request_type.h
+++ b/src/request_type.h
@@ -61,6 +61,8 @@
   double ReportedLoad = -1; ///< Calls in progress at the upstream, as it
                             ///< reports; below 0: not reported.
   bool Leaving = false;     ///< The upstream announced that it is leaving.
+  Duration Backoff{};       ///< The upstream wants no requests from this node
+                            ///< for this long.
 };
 
 /// Decision of the ledger on a claim.
--- a/src/router_attempt.cpp
+++ b/src/router_attempt.cpp
@@ -9,6 +9,11 @@
 
 namespace fulmar {
 
+/// An upstream that has announced that it is leaving gets nothing new for this
+/// long, even if the host list says that it is ready. The list has caught up by
+/// then.
+static constexpr Duration LeavingBackoff = std::chrono::seconds(30);
+
 static Duration floorOf(RouterState &State, const Request &R,
                         const Attempt &A) {
   const StageSpec &Stage = R.Pipeline->Stages[A.Stage];
@@ -214,6 +219,18 @@
   retryOrFail(State, R, codeOf(R, Result.End), Message, Now, Out);
 }
 
+/// Records what an upstream announced about itself in a response.
+static void recordNotice(Upstream &U, const AttemptResult &Result,
+                         TimePoint Now) {
+  Duration Backoff = Result.Backoff;
+  if (Result.Leaving) {
+    U.Leaving = true;
+    // The host list may be older than the response, and is applied after it.
+    Backoff = std::max(Backoff, LeavingBackoff);
+  }
+  U.BackoffUntil = std::max(U.BackoffUntil, Now + Backoff);
+}
+
 void attemptEnded(RouterState &State, AttemptId Id, const AttemptResult &Result,
                   TimePoint Now, RouterActions &Out) {
   auto Found = State.Attempts.find(Id);
@@ -223,8 +240,7 @@
   }
   Pool &P = State.Pools.at(Found->second.Pool);
   if (Upstream *U = upstreamById(P, Found->second.Upstream)) {
-    if (Result.Leaving)
-      U->Leaving = true;
+    recordNotice(*U, Result, Now);
     if (Result.ReportedLoad >= 0) {
       U->OtherLoad = std::max(0.0, Result.ReportedLoad - U->InFlight);
       U->ReportedAt = Now;
--- a/src/upstream_call.cpp
+++ b/src/upstream_call.cpp
@@ -159,6 +159,7 @@
   if (!Load.empty())
     Result.ReportedLoad = std::strtod(Load.c_str(), nullptr);
   Result.BusyMs = std::strtod(Answer.header(header::BusyMs).c_str(), nullptr);
+  Result.Backoff = refusalBackoff(Answer.Status, Answer.Headers);
   if (Answer.Status != HttpOk) {
     Result.End = AttemptEnd::Error;
     Result.Message = "status " + std::to_string(Answer.Status);
--- a/tests/test_router.cpp
+++ b/tests/test_router.cpp
@@ -1,4 +1,6 @@
 // The router's guarantees, with the failures that the tests guard against.
+#include <set>
+
 #include "bench/demo.h"
 #include "bench/history_func.h"
 #include "bench/policy_func.h"
@@ -449,3 +451,48 @@
     RC_ASSERT(R.Codes.count(0) == 0u);
   }));
 }
+
+TEST_CASE_METHOD(RouterFixture, "an upstream asks for a backoff") {
+  // Guards against requests that are sent to an upstream which has refused one
+  // and asked for a backoff.
+  submit("ask");
+  std::string Refusing = lastDispatch().Address;
+  attemptSent(S, lastDispatch().Attempt);
+  AttemptResult Result;
+  Result.End = AttemptEnd::Error;
+  Result.Backoff = 2s;
+  attemptEnded(S, lastDispatch().Attempt, Result, Now, Out);
+  CHECK(lastDispatch().Address != Refusing);
+  end(AttemptEnd::Answered, "answer");
+  std::set<std::string> Used;
+  auto SubmitSome = [&] {
+    for (int I = 0; I < 20; ++I) {
+      submit("ask", "id" + std::to_string(I));
+      Used.insert(lastDispatch().Address);
+      end(AttemptEnd::Answered, "answer");
+    }
+  };
+  SubmitSome();
+  CHECK_FALSE(Used.count(Refusing));
+  advance(3s);
+  SubmitSome();
+  CHECK(Used.count(Refusing));
+}
+
+TEST_CASE_METHOD(RouterFixture, "a list is older than an upstream's response") {
+  // Guards against a leaving upstream that gets requests again because a list
+  // from before its announcement is applied after it.
+  submit("ask");
+  std::string Leaving = lastDispatch().Address;
+  AttemptResult Result;
+  Result.End = AttemptEnd::Answered;
+  Result.Output = "answer";
+  Result.Leaving = true;
+  attemptEnded(S, lastDispatch().Attempt, Result, Now, Out);
+  setUpstreams(false);
+  for (int I = 0; I < 20; ++I) {
+    submit("ask", "id" + std::to_string(I));
+    CHECK(lastDispatch().Address != Leaving);
+    end(AttemptEnd::Answered, "answer");
+  }
+}
