Pass on between nodes which upstreams are leaving

Cause: what a node hears concerns the fleet where an upstream is about to end: while the list is late or away, nodes that send to it rarely go on until it ends, and its last requests are cut off. Change: for 15 s after a node learned of it, and only while the list says that the upstream is ready, each node tells two random nodes a second. A backoff is for the node that was asked, and is not passed on. Two ways: to all nodes at once (as rate limits) costs a message to each node per upstream in every release of a large fleet; by two random nodes a second it reaches all in the logarithm of the fleet and nothing is sent where the list knows already. Tests: 'a node learns from another one that an upstream is leaving'.

--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -13,6 +13,7 @@
 #include "rate_limit_type.h"
 #include "retry_window.h"
 #include "state_sync_type.h"
+#include "upstream_notice_type.h"
 
 namespace fulmar {
 
@@ -39,7 +40,7 @@
                  BatchAnswerMessage, BatchReleaseMessage, StateSyncRequest,
                  StateSyncResponse, ConfigFetch, ConfigCopy, CrashReport,
                  QuarantineUpdate, QuarantineObjection, RateLimitUpdate,
-                 TurnAsk, TurnAnswer, RetryAsk, RetryAnswer>;
+                 TurnAsk, TurnAnswer, RetryAsk, RetryAnswer, LeavingUpdate>;
 
 /// A message between nodes, with the fields that every message has.
 struct PeerMessage {
--- a/src/upstream_notice.cpp
+++ b/src/upstream_notice.cpp
@@ -9,6 +9,12 @@
 /// long, since a store that was restored from an older copy lists it again.
 static constexpr Duration UnlistedRetention = std::chrono::minutes(10);
 
+/// A leaving upstream is sent to other nodes for this long after a node learned
+/// of it: long enough to reach all nodes of a large fleet, two at a time.
+static constexpr Duration ShareTime = std::chrono::seconds(15);
+/// Upstreams in one message at most.
+static constexpr std::size_t MaxUpstreamsSent = 200;
+
 UpstreamNoticeChange upstreamNoticeApply(UpstreamNotices &Notices,
                                          const Incarnation &Upstream,
                                          const UpstreamNotice &Notice,
@@ -22,7 +28,8 @@
   Entry.Leaving = Entry.Leaving || Notice.Leaving;
   if (Change.Backoff)
     Entry.BackoffUntil = Now + Notice.Backoff;
-  Entry.HeardAt = Now;
+  if (Change.any())
+    Entry.HeardAt = Now;
   return Change;
 }
 
@@ -32,6 +39,22 @@
   return Found == Notices.Entries.end() ? UpstreamNoticeEntry() : Found->second;
 }
 
+LeavingUpdate upstreamNoticesToSend(
+    const UpstreamNotices &Notices,
+    const std::function<bool(const Incarnation &)> &ListedReady,
+    TimePoint Now) {
+  LeavingUpdate Out;
+  for (const auto &[Upstream, Entry] : Notices.Entries) {
+    bool Lately = Entry.Leaving && Now - Entry.HeardAt < ShareTime;
+    if (!Lately || !ListedReady(Upstream))
+      continue;
+    Out.Upstreams.push_back(Upstream);
+    if (Out.Upstreams.size() == MaxUpstreamsSent)
+      break;
+  }
+  return Out;
+}
+
 void upstreamNoticesExpire(
     UpstreamNotices &Notices,
     const std::function<bool(const Incarnation &)> &Listed, TimePoint Now) {
--- a/src/upstream_notice_base.h
+++ b/src/upstream_notice_base.h
@@ -13,7 +13,7 @@
 struct UpstreamNoticeEntry {
   bool Leaving = false;     ///< It is going to stop and wants no new requests.
   TimePoint BackoffUntil{}; ///< It wants no requests from this node until then.
-  TimePoint HeardAt{};      ///< Time of the latest announcement.
+  TimePoint HeardAt{};      ///< Time of the latest announcement with news.
 };
 
 /// What all upstreams have announced, by incarnation. The list of upstreams may
--- a/src/upstream_notice_func.h
+++ b/src/upstream_notice_func.h
@@ -6,6 +6,7 @@
 #include <functional>
 
 #include "upstream_notice_base.h"
+#include "upstream_notice_type.h"
 
 namespace fulmar {
 
@@ -29,6 +30,13 @@
 UpstreamNoticeEntry upstreamNoticeOf(const UpstreamNotices &Notices,
                                      const Incarnation &Upstream);
 
+/// \return Upstreams that have announced lately that they are leaving while the
+/// list says that they are ready, to inform other nodes.
+/// \param ListedReady returns whether the list says so.
+LeavingUpdate upstreamNoticesToSend(
+    const UpstreamNotices &Notices,
+    const std::function<bool(const Incarnation &)> &ListedReady, TimePoint Now);
+
 /// Removes announcements that have no effect any more.
 /// \param Listed returns whether an upstream is still listed.
 void upstreamNoticesExpire(
--- a/src/upstream_notice_service.h
+++ b/src/upstream_notice_service.h
@@ -2,6 +2,7 @@
 #ifndef FULMARSTEP_UPSTREAM_NOTICE_SERVICE_H
 #define FULMARSTEP_UPSTREAM_NOTICE_SERVICE_H
 
+#include <string_view>
 #include <vector>
 
 #include "kernel.h"
@@ -10,6 +11,8 @@
 
 namespace fulmar {
 
+class MemberService;
+class PeerService;
 class UpstreamFeed;
 
 /// Counters for metrics.
@@ -21,7 +24,9 @@
 };
 
 /// Keeps what upstreams announce in their responses, for all services of this
-/// node that send to them.
+/// node that send to them. A backoff concerns only the node that was asked.
+/// That an upstream is leaving is passed on to other nodes while the list does
+/// not say so: they may send to it too rarely to learn of it before it ends.
 class UpstreamNoticeService : public Service {
 public:
   explicit UpstreamNoticeService(Kernel &K) : Services(K) {}
@@ -47,10 +52,16 @@
   const UpstreamNoticeCounts &counts() const { return Counts; }
 
 private:
+  void changed(const Incarnation &Upstream, const UpstreamNoticeChange &Change,
+               Duration Backoff, std::string_view Source);
+  void take(const LeavingUpdate &Update, const std::string &From);
+  void shareLeaving();
   void tick();
 
   Kernel &Services;                  ///< Finds the other services.
   TimerService *Timers = nullptr;    ///< Clock and timers.
+  PeerService *Peers = nullptr;      ///< Sends messages to nodes.
+  MemberService *Members = nullptr;  ///< Lists the nodes.
   UpstreamFeed *Upstreams = nullptr; ///< Lists the upstreams.
   std::vector<std::function<void(const Incarnation &)>>
       Subscribers;             ///< Subscribers.
--- a/tests/test_upstream_notice.cpp
+++ b/tests/test_upstream_notice.cpp
@@ -278,6 +278,32 @@
   CHECK_FALSE(Read(421, {{"Server-Leaving", "1"}}).Leaving);
 }
 
+SCENARIO("a node learns from another one that an upstream is leaving") {
+  // Guards against nodes that send to an upstream until it ends because they
+  // sent it too little to be told, while the list is not read.
+  NoticeWorld W(3);
+  W.Runners["p-0"]->Leaving = true;
+  W.Store.Mode = platform::StoreMode::Silent;
+  for (int I = 0; I < 20 && W.Runners["p-0"]->LeavingResponses.empty(); ++I)
+    W.ask("/get/x");
+  REQUIRE_FALSE(W.Runners["p-0"]->LeavingResponses.empty());
+  runUntil(
+      W.Loop,
+      [&] {
+        return std::all_of(
+            W.Nodes.begin(), W.Nodes.end(), [&](const auto &Node) {
+              return Node->services()
+                  .template find<UpstreamNoticeService>(service::Notices)
+                  .of({"p-0", W.BornMs})
+                  .Leaving;
+            });
+      },
+      seconds(8));
+  std::size_t Before = W.Runners["p-0"]->Arrivals.size();
+  W.load("/get/x", seconds(1));
+  CHECK(W.Runners["p-0"]->Arrivals.size() == Before);
+}
+
 SCENARIO("stages run while all engines are in backoff") {
   // Guards against stages that run for a request which no engine will accept in
   // time, and against requests that are refused after their stages although the
