Tests of freed results and of shared announcements fail without their change

Both passed with the change taken out: one did not check that the nodes had learned of it, and in the other no result was freed within the backoff. Now the first checks it, and in the second engines hang, so that requests end and free their results in the midst of the backoff.

--- a/tests/test_upstream_notice.cpp
+++ b/tests/test_upstream_notice.cpp
@@ -287,18 +287,15 @@
   for (int I = 0; I < 20 && W.Runners["p-0"]->LeavingResponses.empty(); ++I)
     W.ask("/get/x");
   REQUIRE_FALSE(W.Runners["p-0"]->LeavingResponses.empty());
-  runUntil(
-      W.Loop,
-      [&] {
-        return std::all_of(
-            W.Nodes.begin(), W.Nodes.end(), [&](const auto &Node) {
-              return Node->services()
-                  .template find<UpstreamNoticeService>(service::Notices)
-                  .of({"p-0", W.BornMs})
-                  .Leaving;
-            });
-      },
-      seconds(8));
+  auto AllKnow = [&] {
+    return std::all_of(W.Nodes.begin(), W.Nodes.end(), [&](const auto &Node) {
+      return Node->services()
+          .template find<UpstreamNoticeService>(service::Notices)
+          .of({"p-0", W.BornMs})
+          .Leaving;
+    });
+  };
+  REQUIRE(runUntil(W.Loop, AllKnow, seconds(8)));
   std::size_t Before = W.Runners["p-0"]->Arrivals.size();
   W.load("/get/x", seconds(1));
   CHECK(W.Runners["p-0"]->Arrivals.size() == Before);
@@ -337,9 +334,15 @@
   // Guards against calls that free results being counted as requests that the
   // upstream did not want.
   NoticeWorld W;
+  for (std::string Name : {"e-0", "e-1"})
+    W.Runners[Name]->Mode = RunnerMode::Hangs;
   W.load("/staged/x", milliseconds(300));
-  for (std::string Name : {"b-0", "b-1"})
+  for (std::string Name : {"b-0", "b-1"}) {
+    REQUIRE_FALSE(W.Runners[Name]->Results.empty());
     W.refuseAt(Name);
+  }
+  // The requests whose stages are done end, and their results are freed, in the
+  // midst of the backoff.
   W.load("/staged/x", milliseconds(300));
   for (std::string Name : {"b-0", "b-1"}) {
     StandinRunner &Runner = *W.Runners[Name];
