--- a/src/cli/cli_soak.cpp
+++ b/src/cli/cli_soak.cpp
@@ -13,6 +13,7 @@
 DECLARE_double(rate);
 DECLARE_uint64(seed);
 DECLARE_int32(kv_port);
+DEFINE_string(signal_log, "", "soak: file of the signals sent to nodes");
 
 namespace fulmar {
 
@@ -25,11 +26,13 @@
   Plan.Seconds = FLAGS_seconds;
   Plan.Rate = FLAGS_rate;
   Plan.Seed = FLAGS_seed;
+  Plan.SignalLog = FLAGS_signal_log;
   platform::Soak Run(Loop, Timers, Plan);
   platform::SoakReport Report = Run.run();
   std::cout << "seed " << Plan.Seed << ": sent " << Report.Sent << ", whole "
             << Report.Whole << ", refused " << Report.Refused << ", lost "
-            << Report.Lost << ", faults " << Report.Faults << ", broken "
+            << Report.Lost << ", faults " << Report.Faults << ", backoffs "
+            << Report.Backoffs << ", leaving " << Report.Leaving << ", broken "
             << Report.Broken.size() << "\n";
   for (const std::string &Line : Report.Broken)
     std::cout << "BROKEN " << Line << "\n";
--- a/tests/test_upstream_notice.cpp
+++ b/tests/test_upstream_notice.cpp
@@ -1,10 +1,16 @@
 /// \file test_upstream_notice.cpp Upstreams that announce that they are leaving
 /// or want no requests for some time.
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 
+#include "batch_service.h"
 #include "gateway_world.h"
 #include "node_services.h"
 #include "platform/standin/notice_check.h"
+#include "platform/standin/signal_log.h"
 #include "route_feed.h"
 #include "upstream_notice_service.h"
 
@@ -382,3 +388,76 @@
   CHECK(W.ask("/get/x").Answer.Status == 200);
   CHECK(W.Store.Calls > Before);
 }
+
+SCENARIO("an upstream asks for a backoff while it is connected to") {
+  // Guards against requests that are sent because their upstream was chosen
+  // before it asked for a backoff.
+  NoticeWorld W;
+  auto Result = W.send("/post/x");
+  auto &Notices =
+      W.Nodes[0]->services().find<UpstreamNoticeService>(service::Notices);
+  auto Chosen = [&]() -> std::string {
+    for (const Upstream &U :
+         W.Nodes[0]->gateway().pools().at("plain").Upstreams)
+      if (U.InFlight > 0)
+        return U.Start.Instance;
+    return "";
+  };
+  while (Chosen().empty())
+    W.Loop.runOnce();
+  std::string First = Chosen();
+  REQUIRE(W.Runners[First]->Arrivals.empty());
+  Notices.heard({First, W.BornMs}, {false, seconds(5), std::nullopt});
+  REQUIRE(runUntil(W.Loop, [&] { return Result->Ended; }));
+  CHECK(Result->Answer.Status == 200);
+  CHECK(W.Runners[First]->Arrivals.empty());
+  CHECK(Notices.counts().Withheld == 1);
+}
+
+SCENARIO("an upstream of a stage asks for a backoff while it is connected to") {
+  // Guards against calls of stages that are sent because their upstream was
+  // chosen before it asked for a backoff.
+  NoticeWorld W;
+  auto Result = W.send("/staged/x", OnePieceEach);
+  auto &Notices =
+      W.Nodes[0]->services().find<UpstreamNoticeService>(service::Notices);
+  auto &Batches = W.Nodes[0]->services().find<BatchService>(service::Batches);
+  auto Chosen = [&]() -> std::string {
+    for (const auto &[Name, P] : Batches.pools()) {
+      for (const auto &[Start, U] : P.Upstreams)
+        if (U.InFlight > 0)
+          return Start.Instance;
+    }
+    return "";
+  };
+  while (Chosen().empty())
+    W.Loop.runOnce();
+  std::string First = Chosen();
+  REQUIRE(W.Runners[First]->Arrivals.empty());
+  Notices.heard({First, W.BornMs}, {false, seconds(5), std::nullopt});
+  REQUIRE(runUntil(W.Loop, [&] { return Result->Ended; }));
+  CHECK(Result->Answer.Status == 200);
+  CHECK(W.Runners[First]->Arrivals.empty());
+  CHECK(Notices.counts().Withheld >= 1);
+}
+
+SCENARIO("signals of a soak test are read") {
+  std::string Path = "/tmp/fulmarstep-signals-" + std::to_string(getpid());
+  std::int64_t Now = EventLoop::wallClock() * 1000;
+  std::ofstream(Path) << Now - 9'000'000 << " 0 STOP\n"
+                      << Now - 7'000'000 << " 0 CONT\n"
+                      << Now - 3'000'000 << " 1 KILL\n";
+  std::vector<platform::NodeSignal> Signals = platform::readSignalLog(Path);
+  std::remove(Path.c_str());
+  TimePoint At = EventLoop::clock();
+  auto Disturbed = [&](const std::string &Node, int From, int To) {
+    return platform::wasDisturbed(Signals, Node, At - seconds(From),
+                                  At - seconds(To));
+  };
+  CHECK(Disturbed("0", 10, 8));
+  CHECK(Disturbed("0", 8, 6));
+  CHECK_FALSE(Disturbed("0", 6, 1));
+  CHECK_FALSE(Disturbed("1", 6, 4));
+  CHECK(Disturbed("1", 4, 2));
+  CHECK_FALSE(Disturbed("1", 2, 1));
+}
