--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -572,3 +572,51 @@
   }
   CHECK(batchPartUpstreams({}, 2).empty());
 }
+
+SCENARIO("upstreams of a pool are in backoff") {
+  // Guards against requests that are accepted as if upstreams in backoff
+  // worked, and against a pool that refuses all during a short backoff.
+  PoolWorld W(5);
+  auto SetBackoff = [&](int Count, Duration Time) {
+    for (int I = 0; I < Count; ++I)
+      W.P.Upstreams[{"i" + std::to_string(I), 0}].BackoffUntil = W.Now + Time;
+  };
+  auto Forecast = [](const PoolWorld &World) {
+    return batchForecast(World.P, 100, 0, World.Now);
+  };
+
+  WHEN("some of them are") {
+    SetBackoff(2, seconds(3));
+    PoolWorld Without(3);
+    THEN("the others count alone, and get all calls") {
+      CHECK(Forecast(W)->Late == Forecast(Without)->Late);
+      CHECK(Forecast(W)->OnTime == Forecast(Without)->OnTime);
+      for (int I = 0; I < 8; ++I)
+        W.ask(W.makeBatchRequest(16));
+      W.pass(milliseconds(2900));
+      for (const SendBatchAction &Call : W.Sent)
+        CHECK(Call.Upstream.Instance >= "i2");
+    }
+  }
+  WHEN("all of them are") {
+    PoolWorld Without(5);
+    SetBackoff(5, milliseconds(400));
+    THEN("pieces wait for the end of the backoff") {
+      CHECK(Forecast(W)->Late == Forecast(Without)->Late + milliseconds(400));
+      W.ask(W.makeBatchRequest(16));
+      W.pass(milliseconds(380));
+      CHECK(W.Sent.empty());
+      W.pass(milliseconds(1000));
+      CHECK(W.Answers.size() == 1);
+    }
+  }
+  WHEN("all of them are for longer than a request can wait") {
+    SetBackoff(5, seconds(10));
+    std::uint64_t Id = W.ask(W.makeBatchRequest(16));
+    THEN("it is refused at once, with a time at which one will be free") {
+      REQUIRE(W.Answers.count(Id));
+      CHECK(W.Answers[Id].End == BatchEnd::Hopeless);
+      CHECK(W.Answers[Id].RetryIn > seconds(8));
+    }
+  }
+}
