--- a/src/http_backoff.cpp
+++ b/src/http_backoff.cpp
@@ -28,13 +28,14 @@
             {"for_ms", toMs(Asked)}});
 }
 
-void startWithBackoff(HttpClient &Client, HttpBackoff &Backoff, HttpCall Call,
+bool startWithBackoff(HttpClient &Client, HttpBackoff &Backoff, HttpCall Call,
                       HttpCallbacks Callbacks) {
   if (EventLoop::clock() < Backoff.Until) {
     ++Backoff.Withheld;
     HttpResponse Refused;
     Refused.Status = HttpUnavailable;
-    return Client.respondLocally(std::move(Refused), std::move(Callbacks));
+    Client.respondLocally(std::move(Refused), std::move(Callbacks));
+    return false;
   }
   Callbacks.OnDone =
       [&Backoff, Address = Call.Address,
@@ -44,6 +45,7 @@
           Done(Answer);
       };
   Client.start(std::move(Call), std::move(Callbacks));
+  return true;
 }
 
 } // namespace fulmar
--- a/src/http_backoff.h
+++ b/src/http_backoff.h
@@ -15,7 +15,8 @@
 /// Starts a call. During a backoff of the server it is not sent and ends with
 /// HttpUnavailable, after this returns.
 /// \param[in,out] Backoff must exist until the call has ended.
-void startWithBackoff(HttpClient &Client, HttpBackoff &Backoff, HttpCall Call,
+/// \return Whether the call is sent.
+bool startWithBackoff(HttpClient &Client, HttpBackoff &Backoff, HttpCall Call,
                       HttpCallbacks Callbacks);
 
 } // namespace fulmar
--- a/src/router_attempt.cpp
+++ b/src/router_attempt.cpp
@@ -12,7 +12,7 @@
 /// An upstream that has announced that it is leaving gets nothing new for this
 /// long, even if the host list says that it is ready. The list has caught up by
 /// then.
-static constexpr Duration LeavingBackoff = std::chrono::seconds(30);
+static constexpr Duration LeavingBackoff = std::chrono::seconds(10);
 
 static Duration floorOf(RouterState &State, const Request &R,
                         const Attempt &A) {
