--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -6,6 +6,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "raw_socket.h"
+#include "tcp_proxy.h"
 
 using namespace fulmar;
 
@@ -344,3 +345,28 @@
     }
   }
 }
+
+TEST_CASE("a proxy delays bytes of a connection that is closed") {
+  // Guards against a proxy that writes to a connection which has been freed, or
+  // to another one in its place.
+  TimerService Timers;
+  EventLoop Loop(Timers);
+  RawServer Server(Loop, {"answer"}, RawCloseMode::Keep);
+  TcpProxy Proxy(Loop, "127.0.0.1", 0, Server.address());
+  Proxy.setMode(ProxyMode::Delay, std::chrono::milliseconds(60));
+  auto Pass = [&](int Ms) {
+    TimePoint End = EventLoop::clock() + std::chrono::milliseconds(Ms);
+    runUntil(Loop, [&] { return EventLoop::clock() >= End; });
+  };
+  for (int I = 0; I < 5; ++I) {
+    {
+      RawClient Closing(Proxy.port());
+      Closing.send("delayed");
+      Pass(10);
+    }
+    Pass(10);
+    RawClient Next(Proxy.port());
+    Pass(100);
+    CHECK(Server.Requests.empty());
+  }
+}
