--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -52,8 +52,8 @@
              static_cast<std::uint64_t>(Config.Seed));
   Services.add(service::Loop, std::make_unique<LoopService>(Loop));
   Services.addShared(service::Timers, Timers);
-  auto &Http =
-      Services.add(service::Http, std::make_unique<HttpClientService>(Loop));
+  auto &Http = Services.add(service::Http, std::make_unique<HttpClientService>(
+                                               Loop, Config.SourceAddress));
   Services.add(service::Kv, MakeStore(Http.Client));
   Services.add(service::Peers,
                std::make_unique<PeerService>(Services, Common, 0));
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -29,6 +29,9 @@
     Check.report(Value->Line, R.Name,
                  "\"" + R.Value + "\" is not an address; expected IP:PORT");
   }
+  if (!S.SourceAddress.empty() && !parseHostPort(S.SourceAddress + ":1"))
+    Check.report(Root.find("source_address")->Line, "source_address",
+                 "\"" + S.SourceAddress + "\" is not an IP address");
   for (const std::string &Seed : S.Seeds) {
     if (!parseHostPort(Seed))
       Check.report(Root.find("seeds")->Line, "seeds",
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -16,6 +16,8 @@
   std::string EntryAddress;        ///< For entry lookups, IP:PORT.
   std::string PeerAddress;         ///< For other nodes, IP:PORT.
   std::int64_t MetricsPort = 7740; ///< TCP port of the metrics.
+  std::string SourceAddress;       ///< IP address that connections to upstreams
+                                   ///< are opened from; empty: any.
   std::string KvAddress;           ///< Key-value service, IP:PORT.
   std::vector<std::string> Seeds;  ///< Peers to try first, IP:PORT.
   std::int64_t EntryTtlMs = 1000;  ///< Lifetime of an entry answer, ms.
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -106,7 +106,9 @@
 /// Sends requests over persistent connections, one call at a time on each.
 class HttpClient {
 public:
-  explicit HttpClient(EventLoop &Loop);
+  /// \param Source IP address that connections are opened from; empty: chosen
+  /// by the system.
+  explicit HttpClient(EventLoop &Loop, std::string Source = "");
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
@@ -141,7 +143,8 @@
 
 /// The HTTP client as a service of a node.
 struct HttpClientService : Service {
-  explicit HttpClientService(EventLoop &Loop) : Client(Loop) {}
+  explicit HttpClientService(EventLoop &Loop, std::string Source = "")
+      : Client(Loop, std::move(Source)) {}
 
   HttpClient Client; ///< Shared by all services of the node.
 };
--- a/src/table/gateway_settings.h
+++ b/src/table/gateway_settings.h
@@ -26,6 +26,11 @@
     {"metrics_port", &GatewaySettings::MetricsPort, "", 1, 65535,
      FieldPresence::Optional,
      "TCP port of the metrics, at the IP address for peers."},
+    {"source_address", &GatewaySettings::SourceAddress, "", 0, 45,
+     FieldPresence::Optional,
+     "IP address that connections to upstreams and to the key-value service "
+     "are "
+     "opened from; empty: chosen by the system."},
     {"kv_address", &GatewaySettings::KvAddress, "", 9, 64,
      FieldPresence::Required, "Key-value service as IP:PORT."},
     {"seeds", &GatewaySettings::Seeds, "", 0, 64, FieldPresence::Optional,
--- a/src/tcp_proxy.h
+++ b/src/tcp_proxy.h
@@ -20,6 +20,16 @@
   Invalid, ///< Not a mode.
 };
 
+/// How the connections from one IP address fail, while all others work.
+enum class ProxyCut {
+  None,    ///< They work.
+  Silent,  ///< Open and new connections hang; nothing is acknowledged.
+  Reset,   ///< Open connections are reset, new ones hang.
+  Refused, ///< Open connections work, new ones are reset.
+  Count,   ///< Number of values.
+  Invalid, ///< Not a value.
+};
+
 /// Forwards connections to one address.
 class TcpProxy {
 public:
@@ -34,6 +44,9 @@
   int port() const;
   /// Changes the mode. Bytes that were dropped stay lost.
   void setMode(ProxyMode Mode, Duration Delay = Duration::zero());
+  /// Partitions the host \p Source, an IP address, from the target, or ends
+  /// that.
+  void cut(const std::string &Source, ProxyCut Cut);
 
   struct Impl; ///< Defined in tcp_proxy.cpp.
 
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -51,6 +51,10 @@
   WallMs BornMs = 1;              ///< Start of upstreams listed next.
   std::string ListDomain = "z1";  ///< Failure domain of upstreams added next.
   std::string StoreAddress;       ///< For nodes added next; empty: Store.
+  std::map<std::string, std::string>
+      ListedAddress;    ///< Address in the list, by upstream; empty: its own.
+  bool Sources = false; ///< Nodes connect from addresses of their own; see
+                        ///< sourceOf().
 
   /// Adds an upstream and lists it.
   platform::StandinRunner &addRunner(const std::string &Pool,
@@ -67,7 +71,10 @@
   void list(const std::string &Pool, const std::string &Instance,
             const std::string &State) {
     Json Entry;
-    Entry.set("service", Pool).set("address", Runners[Instance]->address());
+    std::string Address = ListedAddress[Instance];
+    if (Address.empty())
+      Address = Runners[Instance]->address();
+    Entry.set("service", Pool).set("address", Address);
     Entry.set("zone", DomainOf[Instance]).set("slots", 4).set("state", State);
     Entry.set("version", "v1").set("cold_remaining_ms", ColdMs);
     Entry.set("sequence", 0).set("born", BornMs);
@@ -124,6 +131,11 @@
     return Node;
   }
 
+  /// \return The IP address that a node connects from if Sources is set.
+  static std::string sourceOf(std::size_t Node) {
+    return "127.0.0." + std::to_string(Node + 2);
+  }
+
   /// Makes settings of a node, with free ports.
   const GatewaySettings &makeSettings(const std::string &Id) {
     std::vector<int> Ports = freePorts("127.0.0.1", 5);
@@ -138,6 +150,8 @@
     S.EntryAddress = Address(2);
     S.PeerAddress = Address(3);
     S.MetricsPort = Ports[4];
+    if (Sources)
+      S.SourceAddress = sourceOf(Settings.size());
     S.KvAddress = StoreAddress.empty() ? Store.address() : StoreAddress;
     S.RevokeMs = RevokeMs;
     S.RetryExtra = 50;
