--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -13,6 +13,7 @@
 #include "retry_window.h"
 #include "route_type.h"
 #include "send_pace.h"
+#include "upstream_path_base.h"
 
 namespace fulmar {
 
@@ -33,8 +34,9 @@
   bool SaidLeaving = false; ///< It announced that it is leaving, whatever the
                             ///< list says.
   TimePoint BackoffUntil{}; ///< It wants no calls from this node until then.
-  double SpaceUsed = 0;     ///< Bytes of stored and reserved results.
-  SendPace Pace; ///< Paces calls while the upstream names a rate limit.
+  UpstreamPath Path = UpstreamPath::Direct; ///< How this node reaches it.
+  double SpaceUsed = 0; ///< Bytes of stored and reserved results.
+  SendPace Pace;        ///< Paces calls while the upstream names a rate limit.
 };
 
 /// The state of one piece.
@@ -132,6 +134,7 @@
   Incarnation Upstream;         ///< Another incarnation must refuse the call.
   std::vector<BatchItem> Items; ///< Its pieces.
   Duration Timeout{};           ///< Time after which the call is cancelled.
+  Duration SilentAfter{};       ///< Its path is probed after this time.
   double SpaceUsed = 0;         ///< Bytes of results at the upstream, for logs.
 };
 
--- a/src/batch_coordinator.cpp
+++ b/src/batch_coordinator.cpp
@@ -77,6 +77,11 @@
 std::string batchCoordinator(const Membership &M, const std::string &Pool,
                              const std::set<std::string> &Unresponsive) {
   std::vector<const MemberInfo *> Eligible = strongNodes(M, Unresponsive);
+  // A node that reaches no upstream makes its calls through others; while there
+  // is a node that reaches them, pieces need not take that way.
+  auto CannotReach = [](const MemberInfo *Info) { return Info->CannotReach; };
+  if (!std::all_of(Eligible.begin(), Eligible.end(), CannotReach))
+    std::erase_if(Eligible, CannotReach);
   auto Unfit = [](const MemberInfo *Info) { return Info->Unfit; };
   auto Fit = static_cast<double>(Eligible.size()) -
              static_cast<double>(
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -16,7 +16,8 @@
 }
 
 bool batchUsable(const BatchUpstream &U, TimePoint Now) {
-  return usableAfterBackoff(U, Now) && U.BackoffUntil <= Now;
+  return usableAfterBackoff(U, Now) && U.BackoffUntil <= Now &&
+         U.Path != UpstreamPath::None;
 }
 
 TimePoint batchFreeAt(const BatchPool &P, const BatchUpstream &U,
--- a/src/batch_relay.cpp
+++ b/src/batch_relay.cpp
@@ -328,14 +328,21 @@
   }
 }
 
-/// Sends batch requests again at once whose coordinator is gone.
+/// Sends batch requests again at once whose coordinator is gone or reaches no
+/// upstream.
 void BatchRelay::membersChanged() {
   std::vector<BatchTicket> Lost;
   for (const auto &[Ticket, Mine] : OwnRequests) {
     if (Mine.Coordinator.empty())
       continue;
     const MemberInfo *Info = Members->info(Mine.Coordinator);
-    if (!Info || Info->State == MemberState::Dead)
+    bool Gone = !Info || Info->State == MemberState::Dead;
+    if (!Gone && Info->CannotReach &&
+        batchCoordinator(Members->state(), Mine.Pool, {}) != Mine.Coordinator) {
+      release(Mine.Coordinator, "", {"", {}, {Ticket.Value}, {}});
+      Gone = true;
+    }
+    if (Gone)
       Lost.push_back(Ticket);
   }
   for (BatchTicket Ticket : Lost) {
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -11,6 +11,10 @@
 /// responds.
 static constexpr double TimeoutFactor = 8;
 static constexpr Duration MinCallTimeout = std::chrono::milliseconds(1500);
+/// The path to an upstream is probed if a call takes longer than this many
+/// times its expected duration and this time.
+static constexpr double SilenceFactor = 1.25;
+static constexpr Duration MinSilence = std::chrono::milliseconds(200);
 /// Sizes of results are approximate; the rest of an upstream's space is
 /// reserved for larger ones.
 static constexpr double UsableSpaceShare = 0.92;
@@ -143,6 +147,7 @@
   Send.Timeout =
       std::max(MinCallTimeout,
                fromMs(toMs(batchCallTime(P.Spec, Size)) * TimeoutFactor));
+  Send.SilentAfter = fromMs(toMs(Call.Expected) * SilenceFactor) + MinSilence;
   Out.push_back(std::move(Send));
 }
 
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -12,6 +12,7 @@
 #include "node_services.h"
 #include "quarantine_service.h"
 #include "rate_limit_service.h"
+#include "upstream_client.h"
 #include "upstream_notice_service.h"
 
 namespace fulmar {
@@ -34,13 +35,14 @@
 
 void BatchService::start() {
   Timers = &Services.find<TimerService>(service::Timers);
-  Client = &Services.find<HttpClientService>(service::Http).Client;
+  Client = &Services.find<UpstreamClient>(service::UpstreamCalls);
   Quarantined = &Services.find<QuarantineService>(service::Quarantine);
   RateLimited = &Services.find<RateLimitService>(service::RateLimits);
   Notices = &Services.find<UpstreamNoticeService>(service::Notices);
   auto Changed = [this](const Incarnation &Start) { noticeChanged(Start); };
   RateLimited->onChange(Changed);
   Notices->onChange(Changed);
+  Client->onChange([this] { pathsChanged(); });
   Tickets.start(Services.find<LoopService>(service::Loop).Loop);
   Timers->every(BatchTickPeriod, [this] { tick(); });
 }
@@ -148,12 +150,14 @@
 }
 
 /// Applies what the upstreams of a part have announced: that they are leaving,
-/// backoffs and rate limits. One node forms all calls of a part.
+/// backoffs and rate limits; and their paths. One node forms all calls of a
+/// part.
 void BatchService::applyNotices(BatchPool &P) {
   for (auto &[Start, U] : P.Upstreams) {
     UpstreamNoticeEntry Entry = Notices->of(Start);
     U.SaidLeaving = Entry.Leaving;
     U.BackoffUntil = Entry.BackoffUntil;
+    U.Path = Client->path(U.Entry.Address);
     PaceTurns Turns;
     if (auto PerSecond = RateLimited->of(Start))
       Turns = paceTurns(*PerSecond, /*Nodes=*/1, RateLimitTurn, AgreedShare);
@@ -168,6 +172,13 @@
   }
 }
 
+void BatchService::pathsChanged() {
+  for (auto &[Name, P] : Pools) {
+    for (auto &[Start, U] : P.Upstreams)
+      U.Path = Client->path(U.Entry.Address);
+  }
+}
+
 void BatchService::restarted(const UpstreamRestart &Restart) {
   for (auto &[Name, P] : Pools) {
     BatchActions Out;
@@ -346,7 +357,11 @@
                 {"took_ms", toMs(Timers->now() - Started)}});
     callEnded(Pool, Id, Result);
   };
-  *HttpId = Client->start(std::move(Call), std::move(On));
+  UpstreamCallPlan Plan;
+  Plan.Relay = RelayUse::Allowed;
+  Plan.SilentAfter = Send.SilentAfter;
+  Plan.FailOnPathLoss = true;
+  *HttpId = Client->start(Send.Upstream, std::move(Call), std::move(On), Plan);
 }
 
 void BatchService::callEnded(const std::string &Pool, BatchCallId Id,
@@ -407,7 +422,8 @@
                  Start = U->Entry.incarnation()](const HttpResponse &Answer) {
       Notices->heard(Start, Wire.readNotice(Answer));
     };
-  Client->start(std::move(Call), std::move(On));
+  Client->start(U ? U->Entry.incarnation() : Incarnation(), std::move(Call),
+                std::move(On));
 }
 
 /// Holds the frees of an upstream back until the end of its backoff, or drops
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -18,6 +18,7 @@
 
 class QuarantineService;
 class RateLimitService;
+class UpstreamClient;
 class UpstreamNoticeService;
 
 /// Runs the pools that this node coordinates: sends their calls and carries out
@@ -68,6 +69,7 @@
                   const BatchCallResult &Result);
   void applyNotices(BatchPool &P);
   void noticeChanged(const Incarnation &Start);
+  void pathsChanged();
   void callEnded(const std::string &Pool, BatchCallId Id,
                  const BatchCallResult &Result);
   const BatchUpstream *upstreamAt(const std::string &Address) const;
@@ -81,7 +83,7 @@
   Kernel &Services;       ///< Looks up other services.
   const WireFormat &Wire; ///< Encodes and decodes calls.
   TimerService *Timers = nullptr;
-  HttpClient *Client = nullptr;             ///< Sends calls.
+  UpstreamClient *Client = nullptr;         ///< Sends calls.
   QuarantineService *Quarantined = nullptr; ///< Receives reports of crashes.
   RateLimitService *RateLimited = nullptr;  ///< Announced rate limits.
   UpstreamNoticeService *Notices = nullptr; ///< Announcements of upstreams.
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -4,6 +4,7 @@
 
 #include <set>
 
+#include "call_relay_service.h"
 #include "gateway_service.h"
 #include "log_func.h"
 #include "loop_service.h"
@@ -14,6 +15,7 @@
 #include "rate_limit_service.h"
 #include "route_feed.h"
 #include "settings_func.h"
+#include "upstream_client.h"
 #include "upstream_feed.h"
 #include "upstream_notice_service.h"
 
@@ -21,6 +23,9 @@
 
 /// Longest request body in bytes; requests to these endpoints have no body.
 static constexpr std::size_t MaxBody = 1024;
+/// The same at the port for other nodes: a client's request of the largest size
+/// in use, with its headers.
+static constexpr std::size_t MaxInternalBody = std::size_t{8} << 20;
 /// Interval between checks whether callers should be sent to this node.
 static constexpr Duration FitnessPeriod = std::chrono::milliseconds(100);
 static constexpr const char *MetricsPath = "/metrics";
@@ -34,23 +39,36 @@
   Gateway = &Services.find<GatewayService>(service::Gateway);
   Members = &Services.find<MemberService>(service::Members);
   Routes = &Services.find<RouteFeed>(service::Routes);
+  Upstreams = &Services.find<UpstreamClient>(service::UpstreamCalls);
+  Relay = &Services.find<CallRelayService>(service::CallRelay);
   EventLoop &Loop = Services.find<LoopService>(service::Loop).Loop;
   HostPort Peer = parseHostPort(Config.PeerAddress).value_or(HostPort());
   HostPort Metrics{Peer.Host, static_cast<int>(Config.MetricsPort)};
   std::set<HostPort> Addresses = {
       parseHostPort(Config.ReadyAddress).value_or(HostPort()),
-      parseHostPort(Config.EntryAddress).value_or(HostPort()), Metrics};
+      parseHostPort(Config.EntryAddress).value_or(HostPort())};
+  Addresses.erase(Metrics);
+  Servers.push_back(std::make_unique<HttpServer>(
+      Loop, Metrics.Host, Metrics.Port, MaxInternalBody,
+      [this](const HttpExchangePtr &E) { handleInternal(E); }));
   for (const HostPort &Address : Addresses)
     Servers.push_back(std::make_unique<HttpServer>(
         Loop, Address.Host, Address.Port, MaxBody,
         [this](const HttpExchangePtr &E) { handle(E); }));
   TimerService &Timers = Services.find<TimerService>(service::Timers);
-  Members->announceFitness(false, /*CanRead=*/true);
+  Members->announceFitness({/*Fit=*/false});
   Timers.every(FitnessPeriod, [this] { checkFitness(); });
 }
 
 void EntryApi::stop() { Servers.clear(); }
 
+/// Handles requests at the port for other nodes and operators.
+void EntryApi::handleInternal(const HttpExchangePtr &Exchange) {
+  if (Exchange->Path == RelayPath)
+    return Relay->handle(Exchange);
+  handle(Exchange);
+}
+
 void EntryApi::handle(const HttpExchangePtr &Exchange) {
   if (Exchange->Path == Wire.entryPath())
     return answerEntries(Exchange);
@@ -63,7 +81,8 @@
 
 void EntryApi::checkFitness() {
   bool Ready = Gateway->ready();
-  Members->announceFitness(Ready && Routes->entryFresh(), Routes->canRead());
+  Members->announceFitness({Ready && Routes->entryFresh(), Routes->canRead(),
+                            !Upstreams->isolated()});
   if (Ready == WasReady)
     return;
   WasReady = Ready;
@@ -140,6 +159,18 @@
        static_cast<double>(Notices.Withheld)},
       {"fulmarstep_upstreams_leaving_total", "counter",
        static_cast<double>(Notices.Leaving)},
+      {"fulmarstep_upstreams_unreachable", "gauge",
+       Upstreams->isolated() ? 1.0 : 0.0},
+      {"fulmarstep_relayed_calls_total", "counter",
+       static_cast<double>(Upstreams->counts().Relayed)},
+      {"fulmarstep_relayed_calls_refused_total", "counter",
+       static_cast<double>(Upstreams->counts().RelayRefused)},
+      {"fulmarstep_calls_made_for_nodes_total", "counter",
+       static_cast<double>(Relay->counts().Made)},
+      {"fulmarstep_calls_refused_to_nodes_total", "counter",
+       static_cast<double>(Relay->counts().Refused)},
+      {"fulmarstep_upstream_probes_total", "counter",
+       static_cast<double>(Upstreams->counts().Probes)},
       {"fulmarstep_retries_lent_total", "counter",
        static_cast<double>(Gateway->metrics().RetriesLent)},
       {"fulmarstep_turns_lent_total", "counter",
--- a/src/entry_api.h
+++ b/src/entry_api.h
@@ -13,6 +13,8 @@
 class GatewayService;
 class MemberService;
 class RouteFeed;
+class CallRelayService;
+class UpstreamClient;
 
 /// Serves entry addresses to callers, readiness to the platform and metrics to
 /// operators.
@@ -29,15 +31,18 @@
   void answerReady(const HttpExchangePtr &Exchange);
   void answerMetrics(const HttpExchangePtr &Exchange);
   void handle(const HttpExchangePtr &Exchange);
+  void handleInternal(const HttpExchangePtr &Exchange);
   void checkFitness();
 
   Kernel &Services;              ///< Looks up other services.
   const GatewaySettings &Config; ///< Listening addresses and entry settings.
   const WireFormat &Wire; ///< Encodes and decodes messages of the platform.
   Random Rng;             ///< Spreads callers over the nodes.
-  GatewayService *Gateway = nullptr; ///< Source of readiness and counts.
-  MemberService *Members = nullptr;  ///< Source of entry addresses.
-  RouteFeed *Routes = nullptr;       ///< Source of the configuration's age.
+  GatewayService *Gateway = nullptr;   ///< Source of readiness and counts.
+  MemberService *Members = nullptr;    ///< Source of entry addresses.
+  RouteFeed *Routes = nullptr;         ///< Source of the configuration's age.
+  UpstreamClient *Upstreams = nullptr; ///< Knows if upstreams are reached.
+  CallRelayService *Relay = nullptr;   ///< Makes calls for other nodes.
   std::vector<std::unique_ptr<HttpServer>> Servers; ///< One per address.
   bool WasReady = false; ///< Readiness at the latest check.
 };
--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -132,6 +132,8 @@
   R.Cursor.Last = R.Ask.LastEvent;
   if (RefuseAt > TimePoint{} && cannotEndBeforeStop(R))
     return ResultCode::Draining;
+  if (!reachable(R.PoolName))
+    return ResultCode::NoUpstream;
   // Even the last stage may be overloaded. The earlier stages of a request that
   // cannot complete would take capacity from other requests.
   R.Expected = expectedPath(R);
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -13,6 +13,7 @@
 #include "rate_limit_service.h"
 #include "retry_window.h"
 #include "route_func.h"
+#include "upstream_client.h"
 #include "upstream_func.h"
 
 namespace fulmar {
@@ -102,7 +103,13 @@
   R->Attempt->Address = U.Address;
   R->Attempt->Started = Now;
   R->Attempt->LastEventAt = Now;
-  R->Attempt->Call = Client->start(std::move(Call), attemptCallbacks(Serial));
+  UpstreamCallPlan Plan;
+  // Another upstream is tried first: that this one cannot be connected to is
+  // more likely its own fault.
+  Plan.Relay = hasOtherUpstream(*R) ? RelayUse::Isolated : RelayUse::Allowed;
+  Plan.FailOnPathLoss = R->Route->repeatable();
+  R->Attempt->Call =
+      Client->start(U.Start, std::move(Call), attemptCallbacks(Serial), Plan);
   startEventTimer(*R);
 }
 
@@ -259,6 +266,9 @@
   ForwardResponseInfo Reply = Wire.readResponseInfo(Whole);
   AttemptOutcome Outcome = outcomeOf(A, Whole, Reply);
   AttemptEffect Effect = effectOf(Whole, Reply);
+  // Another node that was to make the call says that it has not.
+  if (A.Sent && Effect == AttemptEffect::NotSent)
+    --R->Sends;
   if (Outcome != AttemptOutcome::Success)
     R->LastFailure = Whole.Failure != HttpFailure::None
                          ? std::string(httpFailureName(Whole.Failure))
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -2,6 +2,7 @@
 #include "gateway_node.h"
 
 #include "batch_relay.h"
+#include "call_relay_service.h"
 #include "core/hash.h"
 #include "drain_service.h"
 #include "entry_api.h"
@@ -17,6 +18,7 @@
 #include "rate_limit_service.h"
 #include "route_feed.h"
 #include "state_sync_service.h"
+#include "upstream_client.h"
 #include "upstream_feed.h"
 #include "upstream_notice_service.h"
 
@@ -68,6 +70,8 @@
                std::make_unique<UpstreamFeed>(Services, Wire, Seed + 4));
   Services.add(service::StateSync,
                std::make_unique<StateSyncService>(Services, Seed + 7));
+  Services.add(service::UpstreamCalls,
+               std::make_unique<UpstreamClient>(Services, Seed + 9));
   Services.add(service::Batches,
                std::make_unique<BatchService>(Services, Wire));
   Services.add(service::Relay,
@@ -81,6 +85,8 @@
                std::make_unique<RateLimitService>(Services));
   Services.add(service::Notices,
                std::make_unique<UpstreamNoticeService>(Services));
+  Services.add(service::CallRelay, std::make_unique<CallRelayService>(
+                                       Services, Wire, Common.Strength));
   Services.add(service::Gateway, std::make_unique<GatewayService>(
                                      Services, Config, Wire, Seed + 5));
   Services.add(service::Entries,
--- a/src/gateway_notice.cpp
+++ b/src/gateway_notice.cpp
@@ -2,6 +2,7 @@
 /// are leaving, or want no requests from this node for some time.
 #include "gateway_service.h"
 #include "rate_limit_service.h"
+#include "upstream_client.h"
 #include "upstream_feed.h"
 #include "upstream_func.h"
 #include "upstream_notice_service.h"
@@ -34,12 +35,13 @@
   }
 }
 
-/// Copies to an upstream of a pool what it has announced.
+/// Copies to an upstream of a pool what it has announced, and its path.
 void GatewayService::applyNotice(Upstream &U) const {
   UpstreamNoticeEntry Entry = Notices->of(U.Start);
   U.BackoffUntil = Entry.BackoffUntil;
   U.SaidLeaving = Entry.Leaving;
   U.Leaving = U.Leaving || Entry.Leaving;
+  U.Path = Client->path(U.Address);
 }
 
 /// Takes back an attempt of which nothing was sent, if its upstream wants no
--- a/src/gateway_restart.cpp
+++ b/src/gateway_restart.cpp
@@ -4,6 +4,7 @@
 #include "gateway_service.h"
 #include "log_func.h"
 #include "quarantine_service.h"
+#include "upstream_client.h"
 #include "upstream_func.h"
 
 namespace fulmar {
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -14,6 +14,7 @@
 #include "result_func.h"
 #include "route_feed.h"
 #include "settings_func.h"
+#include "upstream_client.h"
 #include "upstream_feed.h"
 #include "upstream_func.h"
 #include "upstream_notice_service.h"
@@ -44,7 +45,7 @@
 
 void GatewayService::start() {
   Timers = &Services.find<TimerService>(service::Timers);
-  Client = &Services.find<HttpClientService>(service::Http).Client;
+  Client = &Services.find<UpstreamClient>(service::UpstreamCalls);
   Routes = &Services.find<RouteFeed>(service::Routes);
   Upstreams = &Services.find<UpstreamFeed>(service::Upstreams);
   Members = &Services.find<MemberService>(service::Members);
@@ -57,6 +58,7 @@
   RateLimited->onChange(
       [this](const Incarnation &Start) { rateLimitChanged(Start); });
   Notices->onChange([this](const Incarnation &Start) { noticeChanged(Start); });
+  Client->onChange([this] { pathsChanged(); });
   Peers->on<TurnAsk>([this](const PeerMessage &From, const TurnAsk &Ask) {
     lendTurn(From.Sender, Ask);
   });
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -21,6 +21,7 @@
 class PeerService;
 class QuarantineService;
 class RateLimitService;
+class UpstreamClient;
 class UpstreamNoticeService;
 
 /// Recent times of a route's requests, smoothed.
@@ -129,6 +130,10 @@
                    const Upstream &U) const;
   void setPace(Pool &P, Upstream &U, double ColdRate);
 
+  // gateway_path.cpp: paths to upstreams.
+  void pathsChanged();
+  bool reachable(const std::string &Pool) const;
+
   // gateway_notice.cpp: announcements of upstreams.
   void reportNotice(const ForwardRequest &R, const HttpResponse &Answer,
                     const ForwardResponseInfo &Reply);
@@ -209,7 +214,7 @@
   Random Rng;             ///< Random choices and jitter.
   RouterPolicy Policy;    ///< Choice of upstreams.
   TimerService *Timers = nullptr;    ///< Clock and timers.
-  HttpClient *Client = nullptr;      ///< Calls upstreams.
+  UpstreamClient *Client = nullptr;  ///< Calls upstreams.
   RouteFeed *Routes = nullptr;       ///< The configuration.
   UpstreamFeed *Upstreams = nullptr; ///< The list of upstreams.
   MemberService *Members = nullptr;  ///< The other nodes.
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -44,6 +44,8 @@
   /// Maximum time to connect.
   Duration ConnectTimeout = std::chrono::seconds(2);
   HttpReuse Reuse = HttpReuse::Allowed; ///< Connection reuse.
+  /// A new connection is established and kept for later calls; nothing is sent.
+  bool ConnectOnly = false;
 };
 
 /// Why a call failed.
@@ -54,6 +56,7 @@
   Truncated,     ///< The connection ended inside the response body.
   TimedOut,      ///< No byte was received within the call's timeout.
   NotHttp,       ///< The response is invalid or too large.
+  RelayLost,     ///< The node that made the call for this one is gone.
   Count,         ///< Number of failures.
   Invalid,       ///< Not a failure.
 };
@@ -87,6 +90,8 @@
 
 /// Callbacks of a call. Each may be empty.
 struct HttpCallbacks {
+  /// Called when a new connection was established for the call.
+  std::function<void()> OnConnected;
   /// Called before the first byte is sent: from now on a byte of the request
   /// may have reached the peer.
   std::function<void()> OnSent;
--- a/src/member.cpp
+++ b/src/member.cpp
@@ -145,8 +145,9 @@
 
 /// \return A digest of the state of a member, equal for equal states.
 static std::uint64_t digestOf(const MemberInfo &Info) {
-  std::uint64_t Flags = static_cast<std::uint64_t>(Info.State) * 4 +
-                        (Info.Unfit ? 2 : 0) + (Info.CannotRead ? 1 : 0);
+  std::uint64_t Flags = static_cast<std::uint64_t>(Info.State) * 8 +
+                        (Info.CannotReach ? 4 : 0) + (Info.Unfit ? 2 : 0) +
+                        (Info.CannotRead ? 1 : 0);
   return hash64(Info.Id, hash64(std::to_string(Info.Incarnation), Flags));
 }
 
@@ -226,7 +227,8 @@
     M.Ids.push_back(Update.Id);
   bool Changed = Fresh || Update.State != Other.Info.State ||
                  Update.Unfit != Other.Info.Unfit ||
-                 Update.CannotRead != Other.Info.CannotRead;
+                 Update.CannotRead != Other.Info.CannotRead ||
+                 Update.CannotReach != Other.Info.CannotReach;
   MemberState Before = Fresh ? MemberState::Invalid : Other.Info.State;
   Other.Info = Update;
   if (Forward)
@@ -576,12 +578,14 @@
   M.NextPull = Now + fromMs(toMs(FirstPullDelay) * (0.5 + randomUnit(M.Rng)));
 }
 
-void memberSetFitness(Membership &M, bool Fit, bool CanRead,
+void memberSetFitness(Membership &M, const MemberFitness &Now,
                       MemberActions &Out) {
-  if (M.Self.Unfit == !Fit && M.Self.CannotRead == !CanRead)
+  if (M.Self.Unfit == !Now.Fit && M.Self.CannotRead == !Now.CanRead &&
+      M.Self.CannotReach == !Now.CanReach)
     return;
-  M.Self.Unfit = !Fit;
-  M.Self.CannotRead = !CanRead;
+  M.Self.Unfit = !Now.Fit;
+  M.Self.CannotRead = !Now.CanRead;
+  M.Self.CannotReach = !Now.CanReach;
   ++M.Changes;
   // Without a higher incarnation, receivers would keep the earlier state.
   ++M.Self.Incarnation;
--- a/src/member_func.h
+++ b/src/member_func.h
@@ -35,17 +35,24 @@
 /// suspect it first.
 void memberStop(Membership &M, TimePoint Now, MemberActions &Out);
 
-/// Sets whether callers should be sent to this node, and whether it can read
-/// the key-value service. Announces changes to some nodes at once.
-void memberSetFitness(Membership &M, bool Fit, bool CanRead,
+/// What a node announces about itself.
+struct MemberFitness {
+  bool Fit = true;      ///< Callers should be sent to it.
+  bool CanRead = true;  ///< It can read the key-value service.
+  bool CanReach = true; ///< It can connect to upstreams.
+};
+
+/// Sets what this node announces about itself. Changes are sent to some nodes
+/// at once.
+void memberSetFitness(Membership &M, const MemberFitness &Now,
                       MemberActions &Out);
 
-/// \return Whether a node is ready and reads the key-value service itself. A
-/// node that learns of the service's state only through others serves as well,
-/// until the node that it depends on fails too: callers and other nodes should
-/// prefer healthy nodes.
+/// \return Whether a node is ready, reads the key-value service itself and
+/// connects to upstreams itself. A node that does either only through others
+/// serves as well, until the node that it depends on fails too: callers and
+/// other nodes should prefer healthy nodes.
 inline bool memberHealthy(const MemberInfo &Info) {
-  return !Info.Unfit && !Info.CannotRead;
+  return !Info.Unfit && !Info.CannotRead && !Info.CannotReach;
 }
 
 /// \return Whether a node in \p State may serve requests and be given to
--- a/src/member_service.cpp
+++ b/src/member_service.cpp
@@ -116,9 +116,9 @@
   return JoinedAt > TimePoint{} && Timers->now() - JoinedAt >= SettleTime;
 }
 
-void MemberService::announceFitness(bool Fit, bool CanRead) {
+void MemberService::announceFitness(const MemberFitness &Fitness) {
   MemberActions Out;
-  memberSetFitness(State, Fit, CanRead, Out);
+  memberSetFitness(State, Fitness, Out);
   perform(Out);
 }
 
--- a/src/member_service.h
+++ b/src/member_service.h
@@ -43,9 +43,8 @@
   void leaving();
   /// Announces that this node stops now.
   void announceStop();
-  /// Announces whether callers should be sent to this node, and whether it can
-  /// read the key-value service.
-  void announceFitness(bool Fit, bool CanRead);
+  /// Announces what this node can do.
+  void announceFitness(const MemberFitness &Fitness);
   /// Sets the incarnation of this process and contacts seeds.
   void join(std::uint64_t Incarnation);
   /// \return Whether this process joined at least SettleTime ago, so that it
--- a/src/member_type.h
+++ b/src/member_type.h
@@ -33,6 +33,7 @@
   bool Unfit = false;           ///< Whether callers should not be sent to it.
   bool CannotRead = false;      ///< Whether its calls to the key-value service
                                 ///< fail.
+  bool CannotReach = false;     ///< Whether it cannot connect to upstreams.
   std::uint32_t Strength = 100; ///< Capacity of its host, in per cent of a
                                 ///< standard host.
 
--- a/src/peer_service.cpp
+++ b/src/peer_service.cpp
@@ -40,20 +40,40 @@
   BundleRoot = RootHash;
 }
 
-void PeerService::send(const HostPort &To, PeerBody Body) {
-  if (Key.empty() || !Datagrams)
-    return;
+std::string PeerService::seal(PeerBody Body) {
+  if (Key.empty())
+    return {};
+  return encode(std::move(Body), ++LastSealed);
+}
+
+std::optional<PeerMessage> PeerService::open(std::string_view Bytes) {
+  auto Message = decodePeer(Bytes, Key, Config.PreviousPeerKey);
+  if (!Message || Message->Sender == Config.NodeId)
+    return std::nullopt;
+  if (!windowAccept(SealedWindows[Message->Sender], Message->Incarnation,
+                    Message->Sequence))
+    return std::nullopt;
+  return Message;
+}
+
+std::string PeerService::encode(PeerBody Body, std::uint64_t Sequence) {
   PeerMessage Message;
   Message.Sender = Config.NodeId;
   Message.Incarnation = Incarnation;
-  Message.Sequence = ++LastSequence;
+  Message.Sequence = Sequence;
   Message.SentMs = EventLoop::wallClock();
   Message.MemberDigest = Views.Own;
   Message.FleetTime = fleetTime(Clock, Timers.now());
   Message.BundleVersion = BundleVersion;
   Message.BundleRoot = BundleRoot;
   Message.Body = std::move(Body);
-  std::string Bytes = encodePeer(Message, Key);
+  return encodePeer(Message, Key);
+}
+
+void PeerService::send(const HostPort &To, PeerBody Body) {
+  if (Key.empty() || !Datagrams)
+    return;
+  std::string Bytes = encode(std::move(Body), ++LastSequence);
   ++Counts.SentMessages;
   Counts.SentBytes += Bytes.size();
   if (Bytes.size() <= MaxDatagramBytes)
--- a/src/peer_service.h
+++ b/src/peer_service.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <functional>
+#include <optional>
 #include <unordered_map>
 
 #include "bulk.h"
@@ -56,6 +57,13 @@
   /// not hold them. Until there is a secret, nothing is sent or accepted.
   void join(std::string Secret, std::uint64_t Inc);
 
+  /// Encodes and authenticates a message that is carried by other means.
+  /// \return Empty while there is no secret.
+  std::string seal(PeerBody Body);
+  /// Authenticates and decodes a message made by seal().
+  /// \return Nothing if it is not authentic, or was received before.
+  std::optional<PeerMessage> open(std::string_view Bytes);
+
   /// Sends a message to an address.
   void send(const HostPort &To, PeerBody Body);
   /// Sends a message to a node; dropped if membership does not know the node.
@@ -76,6 +84,7 @@
 
 private:
   void receive(std::string_view Bytes);
+  std::string encode(PeerBody Body, std::uint64_t Sequence);
 
   Kernel &Services;                ///< Finds other services.
   TimerService &Timers;            ///< Clock and timers.
@@ -83,16 +92,19 @@
   std::string Key;                 ///< Secret shared by all nodes.
   std::uint64_t Incarnation = 0;   ///< Of this process.
   std::uint64_t LastSequence = 0;  ///< Of the last message sent.
+  std::uint64_t LastSealed = 0;    ///< Of the last message by seal().
   std::uint64_t BundleVersion = 0; ///< Of the bundle in force here.
   std::uint64_t BundleRoot = 0;    ///< First bytes of its content hash.
   std::array<AnyHandler, std::variant_size_v<PeerBody>> Handlers; ///< By body.
   AnyHandler Any; ///< Called for every message.
   std::unordered_map<std::string, PeerWindow> Windows; ///< By sender.
-  FleetClock Clock;                                    ///< Fleet time.
-  MemberViews Views;                                   ///< What peers know.
-  PeerCounts Counts;                                   ///< For metrics.
-  std::unique_ptr<DatagramSocket> Datagrams;           ///< Small messages.
-  std::unique_ptr<BulkTransport> Bulk;                 ///< Large messages.
+  std::unordered_map<std::string, PeerWindow>
+      SealedWindows; ///< By sender, of messages by seal().
+  FleetClock Clock;  ///< Fleet time.
+  MemberViews Views; ///< What peers know.
+  PeerCounts Counts; ///< For metrics.
+  std::unique_ptr<DatagramSocket> Datagrams; ///< Small messages.
+  std::unique_ptr<BulkTransport> Bulk;       ///< Large messages.
 };
 
 } // namespace fulmar
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -7,6 +7,7 @@
 
 #include "batch_type.h"
 #include "bundle_base.h"
+#include "call_relay_type.h"
 #include "ledger_type.h"
 #include "member_type.h"
 #include "quarantine_type.h"
@@ -40,7 +41,8 @@
                  BatchAnswerMessage, BatchReleaseMessage, StateSyncRequest,
                  StateSyncResponse, ConfigFetch, ConfigCopy, CrashReport,
                  QuarantineUpdate, QuarantineObjection, RateLimitUpdate,
-                 TurnAsk, TurnAnswer, RetryAsk, RetryAnswer, LeavingUpdate>;
+                 TurnAsk, TurnAnswer, RetryAsk, RetryAnswer, LeavingUpdate,
+                 RelayedCall>;
 
 /// A message between nodes, with the fields that every message has.
 struct PeerMessage {
--- a/src/table/gateway_settings.h
+++ b/src/table/gateway_settings.h
@@ -25,7 +25,9 @@
      "Address at which other nodes reach this one, as IP:PORT."},
     {"metrics_port", &GatewaySettings::MetricsPort, "", 1, 65535,
      FieldPresence::Optional,
-     "TCP port of the metrics, at the IP address for peers."},
+     "TCP port of the metrics and of calls that nodes make for each other, at "
+     "the "
+     "IP address for peers."},
     {"source_address", &GatewaySettings::SourceAddress, "", 0, 45,
      FieldPresence::Optional,
      "IP address that connections to upstreams and to the key-value service "
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -33,7 +33,8 @@
 
 bool upstreamEligible(const Upstream &U, const RouterPolicy &Policy,
                       TimePoint Now) {
-  if (!U.Listed || U.Leaving || U.BackoffUntil > Now)
+  if (!U.Listed || U.Leaving || U.BackoffUntil > Now ||
+      U.Path == UpstreamPath::None)
     return false;
   // Outside this node's turn the upstream is not eligible, instead of merely
   // without capacity, so that all requests of a session go to the same other
@@ -52,7 +53,8 @@
 
 static bool usable(const Upstream &U, const RouterPolicy &Policy,
                    const ChoiceHints &Hints, TimePoint Now) {
-  if (!upstreamEligible(U, Policy, Now) || !hasCapacity(U, Policy))
+  if (!upstreamEligible(U, Policy, Now) || !hasCapacity(U, Policy) ||
+      U.Path > Hints.Worst)
     return false;
   if (!Hints.Avoid)
     return true;
@@ -82,11 +84,12 @@
 }
 
 const Upstream *affineUpstream(const Pool &P, const RouterPolicy &Policy,
-                               std::uint64_t Affinity, TimePoint Now) {
+                               std::uint64_t Affinity, TimePoint Now,
+                               UpstreamPath Worst) {
   const Upstream *Best = nullptr;
   std::uint64_t BestWeight = 0;
   for (const Upstream &U : P.Upstreams) {
-    if (!upstreamEligible(U, Policy, Now))
+    if (!upstreamEligible(U, Policy, Now) || U.Path > Worst)
       continue;
     std::uint64_t Weight = rendezvousWeight(Affinity, U.Address);
     if (Best && Weight < BestWeight)
@@ -117,7 +120,8 @@
                                              const RouterPolicy &Policy,
                                              const ChoiceHints &Hints,
                                              TimePoint Now) {
-  const Upstream *U = affineUpstream(P, Policy, Hints.Affinity, Now);
+  const Upstream *U =
+      affineUpstream(P, Policy, Hints.Affinity, Now, Hints.Worst);
   if (!U || !usable(*U, Policy, Hints, Now))
     return std::nullopt;
   double MaxInFlight =
@@ -157,11 +161,11 @@
                      Now);
 }
 
-std::optional<std::size_t> chooseUpstream(Pool &P, const RouterPolicy &Policy,
-                                          const ChoiceHints &Hints, Random &Rng,
-                                          TimePoint Now) {
-  if (P.Upstreams.empty())
-    return std::nullopt;
+/// Chooses an upstream among those whose path is allowed.
+static std::optional<std::size_t> chooseByPath(Pool &P,
+                                               const RouterPolicy &Policy,
+                                               const ChoiceHints &Hints,
+                                               Random &Rng, TimePoint Now) {
   switch (Policy.Choice) {
   case ChoiceRule::RoundRobin: {
     auto Index = firstUsable(P, P.NextIndex, Policy, Hints, Now);
@@ -184,6 +188,19 @@
   return bySampling(P, Policy, Hints, Rng, Now);
 }
 
+std::optional<std::size_t> chooseUpstream(Pool &P, const RouterPolicy &Policy,
+                                          const ChoiceHints &Hints, Random &Rng,
+                                          TimePoint Now) {
+  if (P.Upstreams.empty())
+    return std::nullopt;
+  // What this node reaches itself takes no other node's time.
+  ChoiceHints Own = Hints;
+  Own.Worst = UpstreamPath::Direct;
+  if (auto Index = chooseByPath(P, Policy, Own, Rng, Now))
+    return Index;
+  return chooseByPath(P, Policy, Hints, Rng, Now);
+}
+
 bool poolHasCapacity(const Pool &P, const RouterPolicy &Policy, TimePoint Now) {
   for (const Upstream &U : P.Upstreams) {
     if (hasCapacity(U, Policy) && upstreamEligible(U, Policy, Now))
--- a/src/upstream_base.h
+++ b/src/upstream_base.h
@@ -14,6 +14,7 @@
 #include "limit_base.h"
 #include "route_type.h"
 #include "send_pace.h"
+#include "upstream_path_base.h"
 
 namespace fulmar {
 
@@ -43,17 +44,18 @@
   bool SaidLeaving = false;  ///< It announced that it is leaving, whatever the
                              ///< host list says.
   bool Cold = false;         ///< Just started, with reduced capacity.
-  SendPace Pace;             ///< Turns to send while its rate is limited.
-  std::size_t Place = 0;     ///< Index in the pool's list.
-  TimePoint NextAsk{};       ///< Earliest time to request a node's turn.
-  bool Local = false;        ///< In this node's failure domain.
-  int InFlight = 0;          ///< Calls of this node in flight.
-  ConcurrencyLimit Limit;    ///< Limit on InFlight.
-  double LatencyRatio = 1;   ///< Smoothed latency over the stage's floor.
-  int Samples = 0;           ///< Latency samples since the latest ejection.
-  int Failures = 0;          ///< Consecutive failures.
-  int Ejections = 0;         ///< Consecutive; each doubles the next duration.
-  TimePoint EjectedUntil{};  ///< Not used before this time.
+  UpstreamPath Path = UpstreamPath::Direct; ///< How this node reaches it.
+  SendPace Pace;            ///< Turns to send while its rate is limited.
+  std::size_t Place = 0;    ///< Index in the pool's list.
+  TimePoint NextAsk{};      ///< Earliest time to request a node's turn.
+  bool Local = false;       ///< In this node's failure domain.
+  int InFlight = 0;         ///< Calls of this node in flight.
+  ConcurrencyLimit Limit;   ///< Limit on InFlight.
+  double LatencyRatio = 1;  ///< Smoothed latency over the stage's floor.
+  int Samples = 0;          ///< Latency samples since the latest ejection.
+  int Failures = 0;         ///< Consecutive failures.
+  int Ejections = 0;        ///< Consecutive; each doubles the next duration.
+  TimePoint EjectedUntil{}; ///< Not used before this time.
   TimePoint BackoffUntil{}; ///< It wants no requests from this node until then.
   double OtherLoad = 0;     ///< Calls of other nodes, as it reported.
   TimePoint ReportedAt{};   ///< When OtherLoad was reported.
@@ -75,6 +77,7 @@
 struct ChoiceHints {
   std::uint64_t Affinity = 0; ///< Hash of the prompt prefix; 0: none.
   const std::vector<UpstreamId> *Avoid = nullptr; ///< Already tried.
+  UpstreamPath Worst = UpstreamPath::Relayed;     ///< Worst path allowed.
 };
 
 } // namespace fulmar
--- /dev/null
+++ b/src/upstream_client.cpp
@@ -0,0 +1,403 @@
+/// \file upstream_client.cpp Calls upstreams, through other nodes where this
+/// node cannot connect to them.
+#include "upstream_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "call_relay_func.h"
+#include "log_func.h"
+#include "member_func.h"
+#include "member_service.h"
+#include "node_services.h"
+#include "peer_service.h"
+#include "upstream_feed.h"
+#include "upstream_path_func.h"
+
+namespace fulmar {
+
+/// Interval at which silent calls are looked for and paths are probed.
+static constexpr Duration TickPeriod = std::chrono::milliseconds(100);
+static constexpr Duration PrunePeriod = std::chrono::seconds(1);
+/// Timeout of connections to upstreams and to other nodes: many round trips
+/// within a region.
+static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
+/// An upstream that is silent although it accepts connections is slow; its path
+/// is not probed again before this time has passed.
+static constexpr Duration MinProbeInterval = std::chrono::seconds(2);
+/// Nodes that one call is sent to.
+static constexpr std::size_t MaxRelays = 2;
+/// A node that refused a call, or did not accept the connection, is avoided for
+/// this long.
+static constexpr Duration AvoidTime = std::chrono::milliseconds(500);
+/// Random members among which a node for a call is chosen.
+static constexpr std::size_t MaxCandidates = 16;
+
+UpstreamClient::UpstreamClient(Kernel &K, std::uint64_t Seed)
+    : Services(K), Rng(Seed) {}
+
+void UpstreamClient::start() {
+  Timers = &Services.find<TimerService>(service::Timers);
+  Client = &Services.find<HttpClientService>(service::Http).Client;
+  Members = &Services.find<MemberService>(service::Members);
+  Peers = &Services.find<PeerService>(service::Peers);
+  Upstreams = &Services.find<UpstreamFeed>(service::Upstreams);
+  Timers->every(TickPeriod, [this] { tick(); });
+}
+
+UpstreamClient::OpenCall *UpstreamClient::find(HttpCallId Id) {
+  auto Found = Calls.find(Id);
+  return Found == Calls.end() ? nullptr : &Found->second;
+}
+
+UpstreamPath UpstreamClient::path(const std::string &Address) const {
+  return upstreamPathOf(Paths, Address, Timers->now());
+}
+
+bool UpstreamClient::isolated() const { return pathsIsolated(Paths); }
+
+HttpCallId UpstreamClient::start(const Incarnation &Upstream, HttpCall Call,
+                                 HttpCallbacks Callbacks,
+                                 const UpstreamCallPlan &Plan) {
+  HttpCallId Id{++LastId};
+  OpenCall &C = Calls[Id];
+  C.Upstream = Upstream;
+  C.Call = std::move(Call);
+  C.Call.ConnectTimeout = std::min(C.Call.ConnectTimeout, ConnectTimeout);
+  C.Callbacks = std::move(Callbacks);
+  C.Plan = Plan;
+  bool Relay = Plan.Relay != RelayUse::Never &&
+               path(C.Call.Address) != UpstreamPath::Direct;
+  if (!Relay || !sendRelayed(Id))
+    sendDirect(Id);
+  return Id;
+}
+
+void UpstreamClient::cancel(HttpCallId Id) {
+  OpenCall *C = find(Id);
+  if (!C)
+    return;
+  Client->cancel(C->Current);
+  Calls.erase(Id);
+}
+
+void UpstreamClient::pause(HttpCallId Id) {
+  if (OpenCall *C = find(Id))
+    Client->pause(C->Current);
+}
+
+void UpstreamClient::resume(HttpCallId Id) {
+  if (OpenCall *C = find(Id))
+    Client->resume(C->Current);
+}
+
+/// \return Callbacks that direct and relayed calls have in common.
+HttpCallbacks UpstreamClient::callbacks(HttpCallId Id) {
+  HttpCallbacks On;
+  On.OnSent = [this, Id] { sent(Id); };
+  On.OnHead = [this, Id](const HttpResponse &Answer) { head(Id, Answer); };
+  // Without OnChunk the HTTP client collects the body.
+  if (find(Id)->Callbacks.OnChunk)
+    On.OnChunk = [this, Id](std::string_view Bytes) { chunk(Id, Bytes); };
+  return On;
+}
+
+void UpstreamClient::sendDirect(HttpCallId Id) {
+  OpenCall &C = *find(Id);
+  C.Direct = true;
+  HttpCallbacks On = callbacks(Id);
+  On.OnConnected = [this, Address = C.Call.Address] {
+    pathConnected(Paths, Address, Timers->now());
+    noteChanges();
+  };
+  On.OnDone = [this, Id](const HttpResponse &Answer) {
+    directDone(Id, Answer);
+  };
+  C.Current = Client->start(C.Call, std::move(On));
+}
+
+void UpstreamClient::sent(HttpCallId Id) {
+  OpenCall &C = *find(Id);
+  C.HeardAt = Timers->now();
+  if (C.Direct)
+    C.Call.Body.clear();
+  // The callback may cancel the call. It runs once, also if the call goes to
+  // another node next.
+  if (auto OnSent = std::exchange(C.Callbacks.OnSent, nullptr))
+    OnSent();
+}
+
+void UpstreamClient::head(HttpCallId Id, const HttpResponse &Answer) {
+  OpenCall &C = *find(Id);
+  C.HeardAt = Timers->now();
+  C.Refused = !C.Direct && findHeader(Answer.Headers, RelayResultHeader);
+  if (C.Refused)
+    return;
+  if (auto OnHead = C.Callbacks.OnHead)
+    OnHead(Answer);
+}
+
+void UpstreamClient::chunk(HttpCallId Id, std::string_view Bytes) {
+  OpenCall &C = *find(Id);
+  C.HeardAt = Timers->now();
+  if (C.Refused)
+    return;
+  auto OnChunk = C.Callbacks.OnChunk;
+  OnChunk(Bytes);
+}
+
+void UpstreamClient::directDone(HttpCallId Id, const HttpResponse &Answer) {
+  OpenCall &C = *find(Id);
+  const std::string Address = C.Call.Address;
+  if (Answer.MayHaveBeenSent) {
+    if (Answer.Failure == HttpFailure::None && !Answer.Reused)
+      pathAnswered(Paths, Address);
+    if (Answer.Failure == HttpFailure::Closed && Answer.Reused)
+      probe(Address);
+    if (Answer.Failure == HttpFailure::Closed && !Answer.Reused)
+      pathReset(Paths, Address, Timers->now());
+    noteChanges();
+    return finish(Id, Answer);
+  }
+  pathFailed(Paths, Address, Timers->now());
+  Client->closeIdle(Address);
+  noteChanges();
+  bool Relay = C.Plan.Relay == RelayUse::Allowed ||
+               (C.Plan.Relay == RelayUse::Isolated && isolated());
+  if (!Relay || !sendRelayed(Id))
+    finish(Id, Answer);
+}
+
+/// Chooses a node that a call is sent to: of two random ones that say that they
+/// reach upstreams, the one with less load.
+const MemberInfo *UpstreamClient::chooseRelay(const OpenCall &C) {
+  const MemberInfo *Best = nullptr;
+  int Compared = 0;
+  for (const std::string &Node : Members->randomIds(MaxCandidates)) {
+    const MemberInfo *Info = Members->info(Node);
+    auto Avoided = AvoidedNodes.find(Node);
+    bool Avoid =
+        Avoided != AvoidedNodes.end() && Avoided->second > Timers->now();
+    if (!Info || !memberServes(Info->State) || Info->CannotReach ||
+        Info->Unfit || Avoid || C.Via.count(Node))
+      continue;
+    // A strong node is as busy as a weak one with a part of its load.
+    if (!Best || static_cast<std::uint64_t>(Info->Load) * Best->Strength <
+                     static_cast<std::uint64_t>(Best->Load) * Info->Strength)
+      Best = Info;
+    if (++Compared == 2)
+      break;
+  }
+  return Best;
+}
+
+/// Sends a call to another node.
+/// \return Whether there is one.
+bool UpstreamClient::sendRelayed(HttpCallId Id) {
+  OpenCall &C = *find(Id);
+  if (C.Via.size() >= MaxRelays)
+    return false;
+  const MemberInfo *Node = chooseRelay(C);
+  if (!Node)
+    return false;
+  RelayedCall Relayed;
+  Relayed.Upstream = C.Upstream;
+  Relayed.Method = C.Call.Method;
+  Relayed.Path = C.Call.Path;
+  Relayed.Headers = C.Call.Headers;
+  Relayed.Body = C.Call.Body;
+  Relayed.ExpectId = C.Call.ExpectId;
+  Relayed.Timeout = C.Call.Timeout;
+  Relayed.Repeatable = C.Call.Reuse == HttpReuse::Allowed;
+  std::string Sealed = Peers->seal(std::move(Relayed));
+  if (Sealed.empty())
+    return false;
+  C.Direct = false;
+  C.Refused = false;
+  C.Via.insert(Node->Id);
+  ++Counts.Relayed;
+  HttpCall Call;
+  Call.Address = formatHostPort({Node->Host, Node->OperatorPort});
+  Call.Path = RelayPath;
+  Call.Body = std::move(Sealed);
+  Call.Timeout = C.Call.Timeout + ConnectTimeout;
+  Call.ConnectTimeout = ConnectTimeout;
+  Call.Reuse = C.Call.Reuse;
+  HttpCallbacks On = callbacks(Id);
+  On.OnDone = [this, Id](const HttpResponse &Answer) { relayDone(Id, Answer); };
+  C.Current = Client->start(std::move(Call), std::move(On));
+  return true;
+}
+
+void UpstreamClient::relayDone(HttpCallId Id, const HttpResponse &Answer) {
+  OpenCall &C = *find(Id);
+  if (C.Refused)
+    return relayRefused(Id, Answer);
+  if (!Answer.MayHaveBeenSent) {
+    AvoidedNodes[*C.Via.rbegin()] = Timers->now() + AvoidTime;
+    if (!sendRelayed(Id))
+      finish(Id, Answer);
+    return;
+  }
+  HttpResponse Whole = Answer;
+  // That the other node closed the connection says nothing about the upstream.
+  if (peerClosedEarly(Whole))
+    Whole.Failure = HttpFailure::RelayLost;
+  finish(Id, Whole);
+}
+
+/// Handles a call that another node could not make, or whose response it did
+/// not get.
+void UpstreamClient::relayRefused(HttpCallId Id, const HttpResponse &Answer) {
+  OpenCall &C = *find(Id);
+  RelayResult Result = readRelayResult(Answer);
+  HttpResponse Failed;
+  Failed.MayHaveBeenSent = relayMayHaveSent(Result);
+  Failed.Failure = relayFailure(Result);
+  if (Failed.MayHaveBeenSent)
+    return finish(Id, Failed);
+  ++Counts.RelayRefused;
+  if (Result == RelayResult::Declined)
+    return finish(Id, Failed);
+  if (Result != RelayResult::Unreachable)
+    AvoidedNodes[*C.Via.rbegin()] = Timers->now() + AvoidTime;
+  C.Unreachable = C.Unreachable || Result == RelayResult::Unreachable;
+  if (sendRelayed(Id))
+    return;
+  if (C.Unreachable) {
+    pathFailedElsewhere(Paths, C.Call.Address, Timers->now());
+    noteChanges();
+  }
+  finish(Id, Failed);
+}
+
+void UpstreamClient::finish(HttpCallId Id, const HttpResponse &Answer) {
+  auto OnDone = std::move(find(Id)->Callbacks.OnDone);
+  Calls.erase(Id);
+  if (OnDone)
+    OnDone(Answer);
+}
+
+/// Tries to connect to an address.
+void UpstreamClient::probe(const std::string &Address) {
+  if (!Probing.insert(Address).second)
+    return;
+  ++Counts.Probes;
+  Probed[Address] = Timers->now();
+  HttpCall Call;
+  Call.Address = Address;
+  Call.ConnectOnly = true;
+  Call.ConnectTimeout = ConnectTimeout;
+  HttpCallbacks On;
+  On.OnDone = [this, Address](const HttpResponse &Answer) {
+    Probing.erase(Address);
+    if (Answer.Failure != HttpFailure::None)
+      return probeFailed(Address);
+    pathConnected(Paths, Address, Timers->now());
+    noteChanges();
+  };
+  Client->start(std::move(Call), std::move(On));
+}
+
+/// Records a path that is down, and fails the silent calls on it that may be
+/// repeated.
+void UpstreamClient::probeFailed(const std::string &Address) {
+  TimePoint Now = Timers->now();
+  pathFailed(Paths, Address, Now);
+  Client->closeIdle(Address);
+  noteChanges();
+  std::vector<HttpCallId> Lost;
+  for (const auto &[Id, C] : Calls) {
+    if (C.Direct && C.Plan.FailOnPathLoss && C.Call.Address == Address &&
+        C.HeardAt > TimePoint{} && Now - C.HeardAt >= C.Plan.SilentAfter)
+      Lost.push_back(Id);
+  }
+  HttpResponse Silent;
+  Silent.MayHaveBeenSent = true;
+  Silent.Failure = HttpFailure::TimedOut;
+  for (HttpCallId Id : Lost) {
+    OpenCall *C = find(Id);
+    if (!C)
+      continue;
+    Client->cancel(C->Current);
+    finish(Id, Silent);
+  }
+}
+
+/// Probes the paths of calls without a response for long, unless their upstream
+/// responds to others.
+void UpstreamClient::probeSilent() {
+  TimePoint Now = Timers->now();
+  std::map<std::string, bool> SilentBy;
+  for (const auto &[Id, C] : Calls) {
+    if (!C.Direct || C.HeardAt == TimePoint{})
+      continue;
+    bool Silent = Now - C.HeardAt >= C.Plan.SilentAfter;
+    auto [Found, Fresh] = SilentBy.try_emplace(C.Call.Address, Silent);
+    Found->second = Found->second && Silent;
+  }
+  for (const auto &[Address, Silent] : SilentBy) {
+    auto Last = Probed.find(Address);
+    bool Lately = Last != Probed.end() && Now - Last->second < MinProbeInterval;
+    if (Silent && !Lately)
+      probe(Address);
+  }
+}
+
+void UpstreamClient::tick() {
+  TimePoint Now = Timers->now();
+  probeSilent();
+  for (const std::string &Address : pathProbesDue(Paths, Now))
+    probe(Address);
+  if (NextPrune <= Now) {
+    NextPrune = Now + PrunePeriod;
+    std::erase_if(Probed, [Now](const auto &Item) {
+      return Now - Item.second > MinProbeInterval;
+    });
+    std::erase_if(AvoidedNodes,
+                  [Now](const auto &Item) { return Item.second <= Now; });
+    if (!Paths.Troubles.empty()) {
+      std::set<std::string> Listed;
+      for (const auto &[Instance, Entry] : Upstreams->registry().Entries)
+        Listed.insert(Entry.Address);
+      pathsPrune(
+          Paths,
+          [&](const std::string &Address) { return Listed.count(Address) > 0; },
+          Now);
+    }
+  }
+  noteChanges();
+}
+
+/// Informs subscribers if paths have changed.
+void UpstreamClient::noteChanges() {
+  std::map<std::string, UpstreamPath> Latest;
+  for (const auto &[Address, T] : Paths.Troubles) {
+    UpstreamPath Path = path(Address);
+    if (Path != UpstreamPath::Direct)
+      Latest[Address] = Path;
+  }
+  bool Isolated = isolated();
+  if (Isolated != KnownIsolated) {
+    Counts.Isolations += Isolated ? 1 : 0;
+    logEvent(Isolated ? LogLevel::Warning : LogLevel::Info,
+             Isolated ? "upstreams_unreachable" : "upstreams_reachable",
+             {{"addresses_down", Latest.size()},
+              {"relayed", Counts.Relayed},
+              {"refused", Counts.RelayRefused}});
+  }
+  if (Isolated == KnownIsolated && Latest == Known)
+    return;
+  for (const auto &[Address, Path] : Latest) {
+    auto Before = Known.find(Address);
+    if (Before == Known.end() || Before->second != Path)
+      logEvent(LogLevel::Info, "upstream_path",
+               {{"upstream", Address}, {"path", upstreamPathName(Path)}});
+  }
+  KnownIsolated = Isolated;
+  Known = std::move(Latest);
+  for (const auto &Fn : Subscribers)
+    Fn();
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/upstream_path_func.h
@@ -0,0 +1,60 @@
+/// \file upstream_path_func.h Decides whether this node can connect to
+/// upstreams, without I/O.
+///
+/// A connection that fails may be the fault of the upstream or of this node's
+/// links. If connections to several upstreams have failed and none has been
+/// established since, this node counts as isolated, unless other nodes cannot
+/// connect to those upstreams either.
+#ifndef FULMARSTEP_UPSTREAM_PATH_FUNC_H
+#define FULMARSTEP_UPSTREAM_PATH_FUNC_H
+
+#include <functional>
+#include <string_view>
+#include <vector>
+
+#include "upstream_path_base.h"
+
+namespace fulmar {
+
+/// Records that a new connection to \p Address was established.
+void pathConnected(UpstreamPaths &P, const std::string &Address, TimePoint Now);
+
+/// Records that no connection to \p Address could be established.
+void pathFailed(UpstreamPaths &P, const std::string &Address, TimePoint Now);
+
+/// Records that a new connection to \p Address was closed before a response;
+/// after several in a row the path counts as failed.
+void pathReset(UpstreamPaths &P, const std::string &Address, TimePoint Now);
+
+/// Records a response on a new connection to \p Address.
+void pathAnswered(UpstreamPaths &P, const std::string &Address);
+
+/// Records that another node could not connect to \p Address either.
+void pathFailedElsewhere(UpstreamPaths &P, const std::string &Address,
+                         TimePoint Now);
+
+/// \return How this node reaches \p Address.
+UpstreamPath upstreamPathOf(const UpstreamPaths &P, const std::string &Address,
+                            TimePoint Now);
+
+/// \return Whether this node can connect to no upstream, as far as is known.
+inline bool pathsIsolated(const UpstreamPaths &P) {
+  return P.IsolatedSince > TimePoint{};
+}
+
+/// \return The name of \p Path in logs.
+std::string_view upstreamPathName(UpstreamPath Path);
+
+/// Chooses addresses to which this node should try to connect now, and
+/// schedules the next time for them.
+std::vector<std::string> pathProbesDue(UpstreamPaths &P, TimePoint Now);
+
+/// Forgets addresses that are not in use any more.
+/// \param Used returns whether an upstream is listed at the address.
+void pathsPrune(UpstreamPaths &P,
+                const std::function<bool(const std::string &)> &Used,
+                TimePoint Now);
+
+} // namespace fulmar
+
+#endif
--- a/tests/fleet_net.h
+++ b/tests/fleet_net.h
@@ -80,7 +80,7 @@
   /// Marks node \p I as ready.
   void makeReady(std::size_t I) {
     MemberActions Out;
-    memberSetFitness(Nodes[I], /*Fit=*/true, /*CanRead=*/true, Out);
+    memberSetFitness(Nodes[I], {}, Out);
     perform(Out);
   }
 
