Confirm isolation by upstreams without trouble, and test relayed calls

By reading: two upstreams that are gone, at a node which opens new connections rarely, would have isolated it. Now two failures make it probe up to three upstreams without trouble, and four failures without a connection since isolate it. Open connections live on where only new ones are refused, and are used. A call that waited more than 400 ms before it could be sent goes back to its caller, since it states the time left at its start.

Tests: a cut of all nodes (no calls between them), entry answers, a relaying node that is stopped, cut off or reset (nothing runs twice or after a refusal), the limit of calls made for others, a relayed call received twice, and the decisions with their times.

--- a/src/http_client.h
+++ b/src/http_client.h
@@ -134,6 +134,9 @@
   /// Resumes reading.
   void resume(HttpCallId Id);
 
+  /// \return Whether there is an idle connection to \p Address.
+  bool hasIdle(const std::string &Address) const;
+
   /// Closes the idle connections to \p Address.
   void closeIdle(const std::string &Address);
 
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -19,6 +19,10 @@
 /// Interval at which silent calls are looked for and paths are probed.
 static constexpr Duration TickPeriod = std::chrono::milliseconds(100);
 static constexpr Duration PrunePeriod = std::chrono::seconds(1);
+/// Upstreams without trouble that are probed while this node may be isolated,
+/// and the interval at which others are chosen.
+static constexpr std::size_t OthersProbed = 3;
+static constexpr Duration OthersInterval = std::chrono::milliseconds(500);
 /// Timeout of connections to upstreams and to other nodes: many round trips
 /// within a region.
 static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
@@ -27,6 +31,9 @@
 static constexpr Duration MinProbeInterval = std::chrono::seconds(2);
 /// Nodes that one call is sent to.
 static constexpr std::size_t MaxRelays = 2;
+/// A call that was not sent for this long is given back to its caller: it
+/// states the time left at its start.
+static constexpr Duration MaxCallAge = std::chrono::milliseconds(400);
 /// A node that refused a call, or did not accept the connection, is avoided for
 /// this long.
 static constexpr Duration AvoidTime = std::chrono::milliseconds(500);
@@ -51,7 +58,12 @@
 }
 
 UpstreamPath UpstreamClient::path(const std::string &Address) const {
-  return upstreamPathOf(Paths, Address, Timers->now());
+  UpstreamPath Path = upstreamPathOf(Paths, Address, Timers->now());
+  // Where new connections are refused, open ones may live on. Those that hang
+  // were closed.
+  if (Path != UpstreamPath::Direct && !Paths.Hung && Client->hasIdle(Address))
+    return UpstreamPath::Direct;
+  return Path;
 }
 
 bool UpstreamClient::isolated() const { return pathsIsolated(Paths); }
@@ -66,6 +78,7 @@
   C.Call.ConnectTimeout = std::min(C.Call.ConnectTimeout, ConnectTimeout);
   C.Callbacks = std::move(Callbacks);
   C.Plan = Plan;
+  C.Started = Timers->now();
   bool Relay = Plan.Relay != RelayUse::Never &&
                path(C.Call.Address) != UpstreamPath::Direct;
   if (!Relay || !sendRelayed(Id))
@@ -159,15 +172,26 @@
     noteChanges();
     return finish(Id, Answer);
   }
-  pathFailed(Paths, Address, Timers->now());
-  Client->closeIdle(Address);
-  noteChanges();
+  connectFailed(Address, C.Started);
   bool Relay = C.Plan.Relay == RelayUse::Allowed ||
                (C.Plan.Relay == RelayUse::Isolated && isolated());
   if (!Relay || !sendRelayed(Id))
     finish(Id, Answer);
 }
 
+/// Records that a connection could not be established.
+/// \param Since when it was begun.
+void UpstreamClient::connectFailed(const std::string &Address,
+                                   TimePoint Since) {
+  bool Hung = Timers->now() - Since >= ConnectTimeout;
+  pathFailed(Paths, Address, Hung, Timers->now());
+  // Open connections share the fate of a new one that hangs.
+  if (Hung)
+    Client->closeIdle(Address);
+  probeOthers();
+  noteChanges();
+}
+
 /// Chooses a node that a call is sent to: of two random ones that say that they
 /// reach upstreams, the one with less load.
 const MemberInfo *UpstreamClient::chooseRelay(const OpenCall &C) {
@@ -195,7 +219,7 @@
 /// \return Whether there is one.
 bool UpstreamClient::sendRelayed(HttpCallId Id) {
   OpenCall &C = *find(Id);
-  if (C.Via.size() >= MaxRelays)
+  if (C.Via.size() >= MaxRelays || Timers->now() - C.Started > MaxCallAge)
     return false;
   const MemberInfo *Node = chooseRelay(C);
   if (!Node)
@@ -289,23 +313,23 @@
   Call.ConnectOnly = true;
   Call.ConnectTimeout = ConnectTimeout;
   HttpCallbacks On;
-  On.OnDone = [this, Address](const HttpResponse &Answer) {
+  On.OnDone = [this, Address,
+               Started = Timers->now()](const HttpResponse &Answer) {
     Probing.erase(Address);
-    if (Answer.Failure != HttpFailure::None)
-      return probeFailed(Address);
+    if (Answer.Failure != HttpFailure::None) {
+      connectFailed(Address, Started);
+      return failSilentCalls(Address);
+    }
     pathConnected(Paths, Address, Timers->now());
     noteChanges();
   };
   Client->start(std::move(Call), std::move(On));
 }
 
-/// Records a path that is down, and fails the silent calls on it that may be
+/// Fails the silent calls to an upstream whose path is down, if they may be
 /// repeated.
-void UpstreamClient::probeFailed(const std::string &Address) {
+void UpstreamClient::failSilentCalls(const std::string &Address) {
   TimePoint Now = Timers->now();
-  pathFailed(Paths, Address, Now);
-  Client->closeIdle(Address);
-  noteChanges();
   std::vector<HttpCallId> Lost;
   for (const auto &[Id, C] : Calls) {
     if (C.Direct && C.Plan.FailOnPathLoss && C.Call.Address == Address &&
@@ -344,9 +368,28 @@
   }
 }
 
+/// Probes some upstreams without trouble if this node may be isolated.
+void UpstreamClient::probeOthers() {
+  TimePoint Now = Timers->now();
+  if (!pathsSuspicious(Paths, Now) || NextOthers > Now)
+    return;
+  NextOthers = Now + OthersInterval;
+  std::vector<std::string> Others;
+  for (const auto &[Instance, Entry] : Upstreams->registry().Entries) {
+    if (!Entry.Leaving && !Paths.Troubles.count(Entry.Address))
+      Others.push_back(Entry.Address);
+  }
+  for (std::size_t I = 0; I < OthersProbed && !Others.empty(); ++I) {
+    std::size_t Index = randomIndex(Rng, Others.size());
+    probe(Others[Index]);
+    Others.erase(Others.begin() + static_cast<std::ptrdiff_t>(Index));
+  }
+}
+
 void UpstreamClient::tick() {
   TimePoint Now = Timers->now();
   probeSilent();
+  probeOthers();
   for (const std::string &Address : pathProbesDue(Paths, Now))
     probe(Address);
   if (NextPrune <= Now) {
@@ -356,6 +399,7 @@
     });
     std::erase_if(AvoidedNodes,
                   [Now](const auto &Item) { return Item.second <= Now; });
+    Paths.Listed = Upstreams->registry().Entries.size();
     if (!Paths.Troubles.empty()) {
       std::set<std::string> Listed;
       for (const auto &[Instance, Entry] : Upstreams->registry().Entries)
--- a/src/upstream_client.h
+++ b/src/upstream_client.h
@@ -95,6 +95,7 @@
     HttpCallbacks Callbacks;   ///< Of the caller.
     UpstreamCallPlan Plan;     ///< How it is made.
     HttpCallId Current;        ///< Call of the HTTP client.
+    TimePoint Started{};       ///< When the caller started it.
     bool Direct = false;       ///< Sent without another node.
     bool Refused = false;      ///< The response is the other node's own.
     TimePoint HeardAt{};       ///< Latest byte received, or when it was sent;
@@ -115,8 +116,10 @@
   void finish(HttpCallId Id, const HttpResponse &Answer);
   const MemberInfo *chooseRelay(const OpenCall &C);
   void probe(const std::string &Address);
-  void probeFailed(const std::string &Address);
+  void failSilentCalls(const std::string &Address);
+  void connectFailed(const std::string &Address, TimePoint Since);
   void probeSilent();
+  void probeOthers();
   void tick();
   void noteChanges();
   OpenCall *find(HttpCallId Id);
@@ -133,7 +136,8 @@
   std::uint64_t LastId = 0;                       ///< Of the latest call.
   std::map<std::string, TimePoint> AvoidedNodes;  ///< Until then, by node.
   std::map<std::string, TimePoint> Probed;        ///< Latest probe, by address.
-  std::set<std::string> Probing;                  ///< Addresses with a probe.
+  TimePoint NextOthers{}; ///< When to probe upstreams without trouble again.
+  std::set<std::string> Probing;             ///< Addresses with a probe.
   std::map<std::string, UpstreamPath> Known; ///< Paths other than Direct that
                                              ///< subscribers know.
   bool KnownIsolated = false;                ///< Same for isolation.
--- a/src/upstream_path.cpp
+++ b/src/upstream_path.cpp
@@ -1,13 +1,18 @@
 /// \file upstream_path.cpp Decides whether this node can connect to upstreams.
 #include "upstream_path_func.h"
 
+#include <algorithm>
+
 #include "core/enum_names.h"
 
 namespace fulmar {
 
+/// Distinct upstreams whose connections must have failed before others are
+/// probed. A single one is more likely to be at fault itself.
+static constexpr std::size_t MinSuspicionEvidence = 2;
 /// Distinct upstreams whose connections must have failed before this node
-/// counts as isolated. A single one is more likely to be at fault itself.
-static constexpr int MinIsolationEvidence = 2;
+/// counts as isolated, or all if fewer are listed.
+static constexpr std::size_t MinIsolationEvidence = 4;
 /// Failures that are older do not count as evidence of isolation.
 static constexpr Duration EvidenceLifetime = std::chrono::seconds(3);
 /// An upstream to which another node could not connect is not tried through
@@ -44,20 +49,36 @@
          Now - T.FailedAt < EvidenceLifetime && !failedElsewhere(T, Now);
 }
 
+static std::size_t countEvidence(const UpstreamPaths &P, TimePoint Now) {
+  auto Counts = [&](const auto &Item) {
+    return isEvidence(P, Item.second, Now);
+  };
+  return static_cast<std::size_t>(
+      std::count_if(P.Troubles.begin(), P.Troubles.end(), Counts));
+}
+
 static void updateIsolation(UpstreamPaths &P, TimePoint Now) {
-  int Evidence = 0;
-  for (const auto &[Address, T] : P.Troubles)
-    Evidence += isEvidence(P, T, Now) ? 1 : 0;
+  std::size_t Evidence = countEvidence(P, Now);
+  std::size_t Needed =
+      std::clamp<std::size_t>(P.Listed, 1, MinIsolationEvidence);
   if (Evidence == 0)
     P.IsolatedSince = TimePoint{};
-  else if (Evidence >= MinIsolationEvidence && !pathsIsolated(P))
+  else if (Evidence >= Needed && !pathsIsolated(P))
     P.IsolatedSince = Now;
+  P.Hung = pathsIsolated(P) &&
+           std::any_of(P.Troubles.begin(), P.Troubles.end(),
+                       [](const auto &Item) { return Item.second.Hung; });
+}
+
+bool pathsSuspicious(const UpstreamPaths &P, TimePoint Now) {
+  return !pathsIsolated(P) && countEvidence(P, Now) >= MinSuspicionEvidence;
 }
 
 void pathConnected(UpstreamPaths &P, const std::string &Address,
                    TimePoint Now) {
   P.ConnectedAt = Now;
   P.IsolatedSince = TimePoint{};
+  P.Hung = false;
   auto Found = P.Troubles.find(Address);
   if (Found == P.Troubles.end())
     return;
@@ -67,19 +88,21 @@
     P.Troubles.erase(Found);
 }
 
-void pathFailed(UpstreamPaths &P, const std::string &Address, TimePoint Now) {
+void pathFailed(UpstreamPaths &P, const std::string &Address, bool Hung,
+                TimePoint Now) {
   PathTrouble &T = P.Troubles[Address];
   if (T.DownSince == TimePoint{}) {
     T.DownSince = Now;
     T.NextProbe = Now + FirstProbeInterval;
   }
   T.FailedAt = Now;
+  T.Hung = Hung;
   updateIsolation(P, Now);
 }
 
 void pathReset(UpstreamPaths &P, const std::string &Address, TimePoint Now) {
   if (++P.Troubles[Address].Resets >= ResetsToFail)
-    pathFailed(P, Address, Now);
+    pathFailed(P, Address, /*Hung=*/false, Now);
 }
 
 void pathAnswered(UpstreamPaths &P, const std::string &Address) {
@@ -93,7 +116,7 @@
   auto Found = P.Troubles.find(Address);
   if (Found == P.Troubles.end()) {
     // Only an isolated node uses other nodes for an address without trouble.
-    pathFailed(P, Address, Now);
+    pathFailed(P, Address, /*Hung=*/false, Now);
     Found = P.Troubles.find(Address);
   }
   Found->second.ElsewhereFailedAt = Now;
--- a/src/upstream_path_base.h
+++ b/src/upstream_path_base.h
@@ -25,8 +25,9 @@
   TimePoint NextProbe{}; ///< When to try to connect again.
   /// When another node could not connect to it either; zero: never.
   TimePoint ElsewhereFailedAt{};
-  int Resets = 0; ///< New connections in a row that were reset before a
-                  ///< response.
+  bool Hung = false; ///< The latest failure was a timeout.
+  int Resets = 0;    ///< New connections in a row that were reset before a
+                     ///< response.
 };
 
 /// Paths of this node to upstreams.
@@ -35,6 +36,8 @@
   TimePoint ConnectedAt{};   ///< When a connection was last established.
   TimePoint IsolatedSince{}; ///< This node can connect to no upstream since
                              ///< then; zero: it can, as far as is known.
+  bool Hung = false;         ///< Isolated, and connections hang; open ones too.
+  std::size_t Listed = 0;    ///< Addresses at which upstreams are listed.
 };
 
 } // namespace fulmar
--- a/src/upstream_path_func.h
+++ b/src/upstream_path_func.h
@@ -4,7 +4,9 @@
 /// A connection that fails may be the fault of the upstream or of this node's
 /// links. If connections to several upstreams have failed and none has been
 /// established since, this node counts as isolated, unless other nodes cannot
-/// connect to those upstreams either.
+/// connect to those upstreams either. After the first few failures, upstreams
+/// without trouble are probed, so that some that are gone do not isolate a node
+/// which opens new connections rarely.
 #ifndef FULMARSTEP_UPSTREAM_PATH_FUNC_H
 #define FULMARSTEP_UPSTREAM_PATH_FUNC_H
 
@@ -20,7 +22,9 @@
 void pathConnected(UpstreamPaths &P, const std::string &Address, TimePoint Now);
 
 /// Records that no connection to \p Address could be established.
-void pathFailed(UpstreamPaths &P, const std::string &Address, TimePoint Now);
+/// \param Hung whether it was given up after a timeout.
+void pathFailed(UpstreamPaths &P, const std::string &Address, bool Hung,
+                TimePoint Now);
 
 /// Records that a new connection to \p Address was closed before a response;
 /// after several in a row the path counts as failed.
@@ -45,6 +49,10 @@
 /// \return The name of \p Path in logs.
 std::string_view upstreamPathName(UpstreamPath Path);
 
+/// \return Whether this node may be isolated, and should probe upstreams
+/// without trouble.
+bool pathsSuspicious(const UpstreamPaths &P, TimePoint Now);
+
 /// Chooses addresses to which this node should try to connect now, and
 /// schedules the next time for them.
 std::vector<std::string> pathProbesDue(UpstreamPaths &P, TimePoint Now);
--- a/tests/test_upstream_path.cpp
+++ b/tests/test_upstream_path.cpp
@@ -2,10 +2,15 @@
 /// nodes reach.
 #include <catch2/catch.hpp>
 
+#include "call_relay_service.h"
+#include "entry_func.h"
 #include "gateway_world.h"
 #include "member_service.h"
 #include "node_services.h"
+#include "peer_service.h"
 #include "tcp_proxy.h"
+#include "upstream_client.h"
+#include "upstream_path_func.h"
 
 using namespace fulmar;
 using platform::RunnerConfig;
@@ -30,7 +35,9 @@
 /// kind, which can be cut off from each node.
 struct PathWorld : GatewayWorld {
   std::map<std::string, std::unique_ptr<TcpProxy>> Links; ///< By upstream.
-  std::map<std::string, std::string> Pool;                ///< By upstream.
+  std::map<std::string, std::string> PathOf; ///< Of requests, by id.
+  std::set<std::size_t> Stopped;             ///< Nodes that get no requests.
+  std::map<std::string, int> StatusOf;       ///< Of responses, by request.
 
   explicit PathWorld(int NodeCount) {
     Sources = true;
@@ -76,12 +83,19 @@
   std::vector<Tries> load(Duration Length) {
     std::vector<std::vector<std::shared_ptr<ClientResult>>> Results(
         Nodes.size());
+    std::map<ClientResult *, std::string> Ids;
     std::size_t Next = 0;
     TimePoint End = Timers.now() + Length;
     while (Timers.now() < End) {
       std::size_t Node = Next % Nodes.size();
       const char *Path = Paths[Next / Nodes.size() % std::size(Paths)];
+      if (Stopped.count(Node) > 0) {
+        ++Next;
+        continue;
+      }
       Results[Node].push_back(send(Path, OnePieceEach, Node));
+      PathOf["r" + std::to_string(LastId)] = Path;
+      Ids[Results[Node].back().get()] = "r" + std::to_string(LastId);
       ++Next;
       TimePoint Due = Timers.now() + milliseconds(15);
       runUntil(Loop, [&] { return Timers.now() >= Due; });
@@ -92,21 +106,44 @@
         runUntil(
             Loop, [&] { return Result->Ended; }, seconds(3));
         ++Out[Node].Sent;
+        StatusOf[Ids[Result.get()]] = Result->Answer.Status;
         Out[Node].Served += Result->Answer.Status == HttpOk ? 1 : 0;
       }
     }
     return Out;
   }
 
-  /// \return Whether a request that may run once only ran more often.
-  bool anyTwice() const {
-    for (const auto &[Name, Runner] : Runners) {
-      for (const auto &[Id, Runs] : Runner->Runs) {
-        if (Runs > 1)
-          return true;
+  /// \return Requests that ran although they may not have: more than once, or
+  /// refused as not run.
+  std::vector<std::string> wrongRuns() const {
+    std::vector<std::string> Wrong;
+    for (const auto &[Id, Path] : PathOf) {
+      int Runs = 0;
+      for (const auto &[Name, Runner] : Runners) {
+        auto Found = Runner->Runs.find(Id);
+        Runs += Found == Runner->Runs.end() ? 0 : Found->second;
       }
+      bool Once = Path == "/post/x" || Path == "/once/x" || Path == "/staged/x";
+      auto Status = StatusOf.find(Id);
+      bool Refused = Status != StatusOf.end() && Status->second == 503;
+      if (Once && (Runs > 1 || (Refused && Runs > 0)))
+        Wrong.push_back(Id + " " + Path);
     }
-    return false;
+    return Wrong;
+  }
+
+  /// Runs the loop for some time.
+  void wait(Duration Time) {
+    TimePoint End = Timers.now() + Time;
+    runUntil(
+        Loop, [&] { return Timers.now() >= End; }, Time + seconds(1));
+  }
+
+  UpstreamClient &client(std::size_t Node) const {
+    return Nodes[Node]->services().find<UpstreamClient>(service::UpstreamCalls);
+  }
+  CallRelayService &relay(std::size_t Node) const {
+    return Nodes[Node]->services().find<CallRelayService>(service::CallRelay);
   }
 };
 
@@ -143,6 +180,7 @@
   CHECK(Whole.ratio() >= MinUnaffectedRatio);
   for (std::size_t Node = 0; Node < CutNodes; ++Node)
     CHECK(During[Node].ratio() >= MinServedRatio * Whole.ratio());
+  CHECK(World.wrongRuns().empty());
 
   SECTION("and afterwards it reaches them itself again") {
     for (std::size_t Node = 0; Node < CutNodes; ++Node)
@@ -153,3 +191,235 @@
       CHECK(T.Served == T.Sent);
   }
 }
+
+/// Guards against nodes that look for a way through each other, without end or
+/// until their requests' time is over, when no node reaches an upstream.
+TEST_CASE("no node reaches an upstream", "[path]") {
+  PathWorld World(3);
+  World.load(milliseconds(300));
+  for (std::size_t Node = 0; Node < 3; ++Node)
+    World.cut(Node, ProxyCut::Silent);
+  World.load(SettleTime);
+  std::uint64_t Made = 0;
+  for (std::size_t Node = 0; Node < 3; ++Node)
+    Made += World.relay(Node).counts().Made;
+  std::vector<Tries> During = World.load(milliseconds(600));
+  for (std::size_t Node = 0; Node < 3; ++Node) {
+    CHECK(During[Node].Served == 0);
+    CHECK(World.client(Node).isolated());
+    Made -= World.relay(Node).counts().Made;
+  }
+  CHECK(Made == 0);
+  CHECK(World.wrongRuns().empty());
+
+  for (std::size_t Node = 0; Node < 3; ++Node)
+    World.cut(Node, ProxyCut::None);
+  World.load(SettleTime);
+  for (const Tries &T : World.load(milliseconds(600)))
+    CHECK(T.Served == T.Sent);
+}
+
+/// Guards against callers that are still sent to a node that serves them only
+/// through others.
+TEST_CASE("entry answers leave out a node that reaches no upstream", "[path]") {
+  PathWorld World(3);
+  World.load(milliseconds(300));
+  World.cut(0, ProxyCut::Silent);
+  World.load(SettleTime);
+  Random Rng(1);
+  for (std::size_t Node = 0; Node < 3; ++Node) {
+    const auto &Members =
+        World.Nodes[Node]->services().find<MemberService>(service::Members);
+    std::vector<std::string> Entries =
+        chooseEntries(Members.state(), {"z1", 8, true}, Rng);
+    CHECK(Entries.size() == 2);
+    CHECK(std::count(Entries.begin(), Entries.end(),
+                     World.Settings[0].CallerAddress) == 0);
+  }
+  SECTION("and it is ready all the while") {
+    CHECK(World.Nodes[0]->gateway().ready());
+  }
+  SECTION("and name it again after the cut") {
+    World.cut(0, ProxyCut::None);
+    World.wait(seconds(2));
+    const auto &Members =
+        World.Nodes[1]->services().find<MemberService>(service::Members);
+    CHECK(chooseEntries(Members.state(), {"z1", 8, true}, Rng).size() == 3);
+  }
+}
+
+/// Guards against a request that runs twice, or runs after it was refused,
+/// because the node that makes its call is stopped or cut off too.
+TEST_CASE("a node that makes calls for another one fails", "[path]") {
+  PathWorld World(3);
+  World.load(milliseconds(300));
+  World.cut(0, ProxyCut::Silent);
+  World.load(SettleTime);
+  SECTION("as it is killed") {
+    World.Nodes[1]->halt();
+    World.Stopped.insert(1);
+  }
+  SECTION("as it is cut off as well") { World.cut(1, ProxyCut::Silent); }
+  SECTION("as its connections are reset") { World.cut(1, ProxyCut::Reset); }
+  World.load(SettleTime);
+  std::vector<Tries> After = World.load(milliseconds(900));
+  for (const Tries &T : After)
+    CHECK((T.Sent == 0 || T.ratio() >= MinServedRatio));
+  CHECK(World.wrongRuns().empty());
+}
+
+/// Guards against a node that has no time for its own clients because it makes
+/// too many calls for others.
+TEST_CASE("a node makes a limited number of calls for others", "[path]") {
+  PathWorld World(2);
+  World.load(milliseconds(300));
+  World.cut(0, ProxyCut::Silent);
+  World.load(SettleTime);
+  for (std::string Name : {"e-0", "e-1"})
+    World.Runners[Name]->Mode = platform::RunnerMode::Hangs;
+  std::vector<std::shared_ptr<ClientResult>> Hanging;
+  for (int I = 0; I < 120; ++I) {
+    Hanging.push_back(World.send("/once/x", {}, 0));
+    World.wait(milliseconds(2));
+  }
+  std::size_t Refused = 0;
+  for (const auto &Result : Hanging)
+    Refused += Result->Ended && Result->Answer.Status == 503 ? 1 : 0;
+  // 16 calls for each of two engines, a quarter of the limit of 64.
+  CHECK(Refused >= 120 - 2 * 16);
+  for (int I = 0; I < 20; ++I) {
+    auto Own = World.send("/get/x", {}, 1);
+    runUntil(World.Loop, [&] { return Own->Ended; });
+    CHECK(Own->Answer.Status == HttpOk);
+  }
+}
+
+/// Guards against a call that is made again when its bytes are received twice.
+TEST_CASE("a relayed call that is received twice is made once", "[path]") {
+  PathWorld World(2);
+  auto &Peers = World.Nodes[0]->services().find<PeerService>(service::Peers);
+  RelayedCall Call;
+  Call.Upstream = {"p-0", World.BornMs};
+  Call.Method = "POST";
+  Call.Path = "/post/x";
+  Call.Headers = {{"X-Request-Id", "twice"}, {"Host", "h"}};
+  Call.Timeout = seconds(1);
+  std::string Sealed = Peers.seal(Call);
+  auto Post = [&](const std::string &Bytes) {
+    auto Result = std::make_shared<ClientResult>();
+    HttpCall Http;
+    Http.Address = "127.0.0.1:" + std::to_string(World.Settings[1].MetricsPort);
+    Http.Path = RelayPath;
+    Http.Body = Bytes;
+    HttpCallbacks On;
+    On.OnDone = [Result](const HttpResponse &Answer) {
+      Result->Ended = true;
+      Result->Answer = Answer;
+    };
+    World.Client.start(std::move(Http), std::move(On));
+    runUntil(World.Loop, [&] { return Result->Ended; });
+    return Result->Answer;
+  };
+  CHECK(Post(Sealed).Status == HttpOk);
+  CHECK(Post(Sealed).header(RelayResultHeader) == "rejected");
+  CHECK(World.Runners["p-0"]->Runs["twice"] == 1);
+
+  SECTION("and one of a sender without the key is not made at all") {
+    Sealed[Sealed.size() / 2] ^= 1;
+    CHECK(Post(Sealed).header(RelayResultHeader) == "rejected");
+    CHECK(Post("").header(RelayResultHeader) == "rejected");
+  }
+  SECTION("and one to an upstream that is not listed is declined") {
+    Call.Upstream = {"p-9", World.BornMs};
+    CHECK(Post(Peers.seal(Call)).header(RelayResultHeader) == "declined");
+  }
+  SECTION("and one to an upstream that is leaving is declined") {
+    World.list("plain", "p-0", "draining");
+    World.wait(seconds(2));
+    CHECK(Post(Peers.seal(Call)).header(RelayResultHeader) == "declined");
+  }
+}
+
+namespace {
+
+TimePoint at(int Ms) { return TimePoint(seconds(100)) + milliseconds(Ms); }
+
+} // namespace
+
+/// Guards against a node that counts as isolated because of upstreams that are
+/// gone, and against one that does not notice that its links are.
+TEST_CASE("connections that fail tell whether a node is isolated", "[path]") {
+  UpstreamPaths P;
+  P.Listed = 20;
+  auto Fail = [&](const std::string &Address, int Ms, bool Hung = true) {
+    pathFailed(P, Address, Hung, at(Ms));
+  };
+  Fail("a:1", 0);
+  CHECK(upstreamPathOf(P, "a:1", at(0)) == UpstreamPath::Relayed);
+  CHECK(upstreamPathOf(P, "b:1", at(0)) == UpstreamPath::Direct);
+  CHECK_FALSE(pathsSuspicious(P, at(0)));
+  Fail("b:1", 100);
+  CHECK(pathsSuspicious(P, at(100)));
+  CHECK_FALSE(pathsIsolated(P));
+
+  SECTION("others can be connected to: the failed ones are gone") {
+    pathConnected(P, "c:1", at(150));
+    Fail("d:1", 200);
+    CHECK_FALSE(pathsSuspicious(P, at(200)));
+    CHECK(upstreamPathOf(P, "a:1", at(200)) == UpstreamPath::Relayed);
+    CHECK(upstreamPathOf(P, "c:1", at(200)) == UpstreamPath::Direct);
+  }
+  SECTION("others fail too: the node is isolated") {
+    Fail("c:1", 400);
+    Fail("d:1", 400);
+    CHECK(pathsIsolated(P));
+    CHECK(P.Hung);
+    CHECK(upstreamPathOf(P, "e:1", at(400)) == UpstreamPath::Relayed);
+
+    SECTION("until it connects to any of them") {
+      pathConnected(P, "d:1", at(3000));
+      CHECK_FALSE(pathsIsolated(P));
+      CHECK(upstreamPathOf(P, "e:1", at(3000)) == UpstreamPath::Direct);
+      CHECK(upstreamPathOf(P, "a:1", at(3000)) == UpstreamPath::Relayed);
+    }
+    SECTION("unless other nodes cannot connect to them either") {
+      for (std::string Address : {"a:1", "b:1", "c:1", "d:1"})
+        pathFailedElsewhere(P, Address, at(500));
+      CHECK_FALSE(pathsIsolated(P));
+      CHECK(upstreamPathOf(P, "a:1", at(600)) == UpstreamPath::None);
+      CHECK(upstreamPathOf(P, "a:1", at(1600)) == UpstreamPath::Relayed);
+    }
+  }
+  SECTION("failures long ago say nothing") {
+    Fail("c:1", 6000);
+    CHECK_FALSE(pathsSuspicious(P, at(6000)));
+  }
+  SECTION("paths that are down are probed, a few at a time") {
+    for (std::string Address : {"c:1", "d:1", "e:1", "f:1"})
+      Fail(Address, 100);
+    CHECK(pathProbesDue(P, at(300)).empty());
+    CHECK(pathProbesDue(P, at(700)).size() == 4);
+    CHECK(pathProbesDue(P, at(700)).size() == 2);
+    CHECK(pathProbesDue(P, at(700)).empty());
+  }
+}
+
+/// Guards against an upstream that is given up because it resets one connection
+/// too many.
+TEST_CASE("resets of new connections count only in a row", "[path]") {
+  UpstreamPaths P;
+  P.Listed = 20;
+  pathReset(P, "a:1", at(0));
+  CHECK(upstreamPathOf(P, "a:1", at(0)) == UpstreamPath::Direct);
+  SECTION("a response in between") {
+    pathConnected(P, "a:1", at(10));
+    pathAnswered(P, "a:1");
+    pathReset(P, "a:1", at(20));
+    CHECK(upstreamPathOf(P, "a:1", at(20)) == UpstreamPath::Direct);
+  }
+  SECTION("a connection that is reset again") {
+    pathConnected(P, "a:1", at(10));
+    pathReset(P, "a:1", at(20));
+    CHECK(upstreamPathOf(P, "a:1", at(20)) == UpstreamPath::Relayed);
+  }
+}
