Test silence of sound upstreams, and what TCP_USER_TIMEOUT ends

Upstreams or their links that are silent for a second and go on: requests that may run once are answered, nothing runs twice, no node counts as isolated. A connection whose bytes nobody acknowledges ends after the user timeout (3 s), and one that is silent for 1.2 s goes on.

--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -370,3 +370,51 @@
     CHECK(Server.Requests.empty());
   }
 }
+
+/// Guards against connections to a host that is gone which stay open for many
+/// minutes, and against ones that are given up because a host is silent for a
+/// second.
+TEST_CASE("a connection ends when nothing is acknowledged for long") {
+  constexpr const char *Source = "127.0.0.9";
+  TimerService Timers;
+  EventLoop Loop(Timers);
+  std::vector<HttpExchangePtr> Open;
+  HttpServer Server(Loop, "127.0.0.1", 0, 1000,
+                    [&](const HttpExchangePtr &E) { Open.push_back(E); });
+  TcpProxy Link(Loop, "127.0.0.1", 0,
+                "127.0.0.1:" + std::to_string(Server.port()));
+  HttpClient Client(Loop, Source);
+  std::vector<HttpResponse> Ended;
+  auto Send = [&] {
+    HttpCall Call;
+    Call.Address = "127.0.0.1:" + std::to_string(Link.port());
+    HttpCallbacks On;
+    On.OnDone = [&](const HttpResponse &Answer) { Ended.push_back(Answer); };
+    Client.start(std::move(Call), std::move(On));
+  };
+  Send();
+  runUntil(Loop, [&] { return Open.size() == 1; });
+  Open[0]->reply(HttpOk, "first", {});
+  runUntil(Loop, [&] { return Ended.size() == 1; });
+  Link.cut(Source, ProxyCut::Silent);
+  Send();
+
+  SECTION("a second of silence") {
+    runUntil(
+        Loop, [] { return false; }, std::chrono::milliseconds(1200));
+    CHECK(Ended.size() == 1);
+    Link.cut(Source, ProxyCut::None);
+    runUntil(Loop, [&] { return Open.size() == 2; });
+    Open[1]->reply(HttpOk, "second", {});
+    runUntil(Loop, [&] { return Ended.size() == 2; });
+    CHECK(Ended.back().Body == "second");
+    CHECK(Ended.back().Reused);
+  }
+  SECTION("silence without end") {
+    runUntil(
+        Loop, [&] { return Ended.size() == 2; }, std::chrono::seconds(8));
+    REQUIRE(Ended.size() == 2);
+    CHECK(Ended.back().Failure == HttpFailure::Closed);
+    CHECK(Ended.back().MayHaveBeenSent);
+  }
+}
--- a/tests/test_upstream_path.cpp
+++ b/tests/test_upstream_path.cpp
@@ -423,3 +423,41 @@
     CHECK(upstreamPathOf(P, "a:1", at(20)) == UpstreamPath::Relayed);
   }
 }
+
+/// Guards against calls that are given up, or run twice, because a sound
+/// upstream says nothing for a second.
+TEST_CASE("a sound upstream is silent for a second and goes on", "[path]") {
+  PathWorld World(2);
+  World.load(milliseconds(300));
+  bool Link = GENERATE(false, true);
+  CAPTURE(Link);
+  std::vector<std::shared_ptr<ClientResult>> Waiting;
+  auto Send = [&](const char *Path) {
+    Waiting.push_back(World.send(Path, OnePieceEach, Waiting.size() % 2));
+    World.PathOf["r" + std::to_string(World.LastId)] = Path;
+    World.wait(milliseconds(20));
+  };
+  for (auto &[Name, Proxy] : World.Links) {
+    if (Link)
+      Proxy->pause(true);
+    else
+      World.Runners[Name]->pause(true);
+  }
+  for (int I = 0; I < 4; ++I)
+    Send("/post/x");
+  for (int I = 0; I < 4; ++I)
+    Send("/once/x");
+  World.wait(milliseconds(700));
+  for (auto &[Name, Proxy] : World.Links) {
+    Proxy->pause(false);
+    World.Runners[Name]->pause(false);
+  }
+  for (const auto &Result : Waiting) {
+    runUntil(
+        World.Loop, [&] { return Result->Ended; }, seconds(3));
+    CHECK(Result->Answer.Status == HttpOk);
+  }
+  CHECK(World.wrongRuns().empty());
+  for (std::size_t Node = 0; Node < 2; ++Node)
+    CHECK_FALSE(World.client(Node).isolated());
+}
