--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -23,6 +23,9 @@
 /// nodes disagree about the coordinator; its queue advances once per call,
 /// which takes a few hundred ms.
 static constexpr Duration FullBackoff = std::chrono::milliseconds(80);
+/// Share of the refusals that an upstream survives which the coordinator may
+/// cause: while nodes disagree, two coordinate a pool.
+static constexpr double RefusalShare = 0.45;
 static constexpr int MaxBackoffDoublings = 3;
 /// Weight of the newest call in an upstream's slowness.
 static constexpr double SlownessWeight = 0.4;
@@ -238,6 +241,12 @@
 static void recordRefusal(BatchUpstream &U, TimePoint Now) {
   int Doublings = std::min(U.Refusals++, MaxBackoffDoublings);
   U.FullUntil = Now + FullBackoff * (1 << Doublings);
+  if (U.RefusalsPerSecond <= 0)
+    return;
+  constexpr double MsPerSecond = 1e3;
+  Duration Interval =
+      fromMs(MsPerSecond / (U.RefusalsPerSecond * RefusalShare));
+  U.FullUntil = std::max(U.FullUntil, Now + Interval);
 }
 
 /// Records a call that did not return a result for each piece.
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -35,8 +35,9 @@
                             ///< list says.
   TimePoint BackoffUntil{}; ///< It wants no calls from this node until then.
   UpstreamPath Path = UpstreamPath::Direct; ///< How this node reaches it.
-  double SpaceUsed = 0; ///< Bytes of stored and reserved results.
-  SendPace Pace;        ///< Paces calls while the upstream names a rate limit.
+  double RefusalsPerSecond = 0; ///< Refusals that it survives; 0: no limit.
+  double SpaceUsed = 0;         ///< Bytes of stored and reserved results.
+  SendPace Pace; ///< Paces calls while the upstream names a rate limit.
 };
 
 /// The state of one piece.
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -158,6 +158,7 @@
     U.SaidLeaving = Entry.Leaving;
     U.BackoffUntil = Entry.BackoffUntil;
     U.Path = Client->path(U.Entry.Address);
+    U.RefusalsPerSecond = RateLimited->refusalsOf(Start).value_or(0);
     PaceTurns Turns;
     if (auto PerSecond = RateLimited->of(Start))
       Turns = paceTurns(*PerSecond, /*Nodes=*/1, RateLimitTurn, AgreedShare);
@@ -337,7 +338,7 @@
     Result.Crashed = peerClosedEarly(Answer);
     reportCall(Address, Contents, Result);
     UpstreamNotice Notice = Wire.readNotice(Answer);
-    RateLimited->heard(Upstream, {Notice.RateLimit, Result.Answered, Started});
+    RateLimited->heard(Upstream, Notice, Result.Answered, Started);
     Notices->heard(Upstream, Notice);
     logEvent(LogLevel::Debug, "batch_call_ended",
              {{"pool", Pool},
--- a/src/call_relay_service.cpp
+++ b/src/call_relay_service.cpp
@@ -88,8 +88,8 @@
   if (Wire.readResponseInfo(Answer).Elsewhere)
     return;
   UpstreamNotice Notice = Wire.readNotice(Answer);
-  RateLimited->heard(Made.Upstream,
-                     {Notice.RateLimit, Answer.Status == HttpOk, Made.Started});
+  RateLimited->heard(Made.Upstream, Notice, Answer.Status == HttpOk,
+                     Made.Started);
   Notices->heard(Made.Upstream, Notice);
 }
 
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -56,6 +56,8 @@
   Duration Backoff{};   ///< It wants no requests from this node for this long.
   std::optional<double> RateLimit; ///< Requests per second that it accepts from
                                    ///< all nodes together.
+  std::optional<double> RefusalLimit; ///< Refusals per second to all nodes
+                                      ///< together that it survives.
 };
 
 /// Metadata in the head of an upstream's answer.
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -91,6 +91,8 @@
   if (!R->Route->repeatable())
     Call.Reuse = HttpReuse::Recent;
   ++U.InFlight;
+  ++U.Guard.Unanswered;
+  guardSent(U.Guard, U.InFlight, Now);
   // A turn lent by another node does not use one of this node's.
   if (!Lent)
     paceSent(U.Pace, Now);
@@ -163,6 +165,7 @@
   ForwardRequest *R = find(Serial);
   ForwardAttempt &A = *R->Attempt;
   A.Head = Answer;
+  attemptAnswered(*R);
   ForwardResponseInfo Reply = Wire.readResponseInfo(Answer);
   reportNotice(*R, Answer, Reply);
   constexpr int FirstBadStatus = 300;
@@ -297,10 +300,14 @@
   if (!U)
     return;
   --U->InFlight;
+  attemptAnswered(R);
+  guardEnded(U->Guard, Timers->now());
   PoolsToSweep.insert(R.PoolName);
   // A "not run" answer of a full upstream is no failure. An upstream that
   // answers with an error may be faulty although its health checks pass.
   bool Full = Effect == AttemptEffect::SaidNotRun;
+  if (Full)
+    RateLimited->refused(U->Start);
   if (Outcome == AttemptOutcome::Success)
     upstreamSucceeded(*U, Timers->now() - R.Attempt->Started, Duration::zero(),
                       Policy, Timers->now());
@@ -322,8 +329,11 @@
   if (!R.Attempt)
     return;
   Client->cancel(R.Attempt->Call);
-  if (Upstream *U = upstreamById(Pools[R.PoolName], R.Attempt->Upstream))
+  if (Upstream *U = upstreamById(Pools[R.PoolName], R.Attempt->Upstream)) {
     --U->InFlight;
+    attemptAnswered(R);
+    guardEnded(U->Guard, Timers->now());
+  }
   closeAttempt(R);
 }
 
--- a/src/gateway_notice.cpp
+++ b/src/gateway_notice.cpp
@@ -18,7 +18,7 @@
     return;
   const ForwardAttempt &A = *R.Attempt;
   UpstreamNotice Notice = Wire.readNotice(Answer);
-  RateLimited->heard(A.Start, {Notice.RateLimit, Reply.Signed, A.Started});
+  RateLimited->heard(A.Start, Notice, Reply.Signed, A.Started);
   Notices->heard(A.Start, Notice);
 }
 
--- a/src/gateway_rate_limit.cpp
+++ b/src/gateway_rate_limit.cpp
@@ -1,6 +1,7 @@
 /// \file gateway_rate_limit.cpp Sends at the rate limits that upstreams
 /// announce.
 #include <algorithm>
+#include <utility>
 
 #include "gateway_service.h"
 #include "member_service.h"
@@ -11,6 +12,10 @@
 namespace fulmar {
 
 static constexpr double MsPerSecond = 1e3;
+/// How long a node remembers that an upstream has refused a request, if it does
+/// not survive many refusals.
+static constexpr Duration MinPressedTime = std::chrono::seconds(1);
+static constexpr Duration PressedTimeSpread = std::chrono::seconds(2);
 
 void GatewayService::rateLimitChanged(const Incarnation &Start) {
   for (auto &[Name, P] : Pools) {
@@ -79,8 +84,39 @@
   return pacePhase(static_cast<std::uint64_t>(Place - Nodes.begin()), U.Place);
 }
 
-/// Sets this node's turns at an upstream that is cold or has a rate limit.
+/// Limits what this node sends to an upstream after a refusal at any node.
+void GatewayService::upstreamRefused(const Incarnation &Start) {
+  // At different times, so that not all nodes try at once whether it has room.
+  Duration Pressed =
+      MinPressedTime + fromMs(toMs(PressedTimeSpread) * randomUnit(Rng));
+  for (auto &[Name, P] : Pools) {
+    for (Upstream &U : P.Upstreams) {
+      if (U.Start == Start)
+        guardPressed(U.Guard, U.InFlight, Timers->now() + Pressed);
+    }
+  }
+}
+
+/// Records that the attempt in progress has got a response, or has ended.
+void GatewayService::attemptAnswered(ForwardRequest &R) {
+  if (std::exchange(R.Attempt->Answered, true))
+    return;
+  if (Upstream *U = upstreamById(Pools[R.PoolName], R.Attempt->Upstream))
+    --U->Guard.Unanswered;
+}
+
+/// Sets this node's turns at an upstream that is cold or has a rate limit, and
+/// the limit of its refusals.
 void GatewayService::setPace(Pool &P, Upstream &U, double ColdRate) {
+  double Refusals = RateLimited->refusalsOf(U.Start).value_or(0);
+  guardSet(U.Guard, Refusals, MaxNodesSeen);
+  if (Refusals > 0) {
+    updatePlaces(P);
+    PacedPools.insert(P.Spec.Name);
+    paceSet(U.Guard.Growth, paceTurns(Refusals, MaxNodesSeen, ColdTurn),
+            pacePhase(Members->state().Self.Incarnation, U.Place),
+            fleetOrigin(Peers->clock()));
+  }
   if (!U.Cold && !RateLimited->of(U.Start)) {
     U.Pace.Turns = PaceTurns();
     return;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -46,6 +46,7 @@
   std::string Address;     ///< Address of the upstream.
   TimePoint Started{};     ///< When the call was started.
   bool Sent = false;       ///< A byte may have reached the upstream.
+  bool Answered = false;   ///< Its response has begun, or it has ended.
   bool Streaming = false;  ///< The answer is passed on as it arrives.
   bool Damaged = false;    ///< Its events are out of order.
   bool Paused = false;     ///< Not read, as the client reads too slowly.
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -57,6 +57,8 @@
   Notices = &Services.find<UpstreamNoticeService>(service::Notices);
   RateLimited->onChange(
       [this](const Incarnation &Start) { rateLimitChanged(Start); });
+  RateLimited->onRefusal(
+      [this](const Incarnation &Start) { upstreamRefused(Start); });
   Notices->onChange([this](const Incarnation &Start) { noticeChanged(Start); });
   Client->onChange([this] { pathsChanged(); });
   Peers->on<TurnAsk>([this](const PeerMessage &From, const TurnAsk &Ask) {
@@ -184,7 +186,7 @@
     Pool &P = Pools[Name];
     // The fleet's clock is advanced when another node's is found to be ahead.
     for (Upstream &U : P.Upstreams) {
-      if (U.Pace.Turns.Interval > Duration::zero())
+      if (U.Pace.Turns.Interval > Duration::zero() || U.Guard.PerSecond > 0)
         setPace(P, U, ColdRates[Name]);
     }
   }
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -129,6 +129,8 @@
   double turnPhase(const std::string &Node, std::uint64_t Incarnation,
                    const Upstream &U) const;
   void setPace(Pool &P, Upstream &U, double ColdRate);
+  void upstreamRefused(const Incarnation &Start);
+  void attemptAnswered(ForwardRequest &R);
 
   // gateway_path.cpp: paths to upstreams.
   void pathsChanged();
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -42,7 +42,7 @@
                  StateSyncResponse, ConfigFetch, ConfigCopy, CrashReport,
                  QuarantineUpdate, QuarantineObjection, RateLimitUpdate,
                  TurnAsk, TurnAnswer, RetryAsk, RetryAnswer, LeavingUpdate,
-                 RelayedCall>;
+                 RelayedCall, RefusalUpdate>;
 
 /// A message between nodes, with the fields that every message has.
 struct PeerMessage {
--- a/src/rate_limit_func.h
+++ b/src/rate_limit_func.h
@@ -12,7 +12,7 @@
 
 /// What a response of an upstream says about its rate limit.
 struct RateLimitAnswer {
-  std::optional<double> PerSecond; ///< Announced limit, requests per second.
+  std::optional<double> PerSecond; ///< Announced limit, per second.
   bool Ran = false;   ///< The upstream ran the request. A refusal may lack
                       ///< the limit that other responses have.
   TimePoint SentAt{}; ///< When the request was sent.
--- a/src/rate_limit_service.h
+++ b/src/rate_limit_service.h
@@ -2,6 +2,9 @@
 #ifndef FULMARSTEP_RATE_LIMIT_SERVICE_H
 #define FULMARSTEP_RATE_LIMIT_SERVICE_H
 
+#include <map>
+
+#include "forward_type.h"
 #include "kernel.h"
 #include "rate_limit_func.h"
 #include "timer_base.h"
@@ -29,13 +32,27 @@
   void start() override;
 
   /// Processes a response of an upstream.
-  void heard(const Incarnation &Upstream, const RateLimitAnswer &Answer);
+  /// \param Ran whether the upstream ran the request.
+  void heard(const Incarnation &Upstream, const UpstreamNotice &Notice,
+             bool Ran, TimePoint SentAt);
+  /// Records that an upstream has refused a request for want of room, and tells
+  /// other nodes if it does not survive many refusals.
+  void refused(const Incarnation &Upstream);
   /// Counts a request that is sent to an upstream.
   void sent(const Incarnation &Upstream);
   /// \return The limit that an upstream announces, in requests per second;
   /// empty: none.
   std::optional<double> of(const Incarnation &Upstream) const;
 
+  /// \return The refusals per second that an upstream survives; empty: it
+  /// announces no limit.
+  std::optional<double> refusalsOf(const Incarnation &Upstream) const;
+  /// Calls \p Fn when an upstream that does not survive many refusals has
+  /// refused a request at any node.
+  void onRefusal(std::function<void(const Incarnation &)> Fn) {
+    RefusalSubscribers.push_back(std::move(Fn));
+  }
+
   /// Calls \p Fn when the limit of an upstream has changed.
   void onChange(std::function<void(const Incarnation &)> Fn) {
     Subscribers.push_back(std::move(Fn));
@@ -47,11 +64,16 @@
   const RateLimitCounts &counts() const { return Counts; }
 
 private:
-  void changed(const Incarnation &Upstream, RateLimitChange Change,
-               std::string_view Source);
+  void hear(RateLimits &Limits, const Incarnation &Upstream,
+            const RateLimitAnswer &Answer);
+  void changed(const RateLimits &Limits, const Incarnation &Upstream,
+               RateLimitChange Change, std::string_view Source);
+  RateLimits &limitsOf(const RateLimitNotice &Notice);
+  std::vector<RateLimitNotice> notices() const;
+  void spreadRefusal(const Incarnation &Upstream);
 
   void take(const RateLimitUpdate &Update, const std::string &From);
-  void announce(const Incarnation &Upstream);
+  void announce(const RateLimitNotice &Notice);
   void tick();
 
   Kernel &Services;                  ///< Finds the other services.
@@ -60,9 +82,13 @@
   MemberService *Members = nullptr;  ///< Lists the nodes.
   UpstreamFeed *Upstreams = nullptr; ///< Lists the upstreams.
   std::vector<std::function<void(const Incarnation &)>>
-      Subscribers;        ///< Subscribers.
-  RateLimits State;       ///< Known limits.
-  RateLimitCounts Counts; ///< For metrics.
+      Subscribers; ///< Subscribers.
+  std::vector<std::function<void(const Incarnation &)>>
+      RefusalSubscribers;                     ///< Subscribers to refusals.
+  RateLimits State;                           ///< Known limits of requests.
+  RateLimits Refusals;                        ///< Known limits of refusals.
+  std::map<Incarnation, TimePoint> RefusedAt; ///< Latest message about it.
+  RateLimitCounts Counts;                     ///< For metrics.
 };
 
 } // namespace fulmar
--- a/src/rate_limit_type.h
+++ b/src/rate_limit_type.h
@@ -15,6 +15,13 @@
   std::uint32_t Round = 0; ///< Version of the limit; the highest one is valid.
   bool Ended = false;      ///< The upstream no longer announces a limit.
   double PerSecond = 0;    ///< Requests per second from all nodes together.
+  bool OfRefusals = false; ///< It limits refusals instead of requests.
+};
+
+/// Informs other nodes that an upstream with a limit of refusals has refused a
+/// request.
+struct RefusalUpdate {
+  Incarnation Upstream; ///< The upstream and its start.
 };
 
 /// The rate limits of several upstreams.
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -44,7 +44,10 @@
   return !Policy.Ejection || U.EjectedUntil <= Now;
 }
 
-static bool hasCapacity(const Upstream &U, const RouterPolicy &Policy) {
+static bool hasCapacity(const Upstream &U, const RouterPolicy &Policy,
+                        TimePoint Now) {
+  if (!guardAllows(U.Guard, U.InFlight, Now))
+    return false;
   // The fixed limit rule applies only the upper bound: this baseline leaves
   // queueing to the upstream, as a plain proxy does.
   return Policy.Limit == LimitRule::Fixed ? U.InFlight < U.Limit.Max
@@ -53,7 +56,7 @@
 
 static bool usable(const Upstream &U, const RouterPolicy &Policy,
                    const ChoiceHints &Hints, TimePoint Now) {
-  if (!upstreamEligible(U, Policy, Now) || !hasCapacity(U, Policy) ||
+  if (!upstreamEligible(U, Policy, Now) || !hasCapacity(U, Policy, Now) ||
       U.Path > Hints.Worst)
     return false;
   if (!Hints.Avoid)
@@ -203,7 +206,7 @@
 
 bool poolHasCapacity(const Pool &P, const RouterPolicy &Policy, TimePoint Now) {
   for (const Upstream &U : P.Upstreams) {
-    if (hasCapacity(U, Policy) && upstreamEligible(U, Policy, Now))
+    if (hasCapacity(U, Policy, Now) && upstreamEligible(U, Policy, Now))
       return true;
   }
   return false;
--- a/src/upstream_base.h
+++ b/src/upstream_base.h
@@ -12,6 +12,7 @@
 #include "core/time_type.h"
 #include "fair_queue_base.h"
 #include "limit_base.h"
+#include "refusal_guard.h"
 #include "route_type.h"
 #include "send_pace.h"
 #include "upstream_path_base.h"
@@ -45,6 +46,7 @@
                              ///< host list says.
   bool Cold = false;         ///< Just started, with reduced capacity.
   UpstreamPath Path = UpstreamPath::Direct; ///< How this node reaches it.
+  RefusalGuard Guard;                       ///< Limits its refusals.
   SendPace Pace;            ///< Turns to send while its rate is limited.
   std::size_t Place = 0;    ///< Index in the pool's list.
   TimePoint NextAsk{};      ///< Earliest time to request a node's turn.
