--- a/src/cli/cli_soak.cpp
+++ b/src/cli/cli_soak.cpp
@@ -32,8 +32,10 @@
   std::cout << "seed " << Plan.Seed << ": sent " << Report.Sent << ", whole "
             << Report.Whole << ", refused " << Report.Refused << ", lost "
             << Report.Lost << ", faults " << Report.Faults << ", backoffs "
-            << Report.Backoffs << ", leaving " << Report.Leaving << ", broken "
-            << Report.Broken.size() << "\n";
+            << Report.Backoffs << ", leaving " << Report.Leaving << ", cuts "
+            << Report.Cuts << ", tries at cut nodes " << Report.CutTries
+            << ", falls " << Report.Falls << ", broken " << Report.Broken.size()
+            << "\n";
   for (const std::string &Line : Report.Broken)
     std::cout << "BROKEN " << Line << "\n";
   if (!Report.Broken.empty())
