--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -192,24 +192,32 @@
   noteChanges();
 }
 
+/// \return Whether a call may be sent to a node.
+bool UpstreamClient::mayRelay(const OpenCall &C, const MemberInfo &Node) const {
+  auto Avoided = AvoidedNodes.find(Node.Id);
+  bool Avoid = Avoided != AvoidedNodes.end() && Avoided->second > Timers->now();
+  return memberServes(Node.State) && !Node.CannotReach && !Avoid &&
+         C.Via.count(Node.Id) == 0;
+}
+
 /// Chooses a node that a call is sent to: of two random ones that say that they
-/// reach upstreams, the one with less load.
+/// reach upstreams, the one with less load. A node whose configuration is old
+/// can make a call as well, but has trouble of its own.
 const MemberInfo *UpstreamClient::chooseRelay(const OpenCall &C) {
   const MemberInfo *Best = nullptr;
   int Compared = 0;
-  for (const std::string &Node : Members->randomIds(MaxCandidates)) {
-    const MemberInfo *Info = Members->info(Node);
-    auto Avoided = AvoidedNodes.find(Node);
-    bool Avoid =
-        Avoided != AvoidedNodes.end() && Avoided->second > Timers->now();
-    if (!Info || !memberServes(Info->State) || Info->CannotReach ||
-        Info->Unfit || Avoid || C.Via.count(Node))
+  for (const std::string &Id : Members->randomIds(MaxCandidates)) {
+    const MemberInfo *Node = Members->info(Id);
+    if (!Node || !mayRelay(C, *Node))
       continue;
     // A strong node is as busy as a weak one with a part of its load.
-    if (!Best || static_cast<std::uint64_t>(Info->Load) * Best->Strength <
-                     static_cast<std::uint64_t>(Best->Load) * Info->Strength)
-      Best = Info;
-    if (++Compared == 2)
+    bool Less =
+        Best && static_cast<std::uint64_t>(Node->Load) * Best->Strength <
+                    static_cast<std::uint64_t>(Best->Load) * Node->Strength;
+    bool Fitter = Best && Best->Unfit && !Node->Unfit;
+    if (!Best || Fitter || (Less && Node->Unfit == Best->Unfit))
+      Best = Node;
+    if (++Compared >= 2 && !Best->Unfit)
       break;
   }
   return Best;
--- a/src/upstream_client.h
+++ b/src/upstream_client.h
@@ -114,6 +114,7 @@
   void relayDone(HttpCallId Id, const HttpResponse &Answer);
   void relayRefused(HttpCallId Id, const HttpResponse &Answer);
   void finish(HttpCallId Id, const HttpResponse &Answer);
+  bool mayRelay(const OpenCall &C, const MemberInfo &Node) const;
   const MemberInfo *chooseRelay(const OpenCall &C);
   void probe(const std::string &Address);
   void failSilentCalls(const std::string &Address);
