Avoid the node that refused a relayed call, not the one named last

By reading: the nodes that a call was sent to were kept in order of their names, so that the second one's refusal could be put down to the first.

--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -197,7 +197,7 @@
   auto Avoided = AvoidedNodes.find(Node.Id);
   bool Avoid = Avoided != AvoidedNodes.end() && Avoided->second > Timers->now();
   return memberServes(Node.State) && !Node.CannotReach && !Avoid &&
-         C.Via.count(Node.Id) == 0;
+         std::find(C.Via.begin(), C.Via.end(), Node.Id) == C.Via.end();
 }
 
 /// Chooses a node that a call is sent to: of two random ones that say that they
@@ -246,7 +246,7 @@
     return false;
   C.Direct = false;
   C.Refused = false;
-  C.Via.insert(Node->Id);
+  C.Via.push_back(Node->Id);
   ++Counts.Relayed;
   HttpCall Call;
   Call.Address = formatHostPort({Node->Host, Node->OperatorPort});
@@ -266,7 +266,7 @@
   if (C.Refused)
     return relayRefused(Id, Answer);
   if (!Answer.MayHaveBeenSent) {
-    AvoidedNodes[*C.Via.rbegin()] = Timers->now() + AvoidTime;
+    AvoidedNodes[C.Via.back()] = Timers->now() + AvoidTime;
     if (!sendRelayed(Id))
       finish(Id, Answer);
     return;
@@ -292,7 +292,7 @@
   if (Result == RelayResult::Declined)
     return finish(Id, Failed);
   if (Result != RelayResult::Unreachable)
-    AvoidedNodes[*C.Via.rbegin()] = Timers->now() + AvoidTime;
+    AvoidedNodes[C.Via.back()] = Timers->now() + AvoidTime;
   C.Unreachable = C.Unreachable || Result == RelayResult::Unreachable;
   if (sendRelayed(Id))
     return;
--- a/src/upstream_client.h
+++ b/src/upstream_client.h
@@ -90,18 +90,18 @@
 private:
   /// A call in progress.
   struct OpenCall {
-    Incarnation Upstream;      ///< Start of the upstream.
-    HttpCall Call;             ///< Without its body once it is sent directly.
-    HttpCallbacks Callbacks;   ///< Of the caller.
-    UpstreamCallPlan Plan;     ///< How it is made.
-    HttpCallId Current;        ///< Call of the HTTP client.
-    TimePoint Started{};       ///< When the caller started it.
-    bool Direct = false;       ///< Sent without another node.
-    bool Refused = false;      ///< The response is the other node's own.
-    TimePoint HeardAt{};       ///< Latest byte received, or when it was sent;
-                               ///< zero: not sent.
-    std::set<std::string> Via; ///< Nodes that it was sent to.
-    bool Unreachable = false;  ///< Another node could not connect either.
+    Incarnation Upstream;    ///< Start of the upstream.
+    HttpCall Call;           ///< Without its body once it is sent directly.
+    HttpCallbacks Callbacks; ///< Of the caller.
+    UpstreamCallPlan Plan;   ///< How it is made.
+    HttpCallId Current;      ///< Call of the HTTP client.
+    TimePoint Started{};     ///< When the caller started it.
+    bool Direct = false;     ///< Sent without another node.
+    bool Refused = false;    ///< The response is the other node's own.
+    TimePoint HeardAt{};     ///< Latest byte received, or when it was sent;
+                             ///< zero: not sent.
+    std::vector<std::string> Via; ///< Nodes that it was sent to, in order.
+    bool Unreachable = false;     ///< Another node could not connect either.
   };
 
   void sendDirect(HttpCallId Id);
