--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -36,7 +36,9 @@
   int LastId = 0;
   int Version = 0;
   std::map<std::string, std::string>
-      DomainOf;                   ///< Failure domains, by upstream.
+      DomainOf; ///< Failure domains, by upstream.
+  std::map<std::string, std::string>
+      VersionOf;                  ///< Listed versions, by upstream; empty: v1.
   std::string Keys = "\"key-a\""; ///< API keys of the organisation.
   int TimeoutMs = 2000;           ///< Timeout of each route.
   int TargetMs = 500;             ///< Latency target of each route.
@@ -63,6 +65,7 @@
     platform::StandinRunner &Ref = *Made;
     Runners[Shape.Instance] = std::move(Made);
     DomainOf[Shape.Instance] = ListDomain;
+    VersionOf[Shape.Instance] = Shape.Version;
     list(Pool, Shape.Instance, "ready");
     return Ref;
   }
@@ -76,7 +79,9 @@
       Address = Runners[Instance]->address();
     Entry.set("service", Pool).set("address", Address);
     Entry.set("zone", DomainOf[Instance]).set("slots", 4).set("state", State);
-    Entry.set("version", "v1").set("cold_remaining_ms", ColdMs);
+    const std::string &Version = VersionOf[Instance];
+    Entry.set("version", Version.empty() ? "v1" : Version);
+    Entry.set("cold_remaining_ms", ColdMs);
     Entry.set("sequence", 0).set("born", BornMs);
     Store.put("servers/" + Instance, writeJson(Entry));
   }
