Continue streams only at the software version that began them

What callers saw: streams with events of two software versions of a back end.

Cause: the version in the list of upstreams was checked and dropped, so every choice of an upstream was blind to it, and nothing about a stream outlived its request or left the node, so a later try of its client could not know where it began.

Change: pools and choices know versions. Before the first event leaves, a node tells five others (by a ring of the members, the same number in any fleet) where the stream began; a node at which a client takes it up asks these, and refuses at once what is not known. Records are keyed by a digest of the organisation and the id of the first try. Where the client does not name it, the stream goes on only if the list has shown one version for 30 s; a new version gets no new streams for 3.5 s meanwhile. A stream may go on at an ejected upstream, and goes one step before new ones.

--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -30,6 +30,11 @@
   std::vector<int> Pieces;                ///< Number of pieces of each stage.
   std::string PieceKey;                   ///< Given to stages without inputs.
   std::optional<std::uint64_t> LastEvent; ///< Latest event that the client has.
+  std::string FirstTry; ///< Id of the client's try that brought the first event
+                        ///< of the stream; empty: not stated.
+
+  /// \return Whether the client takes up a stream that it has a part of.
+  bool takesUp() const { return LastEvent.has_value() || !FirstTry.empty(); }
 };
 
 /// Metadata that this node adds to a request that it passes on.
--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -74,6 +74,8 @@
                                   [this, Serial] { deadline(Serial); });
   retryWindowRequest(Retries[R.PoolName], Timers->now());
   ++Metrics.Accepted;
+  if (R.Route->Kind == RouteKind::Streaming && R.Ask.takesUp())
+    return takeUpStream(R);
   beginStages(R);
 }
 
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -58,13 +58,14 @@
   ChoiceHints Hints;
   Hints.Affinity = affinityOf(*R);
   Hints.Avoid = &R->Tried;
+  Hints.Version = R->Version;
   TimePoint Now = Timers->now();
   auto Index = lentUpstream(*R, P);
   bool Lent = Index.has_value();
   if (!Lent && requestTurn(*R, P, Hints))
     return;
   if (!Lent)
-    Index = chooseUpstream(P, Policy, Hints, Rng, Now);
+    Index = chooseForAttempt(*R, P, Hints);
   if (!Index && waitForTurn(*R, P))
     return;
   if (!Index) {
@@ -103,6 +104,8 @@
   R->Attempt->Upstream = U.Id;
   R->Attempt->Start = U.Start;
   R->Attempt->Address = U.Address;
+  R->Attempt->Version = U.Version;
+  R->Attempt->Continues = !R->Version.empty();
   R->Attempt->Started = Now;
   R->Attempt->LastEventAt = Now;
   UpstreamCallPlan Plan;
@@ -206,6 +209,7 @@
   ForwardAttempt &A = *R.Attempt;
   TimePoint Now = Timers->now();
   if (!R.HeadSent) {
+    beginStream(R);
     R.HeadSent = true;
     R.FirstEvent = Now;
     R.Exchange->startStream(A.Head.Status, Wire.replyHeaders(A.Head));
@@ -339,12 +343,14 @@
 
 bool GatewayService::hasOtherUpstream(const ForwardRequest &R) const {
   auto Found = Pools.find(R.PoolName);
-  if (Found == Pools.end())
+  bool VersionUnknown = R.HeadSent && R.Version.empty();
+  if (Found == Pools.end() || VersionUnknown)
     return false;
   for (const Upstream &U : Found->second.Upstreams) {
     bool Used =
         std::find(R.Tried.begin(), R.Tried.end(), U.Id) != R.Tried.end();
-    if (!Used && upstreamEligible(U, Policy, Timers->now()))
+    if (!Used && hasVersion(U, R.Version) &&
+        upstreamEligible(U, policyOf(R), Timers->now()))
       return true;
   }
   return false;
@@ -410,6 +416,8 @@
   case AttemptDecision::RefuseNotRun:
     if (Facts.Expired)
       return finish(R, ResultCode::DeadlineInQueue);
+    if (!versionServed(R))
+      return finish(R, ResultCode::StreamVersionGone);
     if (Duration Wait = poolBackoff(Pools[R.PoolName], Timers->now());
         Wait > Duration::zero())
       return finish(R, ResultCode::UpstreamsBusy, Wait);
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -18,6 +18,7 @@
 #include "rate_limit_service.h"
 #include "route_feed.h"
 #include "state_sync_service.h"
+#include "stream_version_service.h"
 #include "upstream_client.h"
 #include "upstream_feed.h"
 #include "upstream_notice_service.h"
@@ -85,6 +86,8 @@
                std::make_unique<RateLimitService>(Services));
   Services.add(service::Notices,
                std::make_unique<UpstreamNoticeService>(Services));
+  Services.add(service::StreamVersions,
+               std::make_unique<StreamVersionService>(Services));
   Services.add(service::CallRelay, std::make_unique<CallRelayService>(
                                        Services, Wire, Common.Strength));
   Services.add(service::Gateway, std::make_unique<GatewayService>(
--- a/src/gateway_plan.cpp
+++ b/src/gateway_plan.cpp
@@ -130,8 +130,11 @@
   std::uint64_t Affinity = affinityOf(R);
   if (!Spec.Final || Spec.ResultBytes < LargeResultBytes || Affinity == 0)
     return domainOfInputs(R, Index);
+  ChoiceHints Hints;
+  Hints.Affinity = Affinity;
+  Hints.Version = R.Version;
   const Upstream *Consumer =
-      affineUpstream(Pools[R.PoolName], Policy, Affinity, Timers->now());
+      affineUpstream(Pools[R.PoolName], Policy, Hints, Timers->now());
   return Consumer ? Consumer->FailureDomain : std::string();
 }
 
--- a/src/gateway_pools.cpp
+++ b/src/gateway_pools.cpp
@@ -20,8 +20,8 @@
 static constexpr double RebuildFraction = 0.5;
 
 static UpstreamSpec specOf(const UpstreamEntry &Entry) {
-  return {Entry.Address, Entry.Pool,          Entry.FailureDomain,
-          Entry.Leaving, Entry.incarnation(), Entry.cold()};
+  return {Entry.Address,       Entry.Pool,   Entry.FailureDomain, Entry.Leaving,
+          Entry.incarnation(), Entry.cold(), Entry.Version};
 }
 
 /// \return This node's share of the connection limit of one upstream of a pool.
@@ -73,6 +73,7 @@
     if (!Spec.Batch)
       setPool(Spec, Entries);
   }
+  rebuildVersions();
   DomainOf.clear();
   for (const auto &[Instance, Entry] : Entries)
     DomainOf[Entry.Address] = Entry.FailureDomain;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -40,16 +40,18 @@
 
 /// One send to an upstream.
 struct ForwardAttempt {
-  HttpCallId Call;         ///< HTTP call.
-  UpstreamId Upstream;     ///< Upstream that it is sent to.
-  Incarnation Start;       ///< Start of that upstream.
-  std::string Address;     ///< Address of the upstream.
-  TimePoint Started{};     ///< When the call was started.
-  bool Sent = false;       ///< A byte may have reached the upstream.
-  bool Answered = false;   ///< Its response has begun, or it has ended.
-  bool Streaming = false;  ///< The answer is passed on as it arrives.
-  bool Damaged = false;    ///< Its events are out of order.
-  bool Paused = false;     ///< Not read, as the client reads too slowly.
+  HttpCallId Call;        ///< HTTP call.
+  UpstreamId Upstream;    ///< Upstream that it is sent to.
+  Incarnation Start;      ///< Start of that upstream.
+  std::string Address;    ///< Address of the upstream.
+  std::string Version;    ///< Software version of the upstream; empty: unknown.
+  TimePoint Started{};    ///< When the call was started.
+  bool Sent = false;      ///< A byte may have reached the upstream.
+  bool Continues = false; ///< Its stream began at an earlier attempt or try.
+  bool Answered = false;  ///< Its response has begun, or it has ended.
+  bool Streaming = false; ///< The answer is passed on as it arrives.
+  bool Damaged = false;   ///< Its events are out of order.
+  bool Paused = false;    ///< Not read, as the client reads too slowly.
   TimePoint LastEventAt{}; ///< When its latest event arrived.
   int Events = 0;          ///< Events that were passed on.
   HttpResponse Head;       ///< Head of the answer.
@@ -98,15 +100,17 @@
   int Runs = 0;                       ///< Attempts that ran or may have run.
   bool HeadSent = false;              ///< The answer's head was sent.
   EventCursor Cursor;                 ///< Events delivered to the client.
-  TimePoint FirstEvent{};             ///< When the first event was delivered.
-  std::string LastUpstream;           ///< Address, for logs.
-  std::string LastFailure;            ///< Reason, for logs.
-  Duration Expected{};   ///< Time it should take, estimated at admission.
-  Duration RetryIn{};    ///< Time until a retry, if it is refused.
-  TimerId DeadlineTimer; ///< Ends it at Deadline.
-  TimerId EventTimer;    ///< Ends an attempt without events.
-  TimerId RetryTimer;    ///< Sends it after a wait.
-  TimerId ReadTimer;     ///< Frees results that its upstream should have read.
+  std::string Version;    ///< Software version that began its stream; empty: it
+                          ///< has not begun, or the version is unknown.
+  TimePoint FirstEvent{}; ///< When the first event was delivered.
+  std::string LastUpstream; ///< Address, for logs.
+  std::string LastFailure;  ///< Reason, for logs.
+  Duration Expected{};      ///< Time it should take, estimated at admission.
+  Duration RetryIn{};       ///< Time until a retry, if it is refused.
+  TimerId DeadlineTimer;    ///< Ends it at Deadline.
+  TimerId EventTimer;       ///< Ends an attempt without events.
+  TimerId RetryTimer;       ///< Sends it after a wait.
+  TimerId ReadTimer; ///< Frees results that its upstream should have read.
   bool InputsFreed = false; ///< Freed; another attempt needs new ones.
 };
 
--- a/src/gateway_restart.cpp
+++ b/src/gateway_restart.cpp
@@ -39,6 +39,8 @@
   OwnPools->restarted(Restart);
   // Repeated requests may be sent to the new incarnation.
   upstreamsChanged({{Restart.Earlier, Restart.Later}});
+  if (Restart.Earlier.Version != Restart.Later.Version)
+    versionChanged(Restart);
   std::vector<RequestSerial> Cut;
   std::vector<RequestSerial> LostInputs;
   for (const auto &[Serial, R] : Requests) {
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -14,6 +14,7 @@
 #include "result_func.h"
 #include "route_feed.h"
 #include "settings_func.h"
+#include "stream_version_service.h"
 #include "upstream_client.h"
 #include "upstream_feed.h"
 #include "upstream_func.h"
@@ -55,6 +56,8 @@
   Quarantined = &Services.find<QuarantineService>(service::Quarantine);
   RateLimited = &Services.find<RateLimitService>(service::RateLimits);
   Notices = &Services.find<UpstreamNoticeService>(service::Notices);
+  StreamVersions =
+      &Services.find<StreamVersionService>(service::StreamVersions);
   RateLimited->onChange(
       [this](const Incarnation &Start) { rateLimitChanged(Start); });
   RateLimited->onRefusal(
@@ -79,8 +82,10 @@
   Routes->onChange([this] { configChanged(); });
   Upstreams->onRestart(
       [this](const UpstreamRestart &Restart) { upstreamRestarted(Restart); });
-  Upstreams->onChange(
-      [this](const UpstreamChanges &Changes) { upstreamsChanged(Changes); });
+  Upstreams->onChange([this](const UpstreamChanges &Changes) {
+    recordVersions(Changes);
+    upstreamsChanged(Changes);
+  });
   Members->onChange([this] { membersChanged(); });
   Timers->every(SweepPeriod, [this] { sweep(); });
   EventLoop &Loop = Services.find<LoopService>(service::Loop).Loop;
@@ -168,6 +173,7 @@
   Bounds.HeadTimeout = Limits.HeadTimeout;
   Bounds.IdleTimeout = Limits.IdleTimeout;
   Server->setLimits(Bounds);
+  recordMovedRoutes();
   rebuildPools();
 }
 
@@ -179,6 +185,7 @@
 }
 
 void GatewayService::sweep() {
+  checkVersionHistory();
   NodesAgree = Peers->membersAgree();
   for (const std::string &Name : std::exchange(PoolsToSweep, {}))
     ejectSlow(Pools[Name], Policy, Timers->now());
@@ -288,6 +295,7 @@
       {"code", resultInfo(Code).Name},
       {"status", Status},
       {"upstream", R.LastUpstream},
+      {"version", R.Version},
       {"sends", R.Sends},
       {"on_time", OnTime ? 1 : 0},
       {"used_before_ms", toMs(R.UsedBefore)},
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -12,6 +12,8 @@
 #include "rate_limit_type.h"
 #include "read_wait.h"
 #include "restart_func.h"
+#include "stream_version_base.h"
+#include "version_history.h"
 
 namespace fulmar {
 
@@ -21,6 +23,7 @@
 class PeerService;
 class QuarantineService;
 class RateLimitService;
+class StreamVersionService;
 class UpstreamClient;
 class UpstreamNoticeService;
 
@@ -132,6 +135,26 @@
   void upstreamRefused(const Incarnation &Start);
   void attemptAnswered(ForwardRequest &R);
 
+  // gateway_stream.cpp: software versions of streams.
+  void beginStream(ForwardRequest &R);
+  void takeUpStream(ForwardRequest &R);
+  void streamFound(RequestSerial Serial, StreamFinding Finding,
+                   const StreamOrigin &Origin);
+  void continueStream(ForwardRequest &R, const StreamOrigin &Origin);
+  void refuseStream(ForwardRequest &R, ResultCode Code, std::string_view Why);
+  void tellOrigin(const ForwardRequest &R, const StreamOrigin &Origin);
+  void disputeStream(ForwardRequest &R);
+  void versionChanged(const UpstreamRestart &Restart);
+  bool versionServed(const ForwardRequest &R) const;
+  RouterPolicy policyOf(const ForwardRequest &R) const;
+  std::optional<StreamOrigin> soleOrigin(const ForwardRequest &R) const;
+  void checkVersionHistory();
+  void recordVersions(const UpstreamChanges &Changes);
+  void rebuildVersions();
+  void recordMovedRoutes();
+  std::optional<std::size_t> chooseForAttempt(const ForwardRequest &R, Pool &P,
+                                              const ChoiceHints &Hints);
+
   // gateway_path.cpp: paths to upstreams.
   void pathsChanged();
   bool reachable(const std::string &Pool) const;
@@ -226,8 +249,9 @@
   QuarantineService *Quarantined = nullptr; ///< Quarantined requests.
   RateLimitService *RateLimited = nullptr;  ///< Upstreams with a rate limit.
   UpstreamNoticeService *Notices = nullptr; ///< Announcements of upstreams.
-  std::unique_ptr<HttpServer> Server;       ///< Listens for clients.
-  std::map<std::string, Pool> Pools;        ///< Plain pools and engines.
+  StreamVersionService *StreamVersions = nullptr; ///< Where streams began.
+  std::unique_ptr<HttpServer> Server;             ///< Listens for clients.
+  std::map<std::string, Pool> Pools;              ///< Plain pools and engines.
   /// Pools with attempts that ended since the latest sweep().
   std::set<std::string> PoolsToSweep;
   /// Pools with upstreams that this node sends to in turns.
@@ -245,7 +269,13 @@
   std::uint64_t LastSerial = 0;                     ///< Of the latest request.
   std::uint32_t LastUpstream = 0;                   ///< Of the latest upstream.
   std::vector<std::string> Nodes; ///< Ids of live nodes, sorted.
-  bool NodesAgree = false;        ///< The other nodes have the same members.
+  VersionHistory Versions;        ///< Software versions of upstreams, by pool.
+  Duration BootOffset{}; ///< Of the boot clock; grows when the host sleeps.
+  std::map<std::string, std::vector<RouteTarget>>
+      TargetsOf; ///< Pools of each route of the latest configuration.
+  std::map<std::string, TimePoint>
+      MovedAt;             ///< When a route last got other pools, by name.
+  bool NodesAgree = false; ///< The other nodes have the same members.
   /// Live nodes when the shares of limits were last computed.
   double SharingNodes = 0;
   double MaxNodesSeen = 1; ///< Largest number of live nodes so far. In a
--- a/src/gateway_turns.cpp
+++ b/src/gateway_turns.cpp
@@ -133,7 +133,8 @@
   AnyTurn.RespectSendPace = false;
   for (std::size_t I = 0; I < P.Upstreams.size(); ++I) {
     const Upstream &U = P.Upstreams[I];
-    if (U.Id == *Lent && upstreamEligible(U, AnyTurn, Timers->now()))
+    if (U.Id == *Lent && hasVersion(U, R.Version) &&
+        upstreamEligible(U, AnyTurn, Timers->now()))
       return I;
   }
   return std::nullopt;
@@ -152,7 +153,7 @@
     bool Tried =
         std::find(R.Tried.begin(), R.Tried.end(), U.Id) != R.Tried.end();
     bool Waits = U.BackoffUntil > Now || RateLimited->of(U.Start);
-    if (Tried || !U.Listed || U.Leaving || !Waits)
+    if (Tried || !U.Listed || U.Leaving || !Waits || !hasVersion(U, R.Version))
       continue;
     Next = std::min(Next, std::max(paceNext(U.Pace, Now), U.BackoffUntil));
   }
--- a/src/node_services.h
+++ b/src/node_services.h
@@ -27,6 +27,7 @@
 inline constexpr std::string_view Quarantine = "quarantine";
 inline constexpr std::string_view RateLimits = "rate_limits";
 inline constexpr std::string_view Notices = "upstream_notices";
+inline constexpr std::string_view StreamVersions = "stream_versions";
 inline constexpr std::string_view UpstreamCalls = "upstream_calls";
 inline constexpr std::string_view CallRelay = "call_relay";
 inline constexpr std::string_view Gateway = "gateway";
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -14,6 +14,7 @@
 #include "rate_limit_type.h"
 #include "retry_window.h"
 #include "state_sync_type.h"
+#include "stream_version_type.h"
 #include "upstream_notice_type.h"
 
 namespace fulmar {
@@ -35,14 +36,13 @@
 };
 
 /// The content of a message.
-using PeerBody =
-    std::variant<MemberMessage, LedgerEntry, LedgerResult, BundleFetch,
-                 BundleDelta, DemandReport, DemandTotal, BatchRequestMessage,
-                 BatchAnswerMessage, BatchReleaseMessage, StateSyncRequest,
-                 StateSyncResponse, ConfigFetch, ConfigCopy, CrashReport,
-                 QuarantineUpdate, QuarantineObjection, RateLimitUpdate,
-                 TurnAsk, TurnAnswer, RetryAsk, RetryAnswer, LeavingUpdate,
-                 RelayedCall, RefusalUpdate>;
+using PeerBody = std::variant<
+    MemberMessage, LedgerEntry, LedgerResult, BundleFetch, BundleDelta,
+    DemandReport, DemandTotal, BatchRequestMessage, BatchAnswerMessage,
+    BatchReleaseMessage, StateSyncRequest, StateSyncResponse, ConfigFetch,
+    ConfigCopy, CrashReport, QuarantineUpdate, QuarantineObjection,
+    RateLimitUpdate, TurnAsk, TurnAnswer, RetryAsk, RetryAnswer, LeavingUpdate,
+    RelayedCall, RefusalUpdate, StreamRecord, StreamQuery, StreamAnswer>;
 
 /// A message between nodes, with the fields that every message has.
 struct PeerMessage {
--- a/src/route_type.h
+++ b/src/route_type.h
@@ -27,6 +27,8 @@
 struct RouteTarget {
   std::string Pool;  ///< Name of the pool.
   double Weight = 1; ///< Relative to the route's other targets.
+
+  bool operator==(const RouteTarget &) const = default;
 };
 
 /// A stage of work that must be done before a request can run.
@@ -142,6 +144,7 @@
   bool Leaving = false;      ///< Gets no new requests.
   Duration ColdRemaining{};  ///< Time until it is warm; zero: it is.
   std::int64_t BornMs = 0;   ///< Unix time of its start, ms; 0: unknown.
+  std::string Version;       ///< Of its software; empty: unknown.
 
   bool operator==(const UpstreamEntry &) const = default;
 
--- /dev/null
+++ b/src/stream_version_service.h
@@ -0,0 +1,77 @@
+/// \file stream_version_service.h Shares between nodes where streams began.
+#ifndef FULMARSTEP_STREAM_VERSION_SERVICE_H
+#define FULMARSTEP_STREAM_VERSION_SERVICE_H
+
+#include <functional>
+#include <unordered_map>
+
+#include "kernel.h"
+#include "node_ring.h"
+#include "stream_version_func.h"
+#include "timer_base.h"
+
+namespace fulmar {
+
+class MemberService;
+class PeerService;
+
+/// Counters for metrics.
+struct StreamVersionCounts {
+  std::uint64_t Told = 0;     ///< Streams of this node that others were told.
+  std::uint64_t Searches = 0; ///< Streams that other nodes were asked for.
+  std::uint64_t Found = 0;    ///< Of these, known to another node.
+};
+
+/// Shares with a few other nodes where the streams of this node began, and asks
+/// them where the streams of other nodes did. The number of nodes per stream
+/// does not depend on the size of the fleet.
+class StreamVersionService : public Service {
+public:
+  using FindFn = std::function<void(StreamFinding, const StreamOrigin &)>;
+
+  explicit StreamVersionService(Kernel &K) : Services(K) {}
+
+  void start() override;
+
+  /// Keeps a record of a stream of this node, and sends it to other nodes. To
+  /// be called before the client gets the first event.
+  void tell(const StreamRecord &Record);
+  /// Looks for the record of a stream. \p Done is called once, at once if this
+  /// node has the record.
+  void find(const StreamKey &Key, FindFn Done);
+
+  /// \return Number of records that this node keeps.
+  std::size_t size() const { return State.Records.size(); }
+  /// \return The counters since the start of the node.
+  const StreamVersionCounts &counts() const { return Counts; }
+
+private:
+  /// A search that waits for answers.
+  struct Search {
+    StreamLookup Lookup; ///< Its state.
+    FindFn Done;         ///< Gets the result.
+    TimerId Timer;       ///< Asks again, then ends the search.
+  };
+
+  std::vector<std::string> holders(const StreamKey &Key);
+  void ask(std::uint64_t Serial);
+  void askAgain(std::uint64_t Serial);
+  void answered(const std::string &Node, const StreamAnswer &Answer);
+  void end(std::uint64_t Serial, StreamFinding Finding,
+           const StreamOrigin &Origin);
+
+  Kernel &Services;                 ///< Finds the other services.
+  TimerService *Timers = nullptr;   ///< Clock and timers.
+  PeerService *Peers = nullptr;     ///< Sends messages to nodes.
+  MemberService *Members = nullptr; ///< Lists the nodes.
+  StreamVersions State;             ///< Records.
+  NodeRing Ring;                    ///< Of the members.
+  bool RingStale = true;            ///< The members have changed since.
+  std::unordered_map<std::uint64_t, Search> Searches; ///< By serial.
+  std::uint64_t LastSerial = 0;                       ///< Of the latest search.
+  StreamVersionCounts Counts;                         ///< For metrics.
+};
+
+} // namespace fulmar
+
+#endif
--- a/src/table/result_codes.h
+++ b/src/table/result_codes.h
@@ -29,6 +29,8 @@
 RESULT_CODE(2055, UpstreamsBusy, 503, 200, "Every upstream of the pool is busy or said that it did not run the request.")
 RESULT_CODE(2056, TooManyRequests, 503, 500, "This node has as many requests in progress as it can hold.")
 RESULT_CODE(2057, RequestQuarantined, 503, 30000, "Earlier tries of this request ended the upstreams that ran them; this one was not run.")
+RESULT_CODE(2058, StreamVersionUnknown, 503, 1000, "The client takes up a stream, and it is not known which software version of an upstream began it.")
+RESULT_CODE(2059, StreamVersionGone, 503, 1000, "The client takes up a stream, and no upstream with the software version that began it can continue it.")
 
 RESULT_CODE(3000, StageFailed, 502, 1000, "A stage answered with an error.")
 RESULT_CODE(3001, DeadlinePassed, 504, 0, "The deadline passed while a stage was running.")
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -54,10 +54,21 @@
                                           : limitAllows(U.Limit, U.InFlight);
 }
 
+bool hasVersion(const Upstream &U, const std::string &Version) {
+  return Version.empty() || U.Version == Version;
+}
+
+/// \return Whether \p U is eligible and meets all of \p Hints but Avoid.
+static bool fits(const Upstream &U, const RouterPolicy &Policy,
+                 const ChoiceHints &Hints, TimePoint Now) {
+  return upstreamEligible(U, Policy, Now) && U.Path <= Hints.Worst &&
+         hasVersion(U, Hints.Version) &&
+         (!Hints.Without || !Hints.Without->count(U.Version));
+}
+
 static bool usable(const Upstream &U, const RouterPolicy &Policy,
                    const ChoiceHints &Hints, TimePoint Now) {
-  if (!upstreamEligible(U, Policy, Now) || !hasCapacity(U, Policy, Now) ||
-      U.Path > Hints.Worst)
+  if (!fits(U, Policy, Hints, Now) || !hasCapacity(U, Policy, Now))
     return false;
   if (!Hints.Avoid)
     return true;
@@ -87,14 +98,13 @@
 }
 
 const Upstream *affineUpstream(const Pool &P, const RouterPolicy &Policy,
-                               std::uint64_t Affinity, TimePoint Now,
-                               UpstreamPath Worst) {
+                               const ChoiceHints &Hints, TimePoint Now) {
   const Upstream *Best = nullptr;
   std::uint64_t BestWeight = 0;
   for (const Upstream &U : P.Upstreams) {
-    if (!upstreamEligible(U, Policy, Now) || U.Path > Worst)
+    if (!fits(U, Policy, Hints, Now))
       continue;
-    std::uint64_t Weight = rendezvousWeight(Affinity, U.Address);
+    std::uint64_t Weight = rendezvousWeight(Hints.Affinity, U.Address);
     if (Best && Weight < BestWeight)
       continue;
     Best = &U;
@@ -123,8 +133,7 @@
                                              const RouterPolicy &Policy,
                                              const ChoiceHints &Hints,
                                              TimePoint Now) {
-  const Upstream *U =
-      affineUpstream(P, Policy, Hints.Affinity, Now, Hints.Worst);
+  const Upstream *U = affineUpstream(P, Policy, Hints, Now);
   if (!U || !usable(*U, Policy, Hints, Now))
     return std::nullopt;
   double MaxInFlight =
@@ -388,6 +397,7 @@
   U.FailureDomain = Spec.FailureDomain;
   U.Leaving = Spec.Leaving;
   U.Cold = Spec.Cold;
+  U.Version = Spec.Version;
   U.Local = Spec.FailureDomain == OwnDomain;
   U.Limit.Limit = static_cast<double>(P.Spec.StartLimit);
   U.Limit.Max = static_cast<double>(P.Spec.MaxLimit);
@@ -410,6 +420,7 @@
   U.Listed = true;
   U.Leaving = Spec.Leaving || U.SaidLeaving;
   U.Cold = Spec.Cold;
+  U.Version = Spec.Version;
   return U;
 }
 
@@ -451,6 +462,7 @@
       continue;
     U.Leaving = Found->second->Leaving || U.SaidLeaving;
     U.Cold = Found->second->Cold;
+    U.Version = Found->second->Version;
     New.erase(Found);
   }
   dropUnlisted(P);
--- a/src/upstream_base.h
+++ b/src/upstream_base.h
@@ -2,6 +2,7 @@
 #ifndef FULMARSTEP_UPSTREAM_BASE_H
 #define FULMARSTEP_UPSTREAM_BASE_H
 
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -30,6 +31,7 @@
   bool Leaving = false;      ///< Gets no new work.
   Incarnation Start;         ///< Its start; empty instance: unknown.
   bool Cold = false;         ///< Just started, with reduced capacity.
+  std::string Version;       ///< Of its software; empty: unknown.
 
   bool operator==(const UpstreamSpec &) const = default;
 };
@@ -40,6 +42,7 @@
   std::string Address;       ///< IP:PORT.
   Incarnation Start;         ///< Its start; empty instance: unknown.
   std::string FailureDomain; ///< Failure domain it runs in.
+  std::string Version;       ///< Of its software; empty: unknown.
   bool Listed = true;        ///< Still in the host list.
   bool Leaving = false;      ///< Gets no new work.
   bool SaidLeaving = false;  ///< It announced that it is leaving, whatever the
@@ -80,6 +83,8 @@
   std::uint64_t Affinity = 0; ///< Hash of the prompt prefix; 0: none.
   const std::vector<UpstreamId> *Avoid = nullptr; ///< Already tried.
   UpstreamPath Worst = UpstreamPath::Relayed;     ///< Worst path allowed.
+  std::string Version; ///< Software version required; empty: any.
+  const std::set<std::string> *Without = nullptr; ///< Versions not allowed.
 };
 
 } // namespace fulmar
--- a/src/upstream_func.h
+++ b/src/upstream_func.h
@@ -17,11 +17,13 @@
                                           TimePoint Now);
 
 /// \return The eligible upstream that most likely has the prefix with the hash
-/// \p Affinity cached, regardless of its capacity; nullptr if none is eligible
-/// and reached by a path that is no worse than \p Worst.
+/// Hints.Affinity cached, regardless of its capacity and of Hints.Avoid;
+/// nullptr if none is eligible.
 const Upstream *affineUpstream(const Pool &P, const RouterPolicy &Policy,
-                               std::uint64_t Affinity, TimePoint Now,
-                               UpstreamPath Worst = UpstreamPath::Relayed);
+                               const ChoiceHints &Hints, TimePoint Now);
+
+/// \return Whether \p U runs the software version \p Version; empty: any.
+bool hasVersion(const Upstream &U, const std::string &Version);
 
 /// \return Whether \p U may get new work, regardless of its capacity.
 bool upstreamEligible(const Upstream &U, const RouterPolicy &Policy,
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -27,7 +27,8 @@
 static std::uint64_t digestOf(const UpstreamEntry &Entry) {
   return hash64(Entry.Instance + '\n' + std::to_string(Entry.BornMs) + '\n' +
                 Entry.Pool + '\n' + Entry.Address + '\n' + Entry.FailureDomain +
-                (Entry.Leaving ? "\n1" : "\n0") + (Entry.cold() ? "1" : "0"));
+                '\n' + Entry.Version + (Entry.Leaving ? "\n1" : "\n0") +
+                (Entry.cold() ? "1" : "0"));
 }
 
 static std::size_t bucketOf(const std::string &Instance) {
--- a/tests/test_cold.cpp
+++ b/tests/test_cold.cpp
@@ -67,12 +67,13 @@
 
   /// \return The hash of a session whose upstream is the cold one.
   std::uint64_t session() const {
-    std::uint64_t Hash = 1;
+    ChoiceHints Hints;
+    Hints.Affinity = 1;
     Pool P = Views[0].P;
     P.Upstreams[0].Pace = SendPace();
-    while (affineUpstream(P, Policy, Hash, Now) != &P.Upstreams[0])
-      ++Hash;
-    return Hash;
+    while (affineUpstream(P, Policy, Hints, Now) != &P.Upstreams[0])
+      ++Hints.Affinity;
+    return Hints.Affinity;
   }
 
   /// Sends one request of a session.
--- a/tests/test_stream_version.cpp
+++ b/tests/test_stream_version.cpp
@@ -4,7 +4,10 @@
 
 #include "gateway_world.h"
 #include "member_service.h"
+#include "node_ring.h"
 #include "node_services.h"
+#include "stream_version_func.h"
+#include "version_history.h"
 
 using namespace fulmar;
 using platform::RunnerConfig;
@@ -143,6 +146,153 @@
 
 } // namespace
 
+/// Guards against records that another organisation can read or change, and
+/// against a version that is taken from the wrong one of several records.
+TEST_CASE("records of where streams began", "[stream-version]") {
+  TimePoint Now{seconds(100)};
+  StreamVersions State;
+  StreamRecord Record{
+      streamKey("org", "id"), {"engine", "v1", "e-0"}, seconds(5)};
+  CHECK(streamKey("org", "id") == Record.Key);
+  CHECK(streamKey("orgi", "d") != Record.Key);
+  CHECK(streamKey("other", "id") != Record.Key);
+  REQUIRE(streamVersionKeep(State, Record, Now));
+  CHECK(streamVersionOf(State, Record.Key, Now)->Origin.Version == "v1");
+
+  SECTION("the same once more changes nothing") {
+    Record.Origin.Instance = "e-1";
+    streamVersionKeep(State, Record, Now);
+    CHECK_FALSE(streamVersionOf(State, Record.Key, Now)->Disputed);
+  }
+  SECTION("another version makes the stream disputed for good") {
+    StreamRecord Other = Record;
+    Other.Origin.Version = "v2";
+    streamVersionKeep(State, Other, Now);
+    streamVersionKeep(State, Record, Now);
+    CHECK(streamVersionOf(State, Record.Key, Now)->Disputed);
+  }
+  SECTION("a record ends with the time of its client") {
+    CHECK(streamVersionOf(State, Record.Key, Now + seconds(5)));
+    CHECK_FALSE(streamVersionOf(State, Record.Key, Now + seconds(8)));
+    streamVersionExpire(State, Now + seconds(8));
+    CHECK(State.Records.empty());
+  }
+  SECTION("the number of records is bounded") {
+    for (int I = 0; I < 60'000; ++I)
+      streamVersionKeep(
+          State, {streamKey("o", std::to_string(I)), Record.Origin, seconds(9)},
+          Now);
+    CHECK(State.Records.size() == 50'000);
+    CHECK(State.Dropped == 10'001);
+    CHECK(streamVersionOf(State, Record.Key, Now));
+  }
+}
+
+/// Guards against a lost record that is taken for one that never was.
+TEST_CASE("a search for the record of a stream", "[stream-version]") {
+  StreamKey Key = streamKey("org", "id");
+  StreamLookup Lookup{Key, {"a", "b"}};
+  StreamAnswer None{1, Key, std::nullopt, std::chrono::hours(1)};
+  StreamAnswer Found{1, Key,
+                     StreamRecord{Key, {"engine", "v1", "e-0"}, seconds(5)},
+                     seconds(1)};
+
+  SECTION("the first record ends it") {
+    CHECK_FALSE(streamLookupAnswered(Lookup, "a", None));
+    CHECK(streamLookupAnswered(Lookup, "b", Found) == StreamFinding::Known);
+  }
+  SECTION("all nodes have kept records for long, and none has one") {
+    CHECK_FALSE(streamLookupAnswered(Lookup, "a", None));
+    CHECK(streamLookupAnswered(Lookup, "b", None) == StreamFinding::Never);
+  }
+  SECTION("a node has restarted, and may have had one") {
+    StreamAnswer Restarted = None;
+    Restarted.Kept = seconds(2);
+    CHECK_FALSE(streamLookupAnswered(Lookup, "a", Restarted));
+    CHECK(streamLookupAnswered(Lookup, "b", None) == StreamFinding::Lost);
+  }
+  SECTION("a node does not answer") {
+    CHECK_FALSE(streamLookupAnswered(Lookup, "a", None));
+    CHECK(streamLookupEnded(Lookup) == StreamFinding::Lost);
+  }
+  SECTION("answers to other queries and from other nodes do not count") {
+    StreamAnswer Stale = None;
+    Stale.Key = streamKey("org", "earlier");
+    CHECK_FALSE(streamLookupAnswered(Lookup, "a", Stale));
+    CHECK_FALSE(streamLookupAnswered(Lookup, "c", None));
+    CHECK(Lookup.Waiting.size() == 2);
+  }
+  SECTION("a disputed record does not say a version") {
+    Found.Record->Disputed = true;
+    CHECK(streamLookupAnswered(Lookup, "a", Found) == StreamFinding::Disputed);
+  }
+}
+
+/// Guards against records that go to more nodes in a larger fleet, or are
+/// looked for at other nodes after some were lost.
+TEST_CASE("nodes that hold a record", "[stream-version]") {
+  auto Size = GENERATE(as<std::size_t>(), 1, 3, 9, 985);
+  std::vector<std::string> Ids;
+  for (std::size_t I = 0; I < Size; ++I)
+    Ids.push_back("n" + std::to_string(I));
+  std::uint64_t Hash = streamKey("org", "id").High;
+  std::vector<std::string> Holders =
+      nodesOfKey(makeNodeRing(Ids), Hash, 5, Ids[0]);
+  CHECK(Holders.size() == std::min<std::size_t>(5, Size - 1));
+  CHECK(std::count(Holders.begin(), Holders.end(), Ids[0]) == 0);
+  if (Holders.size() < 3)
+    return;
+  std::vector<std::string> Lost = {Ids[0], Holders[0], Holders[2]};
+  std::vector<std::string> Left = Ids;
+  std::erase_if(Left, [&](const std::string &Id) {
+    return std::count(Lost.begin(), Lost.end(), Id) > 0;
+  });
+  std::vector<std::string> Asked =
+      nodesOfKey(makeNodeRing(Left), Hash, 5, "asks");
+  for (std::size_t I : {1, 3, 4}) {
+    if (I < Holders.size())
+      CHECK(std::count(Asked.begin(), Asked.end(), Holders[I]) == 1);
+  }
+}
+
+/// Guards against a version that is taken for the only one because the node has
+/// not seen the others.
+TEST_CASE("the only version of a pool", "[stream-version]") {
+  TimePoint Start{seconds(1000)};
+  VersionHistory History;
+  History.Since = Start;
+  versionListed(History, "engine", "v1", Start);
+  TimePoint Later = Start + seconds(40);
+  CHECK_FALSE(soleVersion(History, "engine", Start + seconds(5)));
+  CHECK(soleVersion(History, "engine", Later) == "v1");
+  CHECK_FALSE(soleVersion(History, "other", Later));
+
+  SECTION("another version is listed, and leaves") {
+    versionListed(History, "engine", "v2", Later);
+    CHECK_FALSE(soleVersion(History, "engine", Later));
+    CHECK(unsettledVersions(History, "engine", Later) ==
+          std::set<std::string>{"v2"});
+    CHECK(unsettledVersions(History, "engine", Later + seconds(4)).empty());
+    versionUnlisted(History, "engine", "v2", Later + seconds(5));
+    CHECK_FALSE(soleVersion(History, "engine", Later + seconds(30)));
+    CHECK(soleVersion(History, "engine", Later + seconds(40)) == "v1");
+  }
+  SECTION("new streams may begin at a new version where no other is left") {
+    versionUnlisted(History, "engine", "v1", Later);
+    versionListed(History, "engine", "v2", Later);
+    CHECK(unsettledVersions(History, "engine", Later).empty());
+    CHECK_FALSE(soleVersion(History, "engine", Later));
+  }
+  SECTION("the list was not seen for some time") {
+    History.Since = Later;
+    CHECK_FALSE(soleVersion(History, "engine", Later + seconds(20)));
+  }
+  SECTION("an unknown version is none") {
+    versionListed(History, "plain", "", Start);
+    CHECK_FALSE(soleVersion(History, "plain", Later));
+  }
+}
+
 /// Guards against a stream that goes on, within one answer, at an upstream of
 /// another version than the one that began it.
 TEST_CASE("a stream is completed in one answer at its first version",
@@ -169,3 +319,137 @@
   CHECK(World.mixed() == 0);
   CHECK(World.whole() == 18);
 }
+
+namespace {
+
+/// Clients get the refusal of a stream that cannot go on within this time.
+constexpr Duration RefusalTime = milliseconds(400);
+
+/// Takes up a stream that must be refused, at once and as not run.
+void checkRefused(VersionWorld &World, ClientStream Stream, std::size_t Node,
+                  HttpHeaders More = {}) {
+  TimePoint Began = World.Timers.now();
+  World.takeUp(Stream, Node, std::move(More));
+  runUntil(World.Loop, [&] { return Stream.Latest->Ended; });
+  CHECK(Stream.Latest->Answer.Status == 503);
+  CHECK(!Stream.Latest->Answer.header("Retry-After").empty());
+  CHECK(World.runsOfLast() == 0);
+  CHECK(World.Timers.now() - Began < RefusalTime);
+}
+
+} // namespace
+
+/// Guards against streams that go on at a version that nobody knows, and
+/// against refusals that make the client wait.
+TEST_CASE("a stream whose version is not known is refused at once",
+          "[stream-version]") {
+  VersionWorld World;
+  World.begin(1);
+  ClientStream Stream = World.Streams.front();
+
+  SECTION("no node has a record of it") {
+    Stream.FirstId = "never";
+    checkRefused(World, Stream, 1);
+  }
+  SECTION("the client does not name its first try") {
+    Stream.FirstId.clear();
+    checkRefused(World, Stream, 1);
+  }
+  SECTION("all nodes were restarted") {
+    for (std::size_t Node = 0; Node < 3; ++Node)
+      World.Nodes[Node]->halt();
+    World.addNode();
+    checkRefused(World, Stream, 3);
+  }
+  SECTION("it belongs to another organisation") {
+    World.Keys = "\"key-a\"]},{\"name\":\"org-b\",\"api_keys\":[\"key-b\"";
+    World.configure();
+    HttpHeaders OfB = {{"Authorization", "Bearer key-b"}};
+    runUntil(World.Loop,
+             [&] { return World.ask("/get/x", OfB).Answer.Status != 401; });
+    checkRefused(World, Stream, 0, OfB);
+    checkRefused(World, Stream, 1, OfB);
+    World.kill(0);
+    World.takeUp(World.Streams.front(), 1);
+    World.finish();
+    CHECK(World.whole() == 1);
+    CHECK(World.mixed() == 0);
+  }
+}
+
+/// Guards against a stream that goes on at another version after its own has
+/// left, and against one that does not go on after it came back.
+TEST_CASE("a stream waits for no version that is gone", "[stream-version]") {
+  VersionWorld World;
+  World.begin(12);
+  auto Old = std::find_if(
+      World.Streams.begin(), World.Streams.end(),
+      [](const auto &S) { return versionsIn(S.text()).count("v1") > 0; });
+  REQUIRE(Old != World.Streams.end());
+  ClientStream Stream = *Old;
+  World.kill(0);
+  Stream.Earlier.clear();
+  for (std::string Name : {"old-0", "old-1"})
+    World.Store.erase("servers/" + Name);
+  auto Listed = [&](bool Wanted) {
+    runUntil(World.Loop, [&] {
+      for (std::size_t Node : {1, 2}) {
+        const Pool &P = World.Nodes[Node]->gateway().pools().at("engine");
+        bool Found = std::any_of(
+            P.Upstreams.begin(), P.Upstreams.end(),
+            [](const Upstream &U) { return U.Listed && U.Version == "v1"; });
+        if (Found != Wanted)
+          return false;
+      }
+      return true;
+    });
+  };
+  Listed(false);
+  checkRefused(World, Stream, 1);
+
+  SECTION("and goes on after it was rolled back") {
+    World.addEngine("back-0", "v1");
+    Listed(true);
+    World.takeUp(Stream, 2);
+    runUntil(World.Loop, [&] { return Stream.Latest->Ended; });
+    CHECK(isWhole(Stream.text()));
+    CHECK(versionsIn(Stream.text()) == std::set<std::string>{"v1"});
+  }
+}
+
+/// Guards against a stream that loses its upstreams because they have failed
+/// lately, while others of its pool have not.
+TEST_CASE("a stream goes on at an upstream that was ejected",
+          "[stream-version]") {
+  VersionWorld World(1);
+  World.begin(18);
+  const Pool &P = World.Nodes[0]->gateway().pools().at("engine");
+  for (const Upstream &U : P.Upstreams) {
+    if (U.Version == "v1")
+      const_cast<Upstream &>(U).EjectedUntil = World.Timers.now() + seconds(30);
+  }
+  World.Runners["old-0"]->breakOff();
+  World.finish();
+  CHECK(World.mixed() == 0);
+  CHECK(World.whole() == 18);
+}
+
+/// Guards against an address that another upstream has taken over: it must not
+/// run what was meant for the earlier one.
+TEST_CASE("a stream does not go on at a new upstream under an old address",
+          "[stream-version]") {
+  VersionWorld World;
+  World.begin(18);
+  World.kill(0);
+  // The list still names old-0 and old-1 at addresses that new-0 and new-1
+  // have.
+  for (std::string Suffix : {"0", "1"}) {
+    World.ListedAddress["old-" + Suffix] =
+        World.Runners["new-" + Suffix]->address();
+    World.list("engine", "old-" + Suffix, "ready");
+  }
+  for (std::size_t I = 0; I < World.Streams.size(); ++I)
+    World.takeUp(World.Streams[I], 1 + I % 2);
+  World.finish();
+  CHECK(World.mixed() == 0);
+}
