Soak: streams over several versions, taken up at any node

A pool of its own is rolled out and back (three versions) while its upstreams break off and nodes are killed, paused and cut off; clients take up their streams at random nodes. Checked: each event once, in order and of one version; the share of streams that go on.

--- a/src/cli/cli_soak.cpp
+++ b/src/cli/cli_soak.cpp
@@ -34,8 +34,11 @@
             << Report.Lost << ", faults " << Report.Faults << ", backoffs "
             << Report.Backoffs << ", leaving " << Report.Leaving << ", cuts "
             << Report.Cuts << ", tries at cut nodes " << Report.CutTries
-            << ", falls " << Report.Falls << ", broken " << Report.Broken.size()
-            << "\n";
+            << ", falls " << Report.Falls << ", streams "
+            << Report.Streams.Begun << ", taken up " << Report.Streams.TakenUp
+            << ", went on " << Report.Streams.WentOn << ", counted "
+            << Report.Streams.Counted << ", whole " << Report.Streams.Whole
+            << ", broken " << Report.Broken.size() << "\n";
   for (const std::string &Line : Report.Broken)
     std::cout << "BROKEN " << Line << "\n";
   if (!Report.Broken.empty())
