Wait for a silent upstream that alone can go on with a stream

An attempt without events was given up after its time also where no other upstream could continue the stream, which then ended. Now that only upstreams of one version can, that is no longer rare: the node looks again every 200 ms. Also five metrics of records of streams.

--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -15,6 +15,7 @@
 #include "rate_limit_service.h"
 #include "route_feed.h"
 #include "settings_func.h"
+#include "stream_version_service.h"
 #include "upstream_client.h"
 #include "upstream_feed.h"
 #include "upstream_notice_service.h"
@@ -117,6 +118,8 @@
       Services.find<RateLimitService>(service::RateLimits);
   const UpstreamNoticeCounts &Notices =
       Services.find<UpstreamNoticeService>(service::Notices).counts();
+  const StreamVersionService &Streams =
+      Services.find<StreamVersionService>(service::StreamVersions);
   auto Age = Routes->age();
   std::vector<UnlabelledMetric> Plain = {
       {"fulmarstep_requests_accepted_total", "counter",
@@ -159,6 +162,16 @@
        static_cast<double>(Notices.Withheld)},
       {"fulmarstep_upstreams_leaving_total", "counter",
        static_cast<double>(Notices.Leaving)},
+      {"fulmarstep_streams_told_total", "counter",
+       static_cast<double>(Streams.counts().Told)},
+      {"fulmarstep_stream_records", "gauge",
+       static_cast<double>(Streams.size())},
+      {"fulmarstep_stream_records_dropped_total", "counter",
+       static_cast<double>(Streams.dropped())},
+      {"fulmarstep_stream_searches_total", "counter",
+       static_cast<double>(Streams.counts().Searches)},
+      {"fulmarstep_streams_found_total", "counter",
+       static_cast<double>(Streams.counts().Found)},
       {"fulmarstep_upstreams_unreachable", "gauge",
        Upstreams->isolated() ? 1.0 : 0.0},
       {"fulmarstep_relayed_calls_total", "counter",
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -30,6 +30,9 @@
 /// lower bound.
 static constexpr double GapTimeoutTargets = 2;
 static constexpr Duration MinGapTimeout = std::chrono::milliseconds(1000);
+/// Interval of the checks whether another upstream can continue a silent
+/// stream.
+static constexpr Duration OtherUpstreamCheck = std::chrono::milliseconds(200);
 /// Timeout of an attempt without a stream that may be repeated, in targets of
 /// the route, while there is time for another attempt.
 static constexpr double PlainTimeoutTargets = 2;
@@ -458,9 +461,10 @@
 /// continue at another upstream. A host that has lost power closes no
 /// connection; without the timer its stream would stall until the client gives
 /// up.
-void GatewayService::startEventTimer(ForwardRequest &R) {
+/// \param Earliest the attempt is not given up before.
+void GatewayService::startEventTimer(ForwardRequest &R, TimePoint Earliest) {
   Timers->cancel(R.EventTimer);
-  TimePoint Due = R.Attempt->LastEventAt + eventTimeout(R);
+  TimePoint Due = std::max(Earliest, R.Attempt->LastEventAt + eventTimeout(R));
   if (Due >= R.Deadline)
     return;
   R.EventTimer = Timers->after(Due - Timers->now(), [this, Serial = R.Serial] {
@@ -470,6 +474,9 @@
     TimePoint Over = Silent->Attempt->LastEventAt + eventTimeout(*Silent);
     if (Silent->Attempt->Paused || Timers->now() < Over)
       return startEventTimer(*Silent);
+    // A silent upstream may go on; without another one the stream would end.
+    if (Silent->HeadSent && !hasOtherUpstream(*Silent))
+      return startEventTimer(*Silent, Timers->now() + OtherUpstreamCheck);
     abandonAttempt(*Silent, "silent");
   });
 }
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -200,7 +200,7 @@
                      const HttpResponse &Answer);
   void rerunStages(ForwardRequest &R);
   Duration eventTimeout(const ForwardRequest &R) const;
-  void startEventTimer(ForwardRequest &R);
+  void startEventTimer(ForwardRequest &R, TimePoint Earliest = TimePoint{});
   void closeAttempt(ForwardRequest &R);
   void dropAttempt(ForwardRequest &R);
   void recordOutcome(ForwardRequest &R, AttemptOutcome Outcome,
--- a/src/stream_version_service.h
+++ b/src/stream_version_service.h
@@ -42,6 +42,8 @@
 
   /// \return Number of records that this node keeps.
   std::size_t size() const { return State.Records.size(); }
+  /// \return Records that were not kept for want of space.
+  std::uint64_t dropped() const { return State.Dropped; }
   /// \return The counters since the start of the node.
   const StreamVersionCounts &counts() const { return Counts; }
 
--- a/tests/test_stream_version.cpp
+++ b/tests/test_stream_version.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr int Events = 12;
+const HttpHeader ClientTime = {"X-Deadline-Remaining-Milliseconds", "6000"};
 
 /// \return The versions of the upstreams that wrote the events of a stream.
 std::set<std::string> versionsIn(const std::string &Stream) {
@@ -94,7 +95,7 @@
   /// Begins streams at a node and waits until each has some events.
   void begin(int Count, std::size_t Node = 0) {
     for (int I = 0; I < Count; ++I) {
-      auto Result = send("/stream/x", {}, Node);
+      auto Result = send("/stream/x", {ClientTime}, Node);
       Streams.push_back({"r" + std::to_string(LastId), Result, ""});
     }
     runUntil(Loop, [&] {
@@ -107,6 +108,7 @@
   /// Takes a stream up again at a node, as its client.
   void takeUp(ClientStream &Stream, std::size_t Node, HttpHeaders More = {}) {
     Stream.Earlier = Stream.text();
+    More.push_back(ClientTime);
     More.push_back(
         {"Last-Event-Id", std::to_string(idsIn(Stream.Earlier).back())});
     if (!Stream.FirstId.empty())
@@ -434,6 +436,30 @@
   CHECK(World.whole() == 18);
 }
 
+/// Guards against a stream that is broken off because its upstream is silent,
+/// although no other upstream can go on with it.
+TEST_CASE("a stream waits for the only upstream that can go on with it",
+          "[stream-version]") {
+  VersionWorld World(1);
+  World.begin(18);
+  World.Runners["old-0"]->breakOff();
+  World.Store.erase("servers/old-0");
+  runUntil(World.Loop, [&] {
+    const Pool &P = World.Nodes[0]->gateway().pools().at("engine");
+    return std::none_of(
+        P.Upstreams.begin(), P.Upstreams.end(),
+        [](const Upstream &U) { return U.Start.Instance == "old-0"; });
+  });
+  World.begin(12);
+  World.Runners["old-1"]->pause(true);
+  TimePoint Over = World.Timers.now() + milliseconds(1800);
+  runUntil(World.Loop, [&] { return World.Timers.now() >= Over; });
+  World.Runners["old-1"]->pause(false);
+  World.finish();
+  CHECK(World.mixed() == 0);
+  CHECK(World.whole() == 30);
+}
+
 /// Guards against an address that another upstream has taken over: it must not
 /// run what was meant for the earlier one.
 TEST_CASE("a stream does not go on at a new upstream under an old address",
