Keep records of streams in the store, for streams that outlast all nodes

Change: records are assigned to 8 groups, each written by one node, up to 32 in a call, each second, under a lease of a minute; a node that finds no record at its peers reads the one key. Calls do not grow with the fleet.

Result: 'a stream goes on after all nodes were restarted' passes; it fails on the code before, where nothing but memory has the records. With the store away the streams are refused at once.

--- a/src/kv_tree.h
+++ b/src/kv_tree.h
@@ -80,6 +80,11 @@
   /// Writes a key unconditionally; it is deleted when \p Lease expires.
   virtual void putLeased(const std::string &Key, const std::string &Value,
                          std::uint64_t Lease, NumberFn Done) = 0;
+  /// Most keys in one call of putAllLeased().
+  static constexpr std::size_t MaxPuts = 32;
+  /// Writes some keys, all or none, as putLeased() does.
+  virtual void putAllLeased(const std::vector<KvItem> &Items,
+                            std::uint64_t Lease, NumberFn Done) = 0;
 };
 
 } // namespace fulmar
--- a/src/stream_version.cpp
+++ b/src/stream_version.cpp
@@ -6,10 +6,14 @@
 #include <cstring>
 
 #include "core/enum_names.h"
+#include "json_func.h"
 #include "signature_func.h"
 
 namespace fulmar {
 
+/// Prefix of the records in the store. It is not that of the fleet's keys,
+/// which each node reads when it starts.
+static constexpr std::string_view StorePrefix = "fulmarstep-streams/";
 /// Most records of a node. Each takes about 200 bytes.
 static constexpr std::size_t MaxRecords = 50'000;
 /// A record is kept for this much longer than the client said that it waits.
@@ -73,6 +77,35 @@
   return StreamRecord{Key, Kept.Origin, Left, Kept.Disputed};
 }
 
+std::string streamStoreKey(const StreamKey &Key) {
+  std::string Bytes(sizeof(Key.High) + sizeof(Key.Low), '\0');
+  std::memcpy(Bytes.data(), &Key.High, sizeof(Key.High));
+  std::memcpy(Bytes.data() + sizeof(Key.High), &Key.Low, sizeof(Key.Low));
+  return std::string(StorePrefix) + toHex(Bytes);
+}
+
+std::string streamToStore(const StreamRecord &Record) {
+  return writeJson(Json()
+                       .set("pool", Record.Origin.Pool)
+                       .set("version", Record.Origin.Version)
+                       .set("instance", Record.Origin.Instance)
+                       .set("disputed", Record.Disputed));
+}
+
+std::optional<StreamRecord> streamFromStore(const StreamKey &Key,
+                                            std::string_view Text) {
+  Diagnostics Wrong;
+  auto Root = parseJson(Text, JsonDialect::Strict, Wrong);
+  if (!Root || Root->text("pool").empty() || Root->text("version").empty())
+    return std::nullopt;
+  StreamRecord Record;
+  Record.Key = Key;
+  Record.Origin = {Root->text("pool"), Root->text("version"),
+                   Root->text("instance")};
+  Record.Disputed = Root->flag("disputed");
+  return Record;
+}
+
 void streamVersionExpire(StreamVersions &State, TimePoint Now) {
   std::erase_if(State.Records,
                 [Now](const auto &Item) { return Item.second.Until <= Now; });
--- a/src/stream_version_func.h
+++ b/src/stream_version_func.h
@@ -29,6 +29,17 @@
                                             const StreamKey &Key,
                                             TimePoint Now);
 
+/// \return The key of a stream's record in the store.
+std::string streamStoreKey(const StreamKey &Key);
+
+/// \return A record as stored.
+std::string streamToStore(const StreamRecord &Record);
+
+/// Reads a stored record.
+/// \return Nothing if \p Text is damaged.
+std::optional<StreamRecord> streamFromStore(const StreamKey &Key,
+                                            std::string_view Text);
+
 /// Removes records of streams whose clients have given up.
 void streamVersionExpire(StreamVersions &State, TimePoint Now);
 
--- a/src/stream_version_service.h
+++ b/src/stream_version_service.h
@@ -2,10 +2,12 @@
 #ifndef FULMARSTEP_STREAM_VERSION_SERVICE_H
 #define FULMARSTEP_STREAM_VERSION_SERVICE_H
 
+#include <deque>
 #include <functional>
 #include <unordered_map>
 
 #include "kernel.h"
+#include "kv_tree.h"
 #include "node_ring.h"
 #include "stream_version_func.h"
 #include "timer_base.h"
@@ -20,11 +22,14 @@
   std::uint64_t Told = 0;     ///< Streams of this node that others were told.
   std::uint64_t Searches = 0; ///< Streams that other nodes were asked for.
   std::uint64_t Found = 0;    ///< Of these, known to another node.
+  std::uint64_t Stored = 0;   ///< Records that this node wrote to the store.
+  std::uint64_t Recalled = 0; ///< Streams that only the store knew.
 };
 
 /// Shares with a few other nodes where the streams of this node began, and asks
 /// them where the streams of other nodes did. The number of nodes per stream
-/// does not depend on the size of the fleet.
+/// does not depend on the size of the fleet. A few nodes write the records of
+/// all to the store, many in a call, for streams that outlast all nodes.
 class StreamVersionService : public Service {
 public:
   using FindFn = std::function<void(StreamFinding, const StreamOrigin &)>;
@@ -61,6 +66,14 @@
   void answered(const std::string &Node, const StreamAnswer &Answer);
   void end(std::uint64_t Serial, StreamFinding Finding,
            const StreamOrigin &Origin);
+  void searchEnded(std::uint64_t Serial, StreamFinding Finding);
+  void recall(const StreamKey &Key, StreamFinding Otherwise, FindFn Done);
+  std::string writerOf(const StreamKey &Key);
+  void receive(const StreamRecord &Record);
+  void write();
+  void writeUnder(std::uint64_t Lease);
+  void written(const std::vector<StreamKey> &Keys, std::uint64_t Under,
+               KvStatus Status);
 
   Kernel &Services;                 ///< Finds the other services.
   TimerService *Timers = nullptr;   ///< Clock and timers.
@@ -71,7 +84,13 @@
   bool RingStale = true;            ///< The members have changed since.
   std::unordered_map<std::uint64_t, Search> Searches; ///< By serial.
   std::uint64_t LastSerial = 0;                       ///< Of the latest search.
-  StreamVersionCounts Counts;                         ///< For metrics.
+  KvStore *Store = nullptr;                           ///< Reads records.
+  KvLeases *Leases = nullptr;      ///< Writes records that expire.
+  std::deque<StreamKey> Unwritten; ///< Records to write, the oldest first.
+  std::uint64_t Lease = 0;         ///< Of the records written now; 0: none.
+  TimePoint LeasedAt{};            ///< When it was granted.
+  bool Writing = false;            ///< A call is in progress.
+  StreamVersionCounts Counts;      ///< For metrics.
 };
 
 } // namespace fulmar
--- a/src/stream_version_type.h
+++ b/src/stream_version_type.h
@@ -27,6 +27,7 @@
   StreamOrigin Origin;   ///< Where it began.
   Duration Left{};       ///< Time until its client gives up.
   bool Disputed = false; ///< More than one version was reported for it.
+  bool Write = false;    ///< The receiver writes it to the store.
 };
 
 /// Asks another node for its record of a stream.
