--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -349,11 +349,12 @@
   bool VersionUnknown = R.HeadSent && R.Version.empty();
   if (Found == Pools.end() || VersionUnknown)
     return false;
+  RouterPolicy Own = policyOf(R);
   for (const Upstream &U : Found->second.Upstreams) {
     bool Used =
         std::find(R.Tried.begin(), R.Tried.end(), U.Id) != R.Tried.end();
     if (!Used && hasVersion(U, R.Version) &&
-        upstreamEligible(U, policyOf(R), Timers->now()))
+        upstreamEligible(U, Own, Timers->now()))
       return true;
   }
   return false;
--- a/src/gateway_stream.cpp
+++ b/src/gateway_stream.cpp
@@ -24,14 +24,20 @@
   return streamKey(R.Organisation, First ? R.Ask.RequestId : R.Ask.FirstTry);
 }
 
-/// Tells other nodes where the stream of a request began.
-void GatewayService::tellOrigin(const ForwardRequest &R,
-                                const StreamOrigin &Origin) {
+/// \return The record of a request's stream.
+static StreamRecord streamRecordOf(const ForwardRequest &R,
+                                   const StreamOrigin &Origin, TimePoint Now) {
   StreamRecord Record;
   Record.Key = streamKeyOf(R);
   Record.Origin = Origin;
-  Record.Left = R.ClientDeadline - Timers->now();
-  StreamVersions->tell(Record);
+  Record.Left = R.ClientDeadline - Now;
+  return Record;
+}
+
+/// Tells other nodes where the stream of a request began.
+void GatewayService::tellOrigin(const ForwardRequest &R,
+                                const StreamOrigin &Origin) {
+  StreamVersions->tell(streamRecordOf(R, Origin, Timers->now()));
 }
 
 /// Records where a stream begins, before the client gets its first event: from
@@ -246,10 +252,8 @@
 
 /// Tells other nodes that the version of a stream is not known after all.
 void GatewayService::disputeStream(ForwardRequest &R) {
-  StreamRecord Record;
-  Record.Key = streamKeyOf(R);
-  Record.Origin = {R.PoolName, R.Version, R.Attempt->Start.Instance};
-  Record.Left = R.ClientDeadline - Timers->now();
+  StreamOrigin Origin{R.PoolName, R.Version, R.Attempt->Start.Instance};
+  StreamRecord Record = streamRecordOf(R, Origin, Timers->now());
   Record.Disputed = true;
   StreamVersions->tell(Record);
   R.Version.clear();
--- a/src/version_history.cpp
+++ b/src/version_history.cpp
@@ -6,8 +6,9 @@
 
 namespace fulmar {
 
-/// Longer than clients wait for a stream.
-static constexpr Duration MaxStreamTime = std::chrono::seconds(30);
+/// How long versions that have left are remembered: longer than clients wait
+/// for a stream.
+static constexpr Duration VersionMemory = std::chrono::seconds(30);
 /// A list that a node uses is younger than this, so after this time each node
 /// knows of a version or does not trust its list.
 static constexpr Duration SettleTime = ListOutageAge + std::chrono::seconds(1);
@@ -30,19 +31,19 @@
     Times.GoneAt = Now;
   // Old versions are forgotten here, where the set changes anyway.
   std::erase_if(Known->second, [Now](const auto &Item) {
-    return Item.second.Listed <= 0 && Now - Item.second.GoneAt > MaxStreamTime;
+    return Item.second.Listed <= 0 && Now - Item.second.GoneAt > VersionMemory;
   });
 }
 
 static bool isRecent(const VersionTimes &Times, TimePoint Now) {
-  return Times.Listed > 0 || Now - Times.GoneAt <= MaxStreamTime;
+  return Times.Listed > 0 || Now - Times.GoneAt <= VersionMemory;
 }
 
 std::optional<std::string> soleVersion(const VersionHistory &History,
                                        const std::string &Pool, TimePoint Now) {
   auto Known = History.Pools.find(Pool);
   bool LongEnough =
-      History.Since > TimePoint{} && Now - History.Since >= MaxStreamTime;
+      History.Since > TimePoint{} && Now - History.Since >= VersionMemory;
   if (Known == History.Pools.end() || !LongEnough)
     return std::nullopt;
   std::optional<std::string> Sole;
