Soak: list the requests that a violated check of cuts counted

Cause: the soak says only how many requests of cut nodes were served. Which ones failed, at which node, in which kind of cut, cannot be told from the logs of nodes, since several cuts overlap with signals.

Change: for a violated check, bench soak prints the cut (nodes, kind, time) and each request that counted (id, node, status, code), in lines that begin with "trace". The check, its bounds and the draws of faults are the same.

--- a/src/cli/cli_soak.cpp
+++ b/src/cli/cli_soak.cpp
@@ -44,6 +44,8 @@
             << Report.Broken.size() << "\n";
   for (const std::string &Line : Report.Broken)
     std::cout << "BROKEN " << Line << "\n";
+  for (const std::string &Line : Report.Trace)
+    std::cout << "trace " << Line << "\n";
   if (!Report.Broken.empty())
     throw Error(ResultCode::InvariantBroken, "a promise was broken");
   return ExitCode::Success;
