Judge the end of an answer only by a connection begun after it

Cause: an answer that ends with its connection is whole if its upstream lives on. Node n2 had a probe of the same upstream under way, whose first segment was lost in a cut; the verdict joined that probe (begun 39.433, timed out 39.733; request_done 39.733 with took_ms=247, while connections were refused at 39.530), and a probe without a result counted as a live upstream. Ruled out: a reset in the stand-in (the link closes orderly when an upstream crashes); the relay (relayed=0 there).

Change: who asks while a probe is under way gets the result of the next one; an answer is whole only if a new connection was established, not if nothing is known.

Result: "an upstream crashes in an answer while it is probed" fails 3 of 3 without the change and passes 3 of 3 with it. Tests of crashes, quarantine and paths: passed.

--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -321,7 +321,7 @@
     if (!find(Id))
       return;
     HttpResponse Ended = Answer;
-    if (Life == UpstreamLife::Ended) {
+    if (Life != UpstreamLife::Alive) {
       Ended.Status = 0;
       Ended.Failure = HttpFailure::Truncated;
     }
@@ -331,23 +331,29 @@
 
 void UpstreamClient::checkLife(const std::string &Address,
                                std::function<void(UpstreamLife)> Fn) {
-  auto [Found, First] = Probing.try_emplace(Address);
-  Found->second.Waiting.push_back(std::move(Fn));
-  if (First)
-    startProbe(Address);
+  PathProbe &Probe = probeTo(Address);
+  // The connection of a probe that has begun may be older than what happened.
+  (Probe.Begun ? Probe.Later : Probe.Waiting).push_back(std::move(Fn));
 }
 
 /// Tests the path to an address.
 void UpstreamClient::probe(const std::string &Address) {
+  probeTo(Address).OfPath = true;
+}
+
+/// \return The probe to an address; begins one in the next round of the loop if
+/// there is none.
+UpstreamClient::PathProbe &UpstreamClient::probeTo(const std::string &Address) {
   auto [Found, First] = Probing.try_emplace(Address);
-  Found->second.OfPath = true;
   if (First)
-    startProbe(Address);
+    Timers->after(Duration::zero(), [this, Address] { beginProbe(Address); });
+  return Found->second;
 }
 
 /// Tries to connect to an address.
-void UpstreamClient::startProbe(const std::string &Address) {
+void UpstreamClient::beginProbe(const std::string &Address) {
   ++Counts.Probes;
+  Probing[Address].Begun = true;
   Probed[Address] = Timers->now();
   HttpCall Call;
   Call.Address = Address;
@@ -365,6 +371,8 @@
                                const HttpResponse &Answer) {
   PathProbe Probe = std::move(Probing[Address]);
   Probing.erase(Address);
+  if (!Probe.Later.empty())
+    probeTo(Address).Waiting = std::move(Probe.Later);
   UpstreamLife Life = UpstreamLife::Alive;
   if (Answer.Failure == HttpFailure::None)
     pathConnected(Paths, Address, Timers->now());
--- a/src/upstream_client.h
+++ b/src/upstream_client.h
@@ -121,7 +121,10 @@
   /// A connection that is being established as a test.
   struct PathProbe {
     bool OfPath = false; ///< A failure says something about this node's paths.
+    bool Begun = false;  ///< The connection is being established.
     std::vector<std::function<void(UpstreamLife)>> Waiting; ///< Get the result.
+    std::vector<std::function<void(UpstreamLife)>>
+        Later; ///< Get the result of the next probe.
   };
 
   void sendDirect(HttpCallId Id);
@@ -138,7 +141,8 @@
   const MemberInfo *chooseRelay(const OpenCall &C);
   void confirmEnd(HttpCallId Id, const HttpResponse &Answer);
   void probe(const std::string &Address);
-  void startProbe(const std::string &Address);
+  PathProbe &probeTo(const std::string &Address);
+  void beginProbe(const std::string &Address);
   void probeDone(const std::string &Address, TimePoint Started,
                  const HttpResponse &Answer);
   void failSilentCalls(const std::string &Address);
