Take a response or a lasting connection, not any connection, for a path

An idle connection that a request may not reuse counted as the way, too. Without another node, calls went out on connections that were known to be reset.

Change: after resets only a response on a connection that was begun later, or a probe that stays open for 100 ms, shows that a path is up; a reset is followed by a probe at once. While new connections fail, a call goes only on an open one that it may reuse, or to another node; it is refused, not sent, where connections are reset and no node is left.

Result: "a node whose new connections are reset relays its calls" fails on (40 of 40 lost) and passes; "new connections are reset while open ones live on" and "connections are reset and no other node is there" (502 before, 503 now) likewise.

--- a/src/http_client.h
+++ b/src/http_client.h
@@ -46,6 +46,10 @@
   HttpReuse Reuse = HttpReuse::Allowed; ///< Connection reuse.
   /// A new connection is established and kept for later calls; nothing is sent.
   bool ConnectOnly = false;
+  /// With ConnectOnly: time for which the connection must stay open.
+  Duration StayOpen{};
+  /// The call fails, not sent, if no open connection may be reused.
+  bool OpenOnly = false;
 };
 
 /// Why a call failed.
@@ -139,8 +143,10 @@
   /// Resumes reading.
   void resume(HttpCallId Id);
 
-  /// \return Whether there is an idle connection to \p Address.
-  bool hasIdle(const std::string &Address) const;
+  /// \return Whether there is an idle connection to \p Address that a call may
+  /// reuse.
+  bool hasIdle(const std::string &Address,
+               HttpReuse Reuse = HttpReuse::Allowed) const;
 
   /// Closes the idle connections to \p Address.
   void closeIdle(const std::string &Address);
--- a/src/tcp_proxy.h
+++ b/src/tcp_proxy.h
@@ -54,6 +54,9 @@
   /// Partitions the host \p Source, an IP address, from the target, or ends
   /// that.
   void cut(const std::string &Source, ProxyCut Cut);
+  /// Resets connections in ProxyCut::Refused only after \p Delay, when the
+  /// client has seen them established.
+  void delayResets(Duration Delay);
 
   struct Impl; ///< Defined in tcp_proxy.cpp.
 
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -26,6 +26,8 @@
 /// Timeout of connections to upstreams and to other nodes: many round trips
 /// within a region.
 static constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
+/// A link that resets connections does so within a round trip.
+static constexpr Duration ProofTime = std::chrono::milliseconds(100);
 /// An upstream that is silent although it accepts connections is slow; its path
 /// is not probed again before this time has passed.
 static constexpr Duration MinProbeInterval = std::chrono::seconds(2);
@@ -59,13 +61,18 @@
 
 UpstreamPath UpstreamClient::path(const std::string &Address) const {
   UpstreamPath Path = upstreamPathOf(Paths, Address, Timers->now());
-  // Where new connections are refused, open ones may live on. Those that hang
-  // were closed.
-  if (Path != UpstreamPath::Direct && !Paths.Hung && Client->hasIdle(Address))
+  if (Path != UpstreamPath::Direct && livesOn(Address, HttpReuse::Allowed))
     return UpstreamPath::Direct;
   return Path;
 }
 
+/// \return Whether an open connection can be used although new ones fail. Those
+/// that hang were closed.
+bool UpstreamClient::livesOn(const std::string &Address,
+                             HttpReuse Reuse) const {
+  return !Paths.Hung && Client->hasIdle(Address, Reuse);
+}
+
 bool UpstreamClient::isolated() const { return pathsIsolated(Paths); }
 
 HttpCallId UpstreamClient::start(const Incarnation &Upstream, HttpCall Call,
@@ -79,8 +86,12 @@
   C.Callbacks = std::move(Callbacks);
   C.Plan = Plan;
   C.Started = Timers->now();
-  bool Relay = Plan.Relay != RelayUse::Never &&
-               path(C.Call.Address) != UpstreamPath::Direct;
+  const std::string &Address = C.Call.Address;
+  bool Direct =
+      upstreamPathOf(Paths, Address, C.Started) == UpstreamPath::Direct;
+  bool Open = !Direct && livesOn(Address, C.Call.Reuse);
+  C.Call.OpenOnly = Open || (!Direct && pathLosesCalls(Paths, Address));
+  bool Relay = Plan.Relay != RelayUse::Never && !Direct && !Open;
   if (!Relay || !sendRelayed(Id))
     sendDirect(Id);
   return Id;
@@ -143,6 +154,10 @@
 void UpstreamClient::head(HttpCallId Id, const HttpResponse &Answer) {
   OpenCall &C = *find(Id);
   C.HeardAt = Timers->now();
+  if (C.Direct && !Answer.Reused) {
+    pathProven(Paths, C.Call.Address, C.Started, C.HeardAt);
+    noteChanges();
+  }
   C.Refused = !C.Direct && findHeader(Answer.Headers, RelayResultHeader);
   if (C.Refused)
     return;
@@ -163,18 +178,19 @@
   OpenCall &C = *find(Id);
   const std::string Address = C.Call.Address;
   if (Answer.MayHaveBeenSent) {
-    if (Answer.Failure == HttpFailure::None && !Answer.Reused)
-      pathAnswered(Paths, Address);
-    if (Answer.Failure == HttpFailure::Closed && Answer.Reused)
+    if (Answer.Failure == HttpFailure::Closed) {
+      if (!Answer.Reused)
+        connectionReset(Address);
       probe(Address);
-    if (Answer.Failure == HttpFailure::Closed && !Answer.Reused)
-      pathReset(Paths, Address, Timers->now());
+    }
     noteChanges();
     if (Answer.Failure == HttpFailure::None && Answer.EndedByClose)
       return confirmEnd(Id, Answer);
     return finish(Id, Answer);
   }
-  connectFailed(Address, C.Started);
+  // That an open connection is gone by now says nothing about the path.
+  if (!C.Call.OpenOnly)
+    connectFailed(Address, C.Started);
   bool Relay = C.Plan.Relay == RelayUse::Allowed ||
                (C.Plan.Relay == RelayUse::Isolated && isolated());
   if (!Relay || !sendRelayed(Id))
@@ -194,6 +210,12 @@
   noteChanges();
 }
 
+/// Records that a new connection was closed before a response.
+void UpstreamClient::connectionReset(const std::string &Address) {
+  pathReset(Paths, Address, Timers->now());
+  probeOthers();
+}
+
 /// \return Whether a call may be sent to a node.
 bool UpstreamClient::mayRelay(const OpenCall &C, const MemberInfo &Node) const {
   auto Avoided = AvoidedNodes.find(Node.Id);
@@ -352,36 +374,49 @@
 
 /// Tries to connect to an address.
 void UpstreamClient::beginProbe(const std::string &Address) {
+  PathProbe &Probe = Probing[Address];
   ++Counts.Probes;
-  Probing[Address].Begun = true;
-  Probed[Address] = Timers->now();
+  Probe.Begun = true;
+  Probe.Started = Timers->now();
+  Probe.Proof = Probe.OfPath || Paths.Troubles.count(Address) > 0;
+  Probed[Address] = Probe.Started;
   HttpCall Call;
   Call.Address = Address;
   Call.ConnectOnly = true;
   Call.ConnectTimeout = ConnectTimeout;
+  if (Probe.Proof)
+    Call.StayOpen = ProofTime;
   HttpCallbacks On;
-  On.OnDone = [this, Address,
-               Started = Timers->now()](const HttpResponse &Answer) {
-    probeDone(Address, Started, Answer);
+  On.OnConnected = [this, Address] {
+    pathConnected(Paths, Address, Timers->now());
+    noteChanges();
+  };
+  On.OnDone = [this, Address](const HttpResponse &Answer) {
+    probeDone(Address, Answer);
   };
   Client->start(std::move(Call), std::move(On));
 }
 
-void UpstreamClient::probeDone(const std::string &Address, TimePoint Started,
+void UpstreamClient::probeDone(const std::string &Address,
                                const HttpResponse &Answer) {
   PathProbe Probe = std::move(Probing[Address]);
   Probing.erase(Address);
   if (!Probe.Later.empty())
     probeTo(Address).Waiting = std::move(Probe.Later);
   UpstreamLife Life = UpstreamLife::Alive;
-  if (Answer.Failure == HttpFailure::None)
-    pathConnected(Paths, Address, Timers->now());
-  else
+  if (Answer.Failure != HttpFailure::None)
     Life = Answer.ConnectRefused ? UpstreamLife::Ended : UpstreamLife::Unknown;
+  if (Life == UpstreamLife::Alive && Probe.Proof)
+    pathProven(Paths, Address, Probe.Started, Timers->now());
+  if (Answer.Failure == HttpFailure::Closed) {
+    connectionReset(Address);
+    if (!pathDown(Paths, Address))
+      probe(Address);
+  }
   // Several upstreams that crash at once must not look like a node without
   // links.
-  if (Life != UpstreamLife::Alive && Probe.OfPath) {
-    connectFailed(Address, Started);
+  if (Answer.Failure == HttpFailure::ConnectFailed && Probe.OfPath) {
+    connectFailed(Address, Probe.Started);
     failSilentCalls(Address);
   }
   noteChanges();
--- a/src/upstream_client.h
+++ b/src/upstream_client.h
@@ -121,12 +121,15 @@
   /// A connection that is being established as a test.
   struct PathProbe {
     bool OfPath = false; ///< A failure says something about this node's paths.
-    bool Begun = false;  ///< The connection is being established.
+    bool Begun = false;  ///< The connection is being established, or is open.
+    bool Proof = false;  ///< The connection must stay open for a while.
+    TimePoint Started{}; ///< When the connection was begun.
     std::vector<std::function<void(UpstreamLife)>> Waiting; ///< Get the result.
     std::vector<std::function<void(UpstreamLife)>>
         Later; ///< Get the result of the next probe.
   };
 
+  bool livesOn(const std::string &Address, HttpReuse Reuse) const;
   void sendDirect(HttpCallId Id);
   bool sendRelayed(HttpCallId Id);
   HttpCallbacks callbacks(HttpCallId Id);
@@ -143,10 +146,10 @@
   void probe(const std::string &Address);
   PathProbe &probeTo(const std::string &Address);
   void beginProbe(const std::string &Address);
-  void probeDone(const std::string &Address, TimePoint Started,
-                 const HttpResponse &Answer);
+  void probeDone(const std::string &Address, const HttpResponse &Answer);
   void failSilentCalls(const std::string &Address);
   void connectFailed(const std::string &Address, TimePoint Since);
+  void connectionReset(const std::string &Address);
   void probeSilent();
   void probeOthers();
   void tick();
--- a/src/upstream_path.cpp
+++ b/src/upstream_path.cpp
@@ -45,7 +45,9 @@
 /// \return Whether the failure shows that this node's own links are at fault.
 static bool isEvidence(const UpstreamPaths &P, const PathTrouble &T,
                        TimePoint Now) {
-  return T.DownSince > TimePoint{} && T.FailedAt > P.ConnectedAt &&
+  TimePoint Disproven =
+      T.Resets > 0 ? P.ProvenAt : std::max(P.ConnectedAt, P.ProvenAt);
+  return T.DownSince > TimePoint{} && T.FailedAt > Disproven &&
          Now - T.FailedAt < EvidenceLifetime && !failedElsewhere(T, Now);
 }
 
@@ -77,38 +79,44 @@
 void pathConnected(UpstreamPaths &P, const std::string &Address,
                    TimePoint Now) {
   P.ConnectedAt = Now;
-  P.IsolatedSince = TimePoint{};
-  P.Hung = false;
   auto Found = P.Troubles.find(Address);
-  if (Found == P.Troubles.end())
-    return;
-  // The connection may still be reset.
-  Found->second.DownSince = TimePoint{};
-  if (Found->second.Resets == 0)
+  if (Found != P.Troubles.end() && Found->second.Resets == 0)
     P.Troubles.erase(Found);
+  updateIsolation(P, Now);
 }
 
-void pathFailed(UpstreamPaths &P, const std::string &Address, bool Hung,
-                TimePoint Now) {
-  PathTrouble &T = P.Troubles[Address];
+static void recordFailure(UpstreamPaths &P, PathTrouble &T, TimePoint Now) {
   if (T.DownSince == TimePoint{}) {
     T.DownSince = Now;
     T.NextProbe = Now + FirstProbeInterval;
   }
   T.FailedAt = Now;
-  T.Hung = Hung;
   updateIsolation(P, Now);
 }
 
+void pathFailed(UpstreamPaths &P, const std::string &Address, bool Hung,
+                TimePoint Now) {
+  PathTrouble &T = P.Troubles[Address];
+  T.Hung = Hung;
+  T.Resets = 0;
+  recordFailure(P, T, Now);
+}
+
 void pathReset(UpstreamPaths &P, const std::string &Address, TimePoint Now) {
-  if (++P.Troubles[Address].Resets >= ResetsToFail)
-    pathFailed(P, Address, /*Hung=*/false, Now);
+  PathTrouble &T = P.Troubles[Address];
+  T.Hung = false;
+  T.FailedAt = Now;
+  if (++T.Resets >= ResetsToFail)
+    recordFailure(P, T, Now);
 }
 
-void pathAnswered(UpstreamPaths &P, const std::string &Address) {
+void pathProven(UpstreamPaths &P, const std::string &Address, TimePoint Begun,
+                TimePoint Now) {
+  P.ProvenAt = std::max(P.ProvenAt, Begun);
   auto Found = P.Troubles.find(Address);
-  if (Found != P.Troubles.end() && Found->second.DownSince == TimePoint{})
+  if (Found != P.Troubles.end() && Found->second.FailedAt <= Begun)
     P.Troubles.erase(Found);
+  updateIsolation(P, Now);
 }
 
 void pathFailedElsewhere(UpstreamPaths &P, const std::string &Address,
@@ -123,15 +131,30 @@
   updateIsolation(P, Now);
 }
 
+bool pathDown(const UpstreamPaths &P, const std::string &Address) {
+  auto Found = P.Troubles.find(Address);
+  return Found != P.Troubles.end() && Found->second.DownSince > TimePoint{};
+}
+
+bool pathLosesCalls(const UpstreamPaths &P, const std::string &Address) {
+  auto IsReset = [](const auto &Item) {
+    return Item.second.Resets >= ResetsToFail;
+  };
+  auto Found = P.Troubles.find(Address);
+  if (Found != P.Troubles.end() && IsReset(*Found))
+    return true;
+  return pathsIsolated(P) &&
+         std::any_of(P.Troubles.begin(), P.Troubles.end(), IsReset);
+}
+
 UpstreamPath upstreamPathOf(const UpstreamPaths &P, const std::string &Address,
                             TimePoint Now) {
-  auto Found = P.Troubles.find(Address);
-  bool Down =
-      Found != P.Troubles.end() && Found->second.DownSince > TimePoint{};
+  bool Down = pathDown(P, Address);
   if (!Down && !pathsIsolated(P))
     return UpstreamPath::Direct;
-  return Down && failedElsewhere(Found->second, Now) ? UpstreamPath::None
-                                                     : UpstreamPath::Relayed;
+  return Down && failedElsewhere(P.Troubles.at(Address), Now)
+             ? UpstreamPath::None
+             : UpstreamPath::Relayed;
 }
 
 std::vector<std::string> pathProbesDue(UpstreamPaths &P, TimePoint Now) {
--- a/src/upstream_path_base.h
+++ b/src/upstream_path_base.h
@@ -26,14 +26,16 @@
   /// When another node could not connect to it either; zero: never.
   TimePoint ElsewhereFailedAt{};
   bool Hung = false; ///< The latest failure was a timeout.
-  int Resets = 0;    ///< New connections in a row that were reset before a
-                     ///< response.
+  int Resets = 0;    ///< New connections in a row that were established and
+                     ///< then closed before a response.
 };
 
 /// Paths of this node to upstreams.
 struct UpstreamPaths {
   std::map<std::string, PathTrouble> Troubles; ///< By address.
   TimePoint ConnectedAt{};   ///< When a connection was last established.
+  TimePoint ProvenAt{};      ///< When the latest connection was begun that was
+                             ///< answered on or stayed open.
   TimePoint IsolatedSince{}; ///< This node can connect to no upstream since
                              ///< then; zero: it can, as far as is known.
   bool Hung = false;         ///< Isolated, and connections hang; open ones too.
--- a/src/upstream_path_func.h
+++ b/src/upstream_path_func.h
@@ -4,7 +4,9 @@
 /// A connection that fails may be the fault of the upstream or of this node's
 /// links. If connections to several upstreams have failed and none has been
 /// established since, this node counts as isolated, unless other nodes cannot
-/// connect to those upstreams either. After the first few failures, upstreams
+/// connect to those upstreams either. Where connections are established and
+/// then reset, another one that is established shows nothing; a response does,
+/// and a connection that stays open. After the first few failures, upstreams
 /// without trouble are probed, so that some that are gone do not isolate a node
 /// which opens new connections rarely.
 #ifndef FULMARSTEP_UPSTREAM_PATH_FUNC_H
@@ -18,7 +20,8 @@
 
 namespace fulmar {
 
-/// Records that a new connection to \p Address was established.
+/// Records that a new connection to \p Address was established. It may still be
+/// reset.
 void pathConnected(UpstreamPaths &P, const std::string &Address, TimePoint Now);
 
 /// Records that no connection to \p Address could be established.
@@ -30,13 +33,23 @@
 /// after several in a row the path counts as failed.
 void pathReset(UpstreamPaths &P, const std::string &Address, TimePoint Now);
 
-/// Records a response on a new connection to \p Address.
-void pathAnswered(UpstreamPaths &P, const std::string &Address);
+/// Records a response on a new connection to \p Address, or that one stayed
+/// open for a while.
+/// \param Begun when the connection was begun.
+void pathProven(UpstreamPaths &P, const std::string &Address, TimePoint Begun,
+                TimePoint Now);
 
 /// Records that another node could not connect to \p Address either.
 void pathFailedElsewhere(UpstreamPaths &P, const std::string &Address,
                          TimePoint Now);
 
+/// \return Whether connections to \p Address fail.
+bool pathDown(const UpstreamPaths &P, const std::string &Address);
+
+/// \return Whether new connections to \p Address are likely to be established
+/// and then reset, so that a call on one is lost.
+bool pathLosesCalls(const UpstreamPaths &P, const std::string &Address);
+
 /// \return How this node reaches \p Address.
 UpstreamPath upstreamPathOf(const UpstreamPaths &P, const std::string &Address,
                             TimePoint Now);
--- a/tests/path_world.h
+++ b/tests/path_world.h
@@ -60,6 +60,21 @@
       Link->cut(sourceOf(Node), How);
   }
 
+  /// Cuts a node off so that new connections to upstreams are established and
+  /// then reset, and closes the open ones.
+  void cutByResets(std::size_t Node) {
+    for (auto &[Name, Link] : Links)
+      Link->delayResets(std::chrono::milliseconds(2));
+    cut(Node, ProxyCut::Refused);
+    closeOpen(Node);
+  }
+
+  /// Closes the idle connections of a node to upstreams.
+  void closeOpen(std::size_t Node) {
+    for (const auto &[Name, Address] : ListedAddress)
+      client(Node).closeIdle(Address);
+  }
+
   /// Sends requests of all kinds to all nodes in turn, and waits for them.
   std::vector<Tries> load(Duration Length) {
     std::vector<std::vector<std::shared_ptr<ClientResult>>> Results(
--- a/tests/test_path_evidence.cpp
+++ b/tests/test_path_evidence.cpp
@@ -4,6 +4,7 @@
 #include "node_services.h"
 #include "path_world.h"
 #include "upstream_feed.h"
+#include "upstream_path_func.h"
 
 using namespace fulmar;
 using std::chrono::milliseconds;
@@ -44,3 +45,106 @@
       World.Loop, [&] { return Result->Ended; }, seconds(3));
   CHECK(Result->Answer.Failure != HttpFailure::None);
 }
+
+namespace {
+
+TimePoint at(int Ms) { return TimePoint(seconds(100)) + milliseconds(Ms); }
+
+} // namespace
+
+/// Guards against a node that takes a connection for a path, and loses each
+/// request that it then sends, while its connections are established and reset.
+TEST_CASE("connections that are reset do not show that a path is up",
+          "[path]") {
+  UpstreamPaths P;
+  P.Listed = 20;
+  for (std::string Address : {"a:1", "b:1", "c:1", "d:1"}) {
+    for (int I = 0; I < 2; ++I) {
+      pathConnected(P, Address, at(I));
+      pathReset(P, Address, at(I));
+    }
+  }
+  CHECK(pathsIsolated(P));
+
+  SECTION("another connection is established") {
+    pathConnected(P, "e:1", at(10));
+    CHECK(pathsIsolated(P));
+    CHECK(upstreamPathOf(P, "e:1", at(10)) == UpstreamPath::Relayed);
+  }
+  SECTION("a response arrives on a connection from before the resets") {
+    pathProven(P, "e:1", at(0) - milliseconds(50), at(10));
+    CHECK(pathsIsolated(P));
+  }
+  SECTION("a response arrives on a connection that was begun later") {
+    pathProven(P, "e:1", at(10), at(20));
+    CHECK_FALSE(pathsIsolated(P));
+    CHECK(upstreamPathOf(P, "e:1", at(20)) == UpstreamPath::Direct);
+    CHECK(upstreamPathOf(P, "a:1", at(20)) == UpstreamPath::Relayed);
+  }
+}
+
+/// Guards against requests that a cut node sends to upstreams one after the
+/// other, as each connection is established before it is reset.
+TEST_CASE("a node whose new connections are reset relays its calls", "[path]") {
+  PathWorld World(3);
+  World.load(milliseconds(300));
+  World.cutByResets(0);
+  World.load(SettleTime);
+  int Lost = 0;
+  for (int I = 0; I < 40; ++I) {
+    World.wait(milliseconds(40));
+    World.closeOpen(0);
+    auto Result = World.send(I % 2 == 0 ? "/post/x" : "/once/x", {}, 0);
+    runUntil(
+        World.Loop, [&] { return Result->Ended; }, seconds(3));
+    Lost += Result->Answer.Status == HttpOk ? 0 : 1;
+  }
+  CHECK(Lost == 0);
+  CHECK(World.client(0).isolated());
+}
+
+/// Guards against a request that may run once and is lost on a new connection,
+/// because an idle one that it may not reuse counted as the way.
+TEST_CASE("new connections are reset while open ones live on", "[path]") {
+  PathWorld World(2);
+  World.load(milliseconds(300));
+  for (auto &[Name, Link] : World.Links)
+    Link->delayResets(milliseconds(2));
+  World.cut(0, ProxyCut::Refused);
+  for (std::string Instance : {"e-0", "e-1", "b-0", "b-1"})
+    World.client(0).closeIdle(World.ListedAddress[Instance]);
+  for (int I = 0; I < 8; ++I)
+    World.send("/stream/x", {}, 0);
+  REQUIRE(runUntil(World.Loop, [&] { return World.client(0).isolated(); }));
+  World.wait(MaxRecentIdle + milliseconds(100));
+  for (int I = 0; I < 6; ++I) {
+    auto Result = World.send("/post/x", {}, 0);
+    runUntil(
+        World.Loop, [&] { return Result->Ended; }, seconds(3));
+    CHECK(Result->Answer.Status == HttpOk);
+  }
+  SECTION("and more requests come at once than there are open ones") {
+    std::vector<std::shared_ptr<ClientResult>> Results;
+    for (int I = 0; I < 12; ++I)
+      Results.push_back(World.send("/post/x", {}, 0));
+    for (const auto &Result : Results) {
+      runUntil(
+          World.Loop, [&] { return Result->Ended; }, seconds(3));
+      CHECK(Result->Answer.Status == HttpOk);
+    }
+  }
+}
+
+/// Guards against requests that a cut node loses, and does not refuse, when no
+/// other node can make their calls.
+TEST_CASE("connections are reset and no other node is there", "[path]") {
+  PathWorld World(1);
+  World.load(milliseconds(300));
+  World.cutByResets(0);
+  World.load(SettleTime);
+  for (const char *Path : {"/post/x", "/get/x", "/once/x", "/stream/x"}) {
+    ClientResult Result = World.ask(Path);
+    CHECK(Result.Answer.Status == 503);
+    CHECK(World.runsOfLast() == 0);
+  }
+}
--- a/tests/test_upstream_path.cpp
+++ b/tests/test_upstream_path.cpp
@@ -269,7 +269,7 @@
   CHECK(upstreamPathOf(P, "a:1", at(0)) == UpstreamPath::Direct);
   SECTION("a response in between") {
     pathConnected(P, "a:1", at(10));
-    pathAnswered(P, "a:1");
+    pathProven(P, "a:1", at(10), at(15));
     pathReset(P, "a:1", at(20));
     CHECK(upstreamPathOf(P, "a:1", at(20)) == UpstreamPath::Direct);
   }
