Count upstreams that stay down as evidence of lost links only once

A node also counted as isolated after one failure if its first tick came before its list of upstreams.

Cause: a failure was evidence if it was newer than the last connection, however long its upstream had been down; the number of listed upstreams was read once a second only.

Change: an upstream that went down before the links were last shown to work is no evidence; isolation needs four others, or all others. The number is read at each failure.

--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -202,6 +202,7 @@
 void UpstreamClient::connectFailed(const std::string &Address,
                                    TimePoint Since) {
   bool Hung = Timers->now() - Since >= ConnectTimeout;
+  Paths.Listed = Upstreams->registry().Entries.size();
   pathFailed(Paths, Address, Hung, Timers->now());
   // Open connections share the fate of a new one that hangs.
   if (Hung)
@@ -212,6 +213,7 @@
 
 /// Records that a new connection was closed before a response.
 void UpstreamClient::connectionReset(const std::string &Address) {
+  Paths.Listed = Upstreams->registry().Entries.size();
   pathReset(Paths, Address, Timers->now());
   probeOthers();
 }
--- a/src/upstream_path.cpp
+++ b/src/upstream_path.cpp
@@ -11,7 +11,7 @@
 /// probed. A single one is more likely to be at fault itself.
 static constexpr std::size_t MinSuspicionEvidence = 2;
 /// Distinct upstreams whose connections must have failed before this node
-/// counts as isolated, or all if fewer are listed.
+/// counts as isolated, or all that were not down before if there are fewer.
 static constexpr std::size_t MinIsolationEvidence = 4;
 /// Failures that are older do not count as evidence of isolation.
 static constexpr Duration EvidenceLifetime = std::chrono::seconds(3);
@@ -42,34 +42,49 @@
          Now - T.ElsewhereFailedAt < ElsewhereFailureLifetime;
 }
 
+/// \return When it was last shown that this node's links work, for failures
+/// like that of \p T.
+static TimePoint disproof(const UpstreamPaths &P, const PathTrouble &T) {
+  return T.Resets > 0 ? P.ProvenAt : std::max(P.ConnectedAt, P.ProvenAt);
+}
+
+/// \return Whether an upstream went down before this node's links were last
+/// shown to work: it is at fault itself, however often it fails again.
+static bool wasDownBefore(const UpstreamPaths &P, const PathTrouble &T) {
+  return T.DownSince > TimePoint{} && T.DownSince <= disproof(P, T);
+}
+
 /// \return Whether the failure shows that this node's own links are at fault.
 static bool isEvidence(const UpstreamPaths &P, const PathTrouble &T,
                        TimePoint Now) {
-  TimePoint Disproven =
-      T.Resets > 0 ? P.ProvenAt : std::max(P.ConnectedAt, P.ProvenAt);
-  return T.DownSince > TimePoint{} && T.FailedAt > Disproven &&
+  return T.DownSince > TimePoint{} && !wasDownBefore(P, T) &&
          Now - T.FailedAt < EvidenceLifetime && !failedElsewhere(T, Now);
 }
 
-static std::size_t countEvidence(const UpstreamPaths &P, TimePoint Now) {
-  auto Counts = [&](const auto &Item) {
-    return isEvidence(P, Item.second, Now);
-  };
+template <typename Fn>
+static std::size_t countTroubles(const UpstreamPaths &P, Fn Counts) {
   return static_cast<std::size_t>(
-      std::count_if(P.Troubles.begin(), P.Troubles.end(), Counts));
+      std::count_if(P.Troubles.begin(), P.Troubles.end(),
+                    [&](const auto &Item) { return Counts(Item.second); }));
+}
+
+static std::size_t countEvidence(const UpstreamPaths &P, TimePoint Now) {
+  return countTroubles(
+      P, [&](const PathTrouble &T) { return isEvidence(P, T, Now); });
 }
 
 static void updateIsolation(UpstreamPaths &P, TimePoint Now) {
   std::size_t Evidence = countEvidence(P, Now);
-  std::size_t Needed =
-      std::clamp<std::size_t>(P.Listed, 1, MinIsolationEvidence);
+  std::size_t Before = countTroubles(
+      P, [&](const PathTrouble &T) { return wasDownBefore(P, T); });
+  std::size_t Others = P.Listed - std::min(P.Listed, Before);
+  std::size_t Needed = std::clamp<std::size_t>(Others, 1, MinIsolationEvidence);
   if (Evidence == 0)
     P.IsolatedSince = TimePoint{};
   else if (Evidence >= Needed && !pathsIsolated(P))
     P.IsolatedSince = Now;
   P.Hung = pathsIsolated(P) &&
-           std::any_of(P.Troubles.begin(), P.Troubles.end(),
-                       [](const auto &Item) { return Item.second.Hung; });
+           countTroubles(P, [](const PathTrouble &T) { return T.Hung; }) > 0;
 }
 
 bool pathsSuspicious(const UpstreamPaths &P, TimePoint Now) {
--- a/tests/test_path_evidence.cpp
+++ b/tests/test_path_evidence.cpp
@@ -103,6 +103,51 @@
   CHECK(World.client(0).isolated());
 }
 
+/// Guards against a node that counts as isolated each time it probes upstreams
+/// that have been gone for long.
+TEST_CASE("upstreams that stay down are evidence only once", "[path]") {
+  UpstreamPaths P;
+  P.Listed = 20;
+  auto FailAll = [&](int Ms) {
+    for (std::string Address : {"a:1", "b:1", "c:1", "d:1"})
+      pathFailed(P, Address, /*Hung=*/false, at(Ms));
+  };
+  FailAll(0);
+  CHECK(pathsIsolated(P));
+  pathConnected(P, "e:1", at(50));
+  CHECK_FALSE(pathsIsolated(P));
+  FailAll(500);
+  CHECK_FALSE(pathsIsolated(P));
+  CHECK_FALSE(pathsSuspicious(P, at(500)));
+  SECTION("others that fail later are evidence") {
+    for (std::string Address : {"f:1", "g:1", "h:1", "i:1"})
+      pathFailed(P, Address, /*Hung=*/true, at(600));
+    CHECK(pathsIsolated(P));
+  }
+  SECTION("all others, if there are few") {
+    P.Listed = 6;
+    pathFailed(P, "e:1", /*Hung=*/true, at(600));
+    CHECK_FALSE(pathsIsolated(P));
+    pathFailed(P, "f:1", /*Hung=*/true, at(600));
+    CHECK(pathsIsolated(P));
+  }
+}
+
+/// Guards against a node that counts as isolated as one upstream is gone when
+/// it starts.
+TEST_CASE("a node starts while an upstream is gone", "[path]") {
+  PathWorld World(0);
+  World.Links["p-0"]->refuse(true);
+  World.Links["p-1"]->refuse(true);
+  World.Store.Mode = platform::StoreMode::Refusing;
+  GatewayNode &Node = World.startNode("n0");
+  World.wait(milliseconds(150));
+  World.Store.Mode = platform::StoreMode::Serving;
+  REQUIRE(runUntil(World.Loop, [&] { return Node.gateway().ready(); }));
+  World.ask("/get/x");
+  CHECK(World.client(0).counts().Isolations == 0);
+}
+
 /// Guards against a request that may run once and is lost on a new connection,
 /// because an idle one that it may not reuse counted as the way.
 TEST_CASE("new connections are reset while open ones live on", "[path]") {
