Ask another node to take on a call before its body is sent

Cause: a paused process accepts connections, and a call counted as sent with its first byte. So a call that nobody had read could go to no other node, and one that may run once was lost. What shows that a node is there is its answer, not a connection.

Change: calls for other nodes go out with "Expect: 100-continue"; the body, and with it the call, follows when the node asks for it. A node that does not within 120 ms is avoided, and the call, not sent, goes to the next, three in all. It costs a round trip between nodes.

--- a/src/http_client.h
+++ b/src/http_client.h
@@ -48,6 +48,10 @@
   bool ConnectOnly = false;
   /// With ConnectOnly: time for which the connection must stay open.
   Duration StayOpen{};
+  /// If set, the body is sent only when the peer has asked for it ("100
+  /// Continue"), within this time. Without its body, the peer does not act on a
+  /// request, so nothing counts as sent before.
+  Duration ContinueTimeout{};
   /// The call fails, not sent, if no open connection may be reused.
   bool OpenOnly = false;
 };
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -31,8 +31,11 @@
 /// An upstream that is silent although it accepts connections is slow; its path
 /// is not probed again before this time has passed.
 static constexpr Duration MinProbeInterval = std::chrono::seconds(2);
+/// Time for a node to take a call on. A process that is paused accepts
+/// connections, but does not ask for the call.
+static constexpr Duration TakeOnTimeout = std::chrono::milliseconds(120);
 /// Nodes that one call is sent to.
-static constexpr std::size_t MaxRelays = 2;
+static constexpr std::size_t MaxRelays = 3;
 /// A call that was not sent for this long is given back to its caller: it
 /// states the time left at its start.
 static constexpr Duration MaxCallAge = std::chrono::milliseconds(400);
@@ -280,6 +283,7 @@
   Call.Body = std::move(Sealed);
   Call.Timeout = C.Call.Timeout + ConnectTimeout;
   Call.ConnectTimeout = ConnectTimeout;
+  Call.ContinueTimeout = TakeOnTimeout;
   Call.Reuse = C.Call.Reuse;
   HttpCallbacks On = callbacks(Id);
   On.OnDone = [this, Id](const HttpResponse &Answer) { relayDone(Id, Answer); };
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -28,6 +28,28 @@
   return Done();
 }
 
+/// Accepts connections and reads nothing, as a process that is paused.
+struct SilentListener {
+  int Fd = -1; ///< The listening socket.
+
+  explicit SilentListener(int Port) {
+    Fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    int On = 1;
+    ::setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+    sockaddr_in Own{};
+    Own.sin_family = AF_INET;
+    Own.sin_port = htons(static_cast<std::uint16_t>(Port));
+    inet_pton(AF_INET, "127.0.0.1", &Own.sin_addr);
+    constexpr int Backlog = 64;
+    if (::bind(Fd, reinterpret_cast<sockaddr *>(&Own), sizeof(Own)) != 0 ||
+        ::listen(Fd, Backlog) != 0)
+      throw std::runtime_error("cannot listen");
+  }
+  ~SilentListener() { ::close(Fd); }
+  SilentListener(const SilentListener &) = delete;
+  SilentListener &operator=(const SilentListener &) = delete;
+};
+
 /// A client that sends bytes unchanged and records what it receives.
 struct RawClient {
   int Fd = -1;          ///< The socket.
--- a/tests/test_path_evidence.cpp
+++ b/tests/test_path_evidence.cpp
@@ -1,6 +1,7 @@
 /// \file test_path_evidence.cpp What shows that an upstream is reached.
 #include <catch2/catch.hpp>
 
+#include "entry_api.h"
 #include "node_services.h"
 #include "path_world.h"
 #include "upstream_feed.h"
@@ -193,3 +194,27 @@
     CHECK(World.runsOfLast() == 0);
   }
 }
+
+/// Guards against requests that wait in a node which is paused, and may have
+/// run, although nothing has read them.
+TEST_CASE("a node that makes calls for others is paused", "[path]") {
+  PathWorld World(3);
+  World.load(milliseconds(300));
+  World.cut(0, ProxyCut::Silent);
+  World.load(SettleTime);
+  // Connections to a paused process are accepted, and nothing reads them.
+  World.Nodes[1]->services().find<EntryApi>(service::Entries).stop();
+  SilentListener Paused(World.Settings[1].MetricsPort);
+  std::vector<std::shared_ptr<ClientResult>> Results;
+  for (int I = 0; I < 24; ++I) {
+    Results.push_back(World.send(I % 2 == 0 ? "/post/x" : "/once/x", {}, 0));
+    World.wait(milliseconds(20));
+  }
+  int Lost = 0;
+  for (const auto &Result : Results) {
+    runUntil(
+        World.Loop, [&] { return Result->Ended; }, seconds(3));
+    Lost += Result->Answer.Status == HttpOk ? 0 : 1;
+  }
+  CHECK(Lost == 0);
+}
