Let a node that is stopping make calls for others, and wait for them

Cause: only members in state alive made calls for others, though a node that is leaving serves its own callers for as long as they may know it. And a stop did not wait for calls made for others, so such a call would have ended with the process and been lost.

Change: a node that is leaving is the last choice for a call; it refuses further calls once it no longer serves new callers, and waits for those in progress and their answers.

--- a/src/call_relay_service.cpp
+++ b/src/call_relay_service.cpp
@@ -72,7 +72,8 @@
     return RelayResult::Unreachable;
   auto Found = ByUpstream.find(Address);
   std::size_t Here = Found == ByUpstream.end() ? 0 : Found->second;
-  if (InProgress >= MaxCalls || Here >= MaxCalls / UpstreamsForAllCalls)
+  if (Refusing || InProgress >= MaxCalls ||
+      Here >= MaxCalls / UpstreamsForAllCalls)
     return RelayResult::Busy;
   return std::nullopt;
 }
--- a/src/call_relay_service.h
+++ b/src/call_relay_service.h
@@ -39,6 +39,10 @@
 
   /// Handles a request that carries a RelayedCall.
   void handle(const HttpExchangePtr &Exchange);
+  /// Refuses further calls, as this node is about to stop.
+  void refuseNew() { Refusing = true; }
+  /// \return Calls in progress for other nodes.
+  std::size_t inProgress() const { return InProgress; }
   /// \return The counters since the start of the node.
   const CallRelayCounts &counts() const { return Counts; }
 
@@ -78,6 +82,7 @@
   RateLimitService *RateLimited = nullptr;  ///< Announced rate limits.
   UpstreamNoticeService *Notices = nullptr; ///< Announcements of upstreams.
   std::size_t InProgress = 0;               ///< Calls in progress.
+  bool Refusing = false;                    ///< This node is about to stop.
   std::map<std::string, std::size_t> ByUpstream; ///< In progress, by address.
   CallRelayCounts Counts;                        ///< For metrics.
 };
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -63,6 +63,13 @@
 
 void EntryApi::stop() { Servers.clear(); }
 
+std::size_t EntryApi::unsentAnswers() const {
+  std::size_t Count = 0;
+  for (const auto &Server : Servers)
+    Count += Server->unsent();
+  return Count;
+}
+
 /// Handles requests at the port for other nodes and operators.
 void EntryApi::handleInternal(const HttpExchangePtr &Exchange) {
   if (Exchange->Path == RelayPath)
--- a/src/entry_api.h
+++ b/src/entry_api.h
@@ -26,6 +26,9 @@
   void start() override;
   void stop() override;
 
+  /// \return Connections on which a part of an answer is unsent.
+  std::size_t unsentAnswers() const;
+
 private:
   void answerEntries(const HttpExchangePtr &Exchange);
   void answerReady(const HttpExchangePtr &Exchange);
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -129,8 +129,14 @@
   View.Since = DrainSince;
   View.EntryTtl = std::chrono::milliseconds(Config.EntryTtlMs) * CacheFactor;
   View.Limit = fromMs(Config.GraceS * 1e3) - KillMargin;
-  View.Requests = gateway().requests() + gateway().unsentAnswers();
-  if (drainPhase(View, Timers.now()) != DrainPhase::Done)
+  auto &Relay = Services.find<CallRelayService>(service::CallRelay);
+  View.Requests = gateway().requests() + gateway().unsentAnswers() +
+                  Relay.inProgress() +
+                  Services.find<EntryApi>(service::Entries).unsentAnswers();
+  DrainPhase Phase = drainPhase(View, Timers.now());
+  if (Phase != DrainPhase::Hidden)
+    Relay.refuseNew();
+  if (Phase != DrainPhase::Done)
     return;
   Services.find<MemberService>(service::Members).announceStop();
   logEvent(View.Requests > 0 ? LogLevel::Error : LogLevel::Info, "stop_done",
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -225,13 +225,27 @@
 bool UpstreamClient::mayRelay(const OpenCall &C, const MemberInfo &Node) const {
   auto Avoided = AvoidedNodes.find(Node.Id);
   bool Avoid = Avoided != AvoidedNodes.end() && Avoided->second > Timers->now();
-  return memberServes(Node.State) && !Node.CannotReach && !Avoid &&
+  bool Runs = memberServes(Node.State) || Node.State == MemberState::Leaving;
+  return Runs && !Node.CannotReach && !Avoid &&
          std::find(C.Via.begin(), C.Via.end(), Node.Id) == C.Via.end();
 }
 
+/// \return Preference among nodes that can make a call, the best 0. One whose
+/// configuration is old has trouble of its own, one that is leaving stops soon.
+static int relayRank(const MemberInfo &Node) {
+  if (Node.State == MemberState::Leaving)
+    return 2;
+  return Node.Unfit ? 1 : 0;
+}
+
+/// \return Whether a node has less load, relative to its strength.
+static bool hasLessLoad(const MemberInfo &A, const MemberInfo &B) {
+  return static_cast<std::uint64_t>(A.Load) * B.Strength <
+         static_cast<std::uint64_t>(B.Load) * A.Strength;
+}
+
 /// Chooses a node that a call is sent to: of two random ones that say that they
-/// reach upstreams, the one with less load. A node whose configuration is old
-/// can make a call as well, but has trouble of its own.
+/// reach upstreams, the one with less load.
 const MemberInfo *UpstreamClient::chooseRelay(const OpenCall &C) {
   const MemberInfo *Best = nullptr;
   int Compared = 0;
@@ -239,14 +253,11 @@
     const MemberInfo *Node = Members->info(Id);
     if (!Node || !mayRelay(C, *Node))
       continue;
-    // A strong node is as busy as a weak one with a part of its load.
-    bool Less =
-        Best && static_cast<std::uint64_t>(Node->Load) * Best->Strength <
-                    static_cast<std::uint64_t>(Best->Load) * Node->Strength;
-    bool Fitter = Best && Best->Unfit && !Node->Unfit;
-    if (!Best || Fitter || (Less && Node->Unfit == Best->Unfit))
+    int Rank = relayRank(*Node);
+    int BestRank = Best ? relayRank(*Best) : Rank + 1;
+    if (Rank < BestRank || (Rank == BestRank && hasLessLoad(*Node, *Best)))
       Best = Node;
-    if (++Compared >= 2 && !Best->Unfit)
+    if (++Compared >= 2 && relayRank(*Best) == 0)
       break;
   }
   return Best;
--- a/tests/test_path_evidence.cpp
+++ b/tests/test_path_evidence.cpp
@@ -218,3 +218,35 @@
   }
   CHECK(Lost == 0);
 }
+
+/// Guards against calls that are lost when the node that makes them for another
+/// one stops as planned.
+TEST_CASE("a node that makes calls for others stops", "[path]") {
+  PathWorld World(2);
+  platform::RunnerConfig Slow{"p-2", milliseconds(700)};
+  World.addLinked("plain", Slow);
+  World.load(milliseconds(300));
+  World.cut(0, ProxyCut::Silent);
+  World.load(SettleTime);
+  World.Stopped.insert(1);
+  World.Nodes[1]->drain();
+  TimePoint Begun = World.Timers.now();
+  int Unserved = 0;
+  int Lost = 0;
+  std::map<std::string, std::shared_ptr<ClientResult>> Results;
+  while (World.Timers.now() < Begun + milliseconds(1800)) {
+    bool Early = World.Timers.now() < Begun + seconds(1);
+    auto Result = World.send("/post/x", {}, 0);
+    Results["r" + std::to_string(World.LastId)] = Result;
+    World.wait(milliseconds(15));
+    Unserved += Early && Result->Ended && Result->Answer.Status != HttpOk;
+  }
+  // The loop ends with the node; what runs then is lost.
+  World.wait(seconds(2));
+  for (const auto &[Id, Result] : Results) {
+    for (const auto &[Name, Runner] : World.Runners)
+      Lost += Runner->Runs[Id] > 0 && Result->Answer.Status != HttpOk ? 1 : 0;
+  }
+  CHECK(Unserved == 0);
+  CHECK(Lost == 0);
+}
