Try another node when one may not call an upstream

Cause: the nodes that make calls had been asked for backoffs by enginer3 (upstream_backoff for 906 ms at n0 04:15:08.123, n2 .092, n3 .142), each its own; the first to decline ended the call, and the cut node, which had heard nothing, chose the same upstream again for each request (attempt_failed why=connect_failed upstream=127.0.0.1:44235, eight times).

Change: a call that one node may not make goes to the next; if none may, its upstream counts as out of reach for 300 ms, so that others are chosen.

--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -331,17 +331,20 @@
   if (Failed.MayHaveBeenSent)
     return finish(Id, Failed);
   ++Counts.RelayRefused;
-  if (Result == RelayResult::Declined)
-    return finish(Id, Failed);
-  if (Result != RelayResult::Unreachable)
+  bool OfUpstream =
+      Result == RelayResult::Unreachable || Result == RelayResult::Declined;
+  if (!OfUpstream)
     AvoidedNodes[C.Via.back()] = Timers->now() + AvoidTime;
   C.Unreachable = C.Unreachable || Result == RelayResult::Unreachable;
+  C.Declined = C.Declined || Result == RelayResult::Declined;
+  // A backoff concerns only the node that was asked for it.
   if (sendRelayed(Id))
     return;
-  if (C.Unreachable) {
+  if (C.Unreachable)
     pathFailedElsewhere(Paths, C.Call.Address, Timers->now());
-    noteChanges();
-  }
+  if (C.Declined)
+    pathDeclined(Paths, C.Call.Address, Timers->now());
+  noteChanges();
   finish(Id, Failed);
 }
 
@@ -515,7 +518,7 @@
     std::erase_if(AvoidedNodes,
                   [Now](const auto &Item) { return Item.second <= Now; });
     Paths.Listed = Upstreams->registry().Entries.size();
-    if (!Paths.Troubles.empty()) {
+    if (!Paths.Troubles.empty() || !Paths.Declined.empty()) {
       std::set<std::string> Listed;
       for (const auto &[Instance, Entry] : Upstreams->registry().Entries)
         Listed.insert(Entry.Address);
@@ -531,11 +534,15 @@
 /// Informs subscribers if paths have changed.
 void UpstreamClient::noteChanges() {
   std::map<std::string, UpstreamPath> Latest;
-  for (const auto &[Address, T] : Paths.Troubles) {
+  auto Note = [&](const std::string &Address) {
     UpstreamPath Path = path(Address);
     if (Path != UpstreamPath::Direct)
       Latest[Address] = Path;
-  }
+  };
+  for (const auto &[Address, T] : Paths.Troubles)
+    Note(Address);
+  for (const auto &[Address, Until] : Paths.Declined)
+    Note(Address);
   bool Isolated = isolated();
   if (Isolated != KnownIsolated) {
     Counts.Isolations += Isolated ? 1 : 0;
--- a/src/upstream_client.h
+++ b/src/upstream_client.h
@@ -116,6 +116,7 @@
                              ///< zero: not sent.
     std::vector<std::string> Via; ///< Nodes that it was sent to, in order.
     bool Unreachable = false;     ///< Another node could not connect either.
+    bool Declined = false;        ///< Another node may not call the upstream.
   };
 
   /// A connection that is being established as a test.
--- a/src/upstream_path.cpp
+++ b/src/upstream_path.cpp
@@ -18,6 +18,9 @@
 /// An upstream to which another node could not connect is not tried through
 /// other nodes for this long.
 static constexpr Duration ElsewhereFailureLifetime = std::chrono::seconds(1);
+/// An upstream that other nodes may not call is not tried through them for this
+/// long. Backoffs last for longer, and each node has its own.
+static constexpr Duration DeclinedLifetime = std::chrono::milliseconds(300);
 /// New connections in a row that are reset before the path counts as failed. An
 /// upstream with too many connections resets single ones.
 static constexpr int ResetsToFail = 2;
@@ -146,6 +149,16 @@
   updateIsolation(P, Now);
 }
 
+void pathDeclined(UpstreamPaths &P, const std::string &Address, TimePoint Now) {
+  P.Declined[Address] = Now + DeclinedLifetime;
+}
+
+static bool isDeclined(const UpstreamPaths &P, const std::string &Address,
+                       TimePoint Now) {
+  auto Found = P.Declined.find(Address);
+  return Found != P.Declined.end() && Found->second > Now;
+}
+
 bool pathDown(const UpstreamPaths &P, const std::string &Address) {
   auto Found = P.Troubles.find(Address);
   return Found != P.Troubles.end() && Found->second.DownSince > TimePoint{};
@@ -167,9 +180,9 @@
   bool Down = pathDown(P, Address);
   if (!Down && !pathsIsolated(P))
     return UpstreamPath::Direct;
-  return Down && failedElsewhere(P.Troubles.at(Address), Now)
-             ? UpstreamPath::None
-             : UpstreamPath::Relayed;
+  bool Failed = Down && failedElsewhere(P.Troubles.at(Address), Now);
+  return Failed || isDeclined(P, Address, Now) ? UpstreamPath::None
+                                               : UpstreamPath::Relayed;
 }
 
 std::vector<std::string> pathProbesDue(UpstreamPaths &P, TimePoint Now) {
@@ -195,6 +208,8 @@
                  Now - Item.second.FailedAt > EvidenceLifetime;
     return Stale || !Used(Item.first);
   });
+  std::erase_if(P.Declined,
+                [Now](const auto &Item) { return Item.second <= Now; });
   updateIsolation(P, Now);
 }
 
--- a/src/upstream_path_base.h
+++ b/src/upstream_path_base.h
@@ -38,6 +38,9 @@
                              ///< answered on or stayed open.
   TimePoint IsolatedSince{}; ///< This node can connect to no upstream since
                              ///< then; zero: it can, as far as is known.
+  /// Until when no other node calls an upstream, by address: it asked them for
+  /// a backoff, or is leaving.
+  std::map<std::string, TimePoint> Declined;
   bool Hung = false;         ///< Isolated, and connections hang; open ones too.
   std::size_t Listed = 0;    ///< Addresses at which upstreams are listed.
 };
--- a/src/upstream_path_func.h
+++ b/src/upstream_path_func.h
@@ -43,6 +43,9 @@
 void pathFailedElsewhere(UpstreamPaths &P, const std::string &Address,
                          TimePoint Now);
 
+/// Records that other nodes may not call \p Address now.
+void pathDeclined(UpstreamPaths &P, const std::string &Address, TimePoint Now);
+
 /// \return Whether connections to \p Address fail.
 bool pathDown(const UpstreamPaths &P, const std::string &Address);
 
--- a/tests/test_path_evidence.cpp
+++ b/tests/test_path_evidence.cpp
@@ -250,3 +250,27 @@
   CHECK(Unserved == 0);
   CHECK(Lost == 0);
 }
+
+/// Guards against requests that are refused because one of the nodes that could
+/// make their calls was asked for a backoff, and others were not.
+TEST_CASE("upstreams ask one of the other nodes for a backoff", "[path]") {
+  PathWorld World(3);
+  World.load(milliseconds(300));
+  World.cut(0, ProxyCut::Silent);
+  World.load(SettleTime);
+  for (std::string Instance : {"p-0", "p-1"}) {
+    World.Runners[Instance]->Mode = platform::RunnerMode::Full;
+    World.Runners[Instance]->RetryAfter = 4;
+  }
+  auto Refused = World.send("/get/x", {}, 1);
+  runUntil(World.Loop, [&] { return Refused->Ended; });
+  for (std::string Instance : {"p-0", "p-1"}) {
+    REQUIRE(World.Runners[Instance]->Backoffs.size() == 1);
+    World.Runners[Instance]->Mode = platform::RunnerMode::Serving;
+  }
+  for (int I = 0; I < 30; ++I) {
+    auto Result = World.send("/post/x", {}, 0);
+    runUntil(World.Loop, [&] { return Result->Ended; });
+    CHECK(Result->Answer.Status == HttpOk);
+  }
+}
