Refuse at once where connections hang and no other node is there

Cause: without a node that makes a call, it was tried on a connection of its own, which hangs for 300 ms at each upstream in turn, although the node knew that.

--- a/src/upstream_path.cpp
+++ b/src/upstream_path.cpp
@@ -169,9 +169,12 @@
     return Item.second.Resets >= ResetsToFail;
   };
   auto Found = P.Troubles.find(Address);
-  if (Found != P.Troubles.end() && IsReset(*Found))
+  bool Known = Found != P.Troubles.end();
+  if (Known && IsReset(*Found))
     return true;
-  return pathsIsolated(P) &&
+  if (!pathsIsolated(P))
+    return false;
+  return (Known && Found->second.Hung) ||
          std::any_of(P.Troubles.begin(), P.Troubles.end(), IsReset);
 }
 
--- a/src/upstream_path_func.h
+++ b/src/upstream_path_func.h
@@ -49,8 +49,8 @@
 /// \return Whether connections to \p Address fail.
 bool pathDown(const UpstreamPaths &P, const std::string &Address);
 
-/// \return Whether new connections to \p Address are likely to be established
-/// and then reset, so that a call on one is lost.
+/// \return Whether a call on a new connection to \p Address would most likely
+/// be lost, as connections are established and reset, or wait in vain.
 bool pathLosesCalls(const UpstreamPaths &P, const std::string &Address);
 
 /// \return How this node reaches \p Address.
--- a/tests/test_path_evidence.cpp
+++ b/tests/test_path_evidence.cpp
@@ -181,18 +181,24 @@
   }
 }
 
-/// Guards against requests that a cut node loses, and does not refuse, when no
-/// other node can make their calls.
-TEST_CASE("connections are reset and no other node is there", "[path]") {
+/// Guards against requests that a cut node loses, or that wait until their time
+/// is over, when no other node can make their calls.
+TEST_CASE("a cut node refuses at once if no other node is there", "[path]") {
   PathWorld World(1);
   World.load(milliseconds(300));
-  World.cutByResets(0);
+  SECTION("connections are reset") { World.cutByResets(0); }
+  SECTION("connections hang") { World.cut(0, ProxyCut::Silent); }
   World.load(SettleTime);
+  Duration Fastest = seconds(1);
   for (const char *Path : {"/post/x", "/get/x", "/once/x", "/stream/x"}) {
+    TimePoint Sent = World.Timers.now();
     ClientResult Result = World.ask(Path);
     CHECK(Result.Answer.Status == 503);
     CHECK(World.runsOfLast() == 0);
+    Fastest = std::min(Fastest, World.Timers.now() - Sent);
   }
+  // Each attempt to connect takes longer.
+  CHECK(Fastest < milliseconds(250));
 }
 
 /// Guards against requests that wait in a node which is paused, and may have
