A node without links says nothing of upstreams

Cause: other cut nodes, asked before they were known to be cut, answered "unreachable"; that counted as word about the upstreams, which were left out for a second (upstream_path path=none for fourteen addresses from 04:58:08.161 to 08.298; n2 joined at 08.234).

Change: a node that is isolated answers "busy": it is avoided, not the upstream.

Result: the section "and a node that reaches no upstream says nothing of one" got "unreachable" without the change, "busy" with it.

--- a/src/call_relay_service.cpp
+++ b/src/call_relay_service.cpp
@@ -61,8 +61,9 @@
 std::optional<RelayResult> CallRelayService::check(const RelayedCall &Call,
                                                    std::string &Address) const {
   const UpstreamRegistry &Registry = Upstreams->registry();
-  // Without a list this node cannot tell which upstreams want no calls.
-  if (!Registry.Known)
+  // Without a list this node cannot tell which upstreams want no calls, and
+  // without links not whether an upstream is there.
+  if (!Registry.Known || Client->isolated())
     return RelayResult::Busy;
   if (!Registry.lists(Call.Upstream))
     return RelayResult::Declined;
--- a/src/call_relay_type.h
+++ b/src/call_relay_type.h
@@ -29,8 +29,8 @@
 
 /// How a relayed call failed.
 enum class RelayResult {
-  Busy,        ///< The relaying node has too many calls, stops, or has no
-               ///< list of upstreams yet. Not sent.
+  Busy,        ///< The relaying node has too many calls, stops, has no list of
+               ///< upstreams yet, or no links. Not sent.
   Declined,    ///< The upstream is leaving, or wants no requests. Not sent.
   Unreachable, ///< The relaying node cannot connect to it either. Not sent.
   Rejected,    ///< Not from a node of this fleet, or received before. Not sent.
--- a/tests/test_upstream_path.cpp
+++ b/tests/test_upstream_path.cpp
@@ -189,6 +189,12 @@
     Call.Upstream = {"p-9", World.BornMs};
     CHECK(Post(Peers.seal(Call)).header(RelayResultHeader) == "declined");
   }
+  SECTION("and a node that reaches no upstream says nothing of one") {
+    World.cut(1, ProxyCut::Silent);
+    World.load(SettleTime);
+    REQUIRE(World.client(1).isolated());
+    CHECK(Post(Peers.seal(Call)).header(RelayResultHeader) == "busy");
+  }
   SECTION("and one to an upstream that is leaving is declined") {
     World.list("plain", "p-0", "draining");
     World.wait(seconds(2));
