Tests of calls whose body waits, and of calls on open connections only

Cause: what the client of HTTP does for calls to other nodes and on links that reset had tests at whole nodes only.

Change: two tests at the client: a body is sent when its peer asks for it (asked, silent, answered without it), and a call that may use an open connection only.

--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -6,6 +6,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "raw_socket.h"
+#include "standin/port_range.h"
 #include "tcp_proxy.h"
 
 using namespace fulmar;
@@ -418,3 +419,96 @@
     CHECK(Ended.back().MayHaveBeenSent);
   }
 }
+
+/// Guards against calls that count as sent although their peer reads nothing,
+/// and against bodies that are sent before the peer asks for them.
+TEST_CASE("a call's body is sent when its peer asks for it") {
+  TimerService Timers;
+  EventLoop Loop(Timers);
+  HttpClient Client(Loop);
+  std::optional<HttpResponse> Ended;
+  int Sent = 0;
+  HttpCall Call;
+  Call.Body = "body";
+  Call.ContinueTimeout = std::chrono::milliseconds(100);
+  HttpCallbacks On;
+  On.OnSent = [&] { ++Sent; };
+  On.OnDone = [&](const HttpResponse &Answer) { Ended = Answer; };
+
+  SECTION("a peer that asks for it") {
+    std::string Body;
+    HttpServer Server(Loop, "127.0.0.1", 0, 1000,
+                      [&](const HttpExchangePtr &E) {
+                        Body = E->Body;
+                        E->reply(HttpOk, "answer", {});
+                      });
+    Call.Address = "127.0.0.1:" + std::to_string(Server.port());
+    Client.start(Call, std::move(On));
+    REQUIRE(runUntil(Loop, [&] { return Ended.has_value(); }));
+    CHECK(Body == "body");
+    CHECK(Ended->Body == "answer");
+    CHECK(Ended->MayHaveBeenSent);
+    CHECK(Sent == 1);
+  }
+  SECTION("a peer that accepts connections and reads nothing") {
+    int Port = freePorts("127.0.0.1", 1).front();
+    SilentListener Peer(Port);
+    Call.Address = "127.0.0.1:" + std::to_string(Port);
+    Client.start(Call, std::move(On));
+    REQUIRE(runUntil(Loop, [&] { return Ended.has_value(); }));
+    CHECK(Ended->Failure == HttpFailure::TimedOut);
+    CHECK_FALSE(Ended->MayHaveBeenSent);
+    CHECK(Sent == 0);
+  }
+  SECTION("a peer that answers without it") {
+    RawServer Peer(Loop, {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"},
+                   RawCloseMode::Keep);
+    Call.Address = Peer.address();
+    Client.start(Call, std::move(On));
+    REQUIRE(runUntil(Loop, [&] { return Ended.has_value(); }));
+    CHECK(Ended->Status == HttpUnavailable);
+    CHECK_FALSE(Ended->MayHaveBeenSent);
+    // The peer still waits for the body, and would take a next call for it.
+    CHECK_FALSE(Client.hasIdle(Call.Address));
+  }
+}
+
+/// Guards against calls that go out on new connections where only open ones
+/// live on.
+TEST_CASE("a call that may use an open connection only") {
+  TimerService Timers;
+  EventLoop Loop(Timers);
+  HttpServer Server(Loop, "127.0.0.1", 0, 1000, [&](const HttpExchangePtr &E) {
+    E->reply(HttpOk, "answer", {});
+  });
+  HttpClient Client(Loop);
+  std::vector<HttpResponse> Ended;
+  HttpCall Call;
+  Call.Address = "127.0.0.1:" + std::to_string(Server.port());
+  auto Send = [&](bool OpenOnly) {
+    Call.OpenOnly = OpenOnly;
+    HttpCallbacks On;
+    On.OnDone = [&](const HttpResponse &Answer) { Ended.push_back(Answer); };
+    Client.start(Call, std::move(On));
+    std::size_t Count = Ended.size() + 1;
+    REQUIRE(runUntil(Loop, [&] { return Ended.size() == Count; }));
+    return Ended.back();
+  };
+  HttpResponse None = Send(true);
+  CHECK(None.Failure == HttpFailure::ConnectFailed);
+  CHECK_FALSE(None.MayHaveBeenSent);
+  CHECK(Send(false).Status == HttpOk);
+  HttpResponse Reused = Send(true);
+  CHECK(Reused.Status == HttpOk);
+  CHECK(Reused.Reused);
+  SECTION("and none that has been idle for long") {
+    Call.Reuse = HttpReuse::Recent;
+    CHECK(Client.hasIdle(Call.Address, HttpReuse::Recent));
+    runUntil(
+        Loop, [] { return false; },
+        MaxRecentIdle + std::chrono::milliseconds(50));
+    CHECK_FALSE(Client.hasIdle(Call.Address, HttpReuse::Recent));
+    CHECK(Client.hasIdle(Call.Address));
+    CHECK_FALSE(Send(true).MayHaveBeenSent);
+  }
+}
