--- a/src/upstream_path_base.h
+++ b/src/upstream_path_base.h
@@ -41,8 +41,8 @@
   /// Until when no other node calls an upstream, by address: it asked them for
   /// a backoff, or is leaving.
   std::map<std::string, TimePoint> Declined;
-  bool Hung = false;         ///< Isolated, and connections hang; open ones too.
-  std::size_t Listed = 0;    ///< Addresses at which upstreams are listed.
+  bool Hung = false;      ///< Isolated, and connections hang; open ones too.
+  std::size_t Listed = 0; ///< Addresses at which upstreams are listed.
 };
 
 } // namespace fulmar
