Log who ended an answer: silence, a lost path, the client, which configuration

The timer without an event and a probe that finds the path down both wrote why=silent; a client that closes and one that acknowledges nothing both CallerLeftRunning; an answer that was cut after its head and a 502 in place of one both code=AnswerLost status=502; and no line said whether a new configuration came into force meanwhile.

Change: `path_lost` for calls that fail because new connections hang; `silent_ms` and `in_force` in attempt_failed; `in_force`, `begun` and `client_timed_out` in request_done; an answer that had begun ends as StreamBroken. No decision changes.

--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -12,6 +12,7 @@
 #include "quarantine_service.h"
 #include "rate_limit_service.h"
 #include "retry_window.h"
+#include "route_feed.h"
 #include "route_func.h"
 #include "upstream_client.h"
 #include "upstream_func.h"
@@ -411,6 +412,9 @@
               {"budget", Facts.Budget ? 1 : 0},
               {"asked", R.RetryRequested ? 1 : 0},
               {"events", R.Attempt ? R.Attempt->Events : 0},
+              {"in_force", Routes->table()->Version},
+              {"silent_ms",
+               R.Attempt ? toMs(Timers->now() - R.Attempt->LastEventAt) : 0.0},
               {"took_ms",
                R.Attempt ? toMs(Timers->now() - R.Attempt->Started) : 0.0}});
   bool Streaming =
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -234,6 +234,9 @@
 
 void GatewayService::finish(ForwardRequest &R, ResultCode Code,
                             Duration RetryIn) {
+  // The client has a part of the answer, and gets no other one.
+  if (R.HeadSent)
+    Code = ResultCode::StreamBroken;
   // Redone stages, or a stop, may end a request whose earlier attempt may have
   // run; the client must then not be told that it has not run.
   if (resultFamily(Code) == ResultFamily::NotRun && R.Runs > 0)
@@ -297,8 +300,11 @@
       {"route", R.Route->Name},
       {"organisation", R.Organisation},
       {"config", R.Table->Version},
+      {"in_force", Routes->table()->Version},
       {"code", resultInfo(Code).Name},
       {"status", Status},
+      {"begun", R.HeadSent ? 1 : 0},
+      {"client_timed_out", R.Exchange->ClientTimedOut ? 1 : 0},
       {"upstream", R.LastUpstream},
       {"version", R.Version},
       {"sends", R.Sends},
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -40,6 +40,8 @@
   /// ends with the connection.
   bool EndsWithConnection = false;
   TimePoint Began{}; ///< When the first byte of the request arrived.
+  /// Set before OnClosed: the client acknowledged nothing for too long.
+  bool ClientTimedOut = false;
   std::function<void()> OnClosed; ///< Called when the client disconnects before
                                   ///< the response has ended.
   std::function<void()> OnDrained; ///< Called when the output buffer is nearly
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -456,7 +456,7 @@
   }
   HttpResponse Silent;
   Silent.MayHaveBeenSent = true;
-  Silent.Failure = HttpFailure::TimedOut;
+  Silent.Failure = HttpFailure::PathLost;
   for (HttpCallId Id : Lost) {
     OpenCall *C = find(Id);
     if (!C)
