--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -49,6 +49,7 @@
   std::string Body = "body";      ///< Body of the next requests.
   int QuarantineCrashes = 3;      ///< Set before nodes are added.
   double QuarantineS = 300;       ///< Set before nodes are added.
+  double RetryExtra = 50;         ///< Set before nodes are added.
   double ColdPerS = 0;            ///< Limit of a cold upstream; 0: none.
   int ColdMs = 0;                 ///< Cold time of upstreams listed next.
   int CallMs = 20;                ///< Configured time of a batch call.
@@ -115,6 +116,11 @@
               "\"after\":[],\"bytes\":800000},{\"service\":\"batch\","
               "\"after\":[],\"bytes\":100},{\"service\":\"batch\",\"after\":["
               "1],\"bytes\":100}]") +
+        "," +
+        Route("redo", "streaming", "engine",
+              ",\"gap_target_ms\":100,\"stream_resumption\":true,"
+              "\"stages\":[{\"service\":\"batch\",\"after\":[],"
+              "\"bytes\":100}]") +
         "],\"services\":[{\"name\":\"plain\",\"connection_limit\":40,"
         "\"cold_per_s\":" +
         std::to_string(ColdPerS) +
@@ -173,7 +179,7 @@
       S.SourceAddress = sourceOf(Settings.size());
     S.KvAddress = StoreAddress.empty() ? Store.address() : StoreAddress;
     S.RevokeMs = RevokeMs;
-    S.RetryExtra = 50;
+    S.RetryExtra = RetryExtra;
     S.EntryTtlMs = 200;
     S.GraceS = 3;
     S.QuarantineCrashes = QuarantineCrashes;
--- /dev/null
+++ b/tests/test_silent_upstream.cpp
@@ -0,0 +1,172 @@
+/// \file test_silent_upstream.cpp Answers of upstreams that are silent for a
+/// while.
+#include <catch2/catch.hpp>
+
+#include "gateway_world.h"
+
+using namespace fulmar;
+using platform::RunnerConfig;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int Events = 12;
+constexpr Duration EventGap = milliseconds(30);
+const HttpHeaders ClientTime = {{"X-Deadline-Remaining-Milliseconds", "6000"}};
+const HttpHeaders ClientTimeAndPieces = {
+    {"X-Deadline-Remaining-Milliseconds", "6000"},
+    {"X-Pieces", "1"},
+    {"X-Piece-Key", "k"}};
+
+/// \return The ids of the events of a stream, in order.
+std::vector<int> idsIn(const std::string &Stream) {
+  std::vector<int> Ids;
+  for (std::size_t At = Stream.find("id: "); At != std::string::npos;
+       At = Stream.find("id: ", At + 1))
+    Ids.push_back(std::stoi(Stream.substr(At + 4)));
+  return Ids;
+}
+
+/// \return Whether an answer is a stream with each event once and in order.
+bool isWhole(const ClientResult &Result) {
+  std::vector<int> Expected;
+  for (int I = 1; I <= Events; ++I)
+    Expected.push_back(I);
+  return Result.Ended && Result.Answer.Failure == HttpFailure::None &&
+         Result.Answer.Status == HttpOk && idsIn(Result.Stream) == Expected;
+}
+
+/// One node, three engines, two plain upstreams and two of a batch pool.
+struct SilentWorld : GatewayWorld {
+  std::vector<std::shared_ptr<ClientResult>> Asked; ///< Requests, in order.
+
+  explicit SilentWorld(double Extra) {
+    RetryExtra = Extra;
+    TimeoutMs = 6000;
+    for (std::string Name : {"e-0", "e-1", "e-2"})
+      addRunner("engine", {Name, milliseconds(5), Events, EventGap});
+    for (std::string Name : {"p-0", "p-1"})
+      addRunner("plain", {Name});
+    for (std::string Name : {"b-0", "b-1"})
+      addRunner("batch", {Name});
+    configure();
+    addNode();
+  }
+
+  void wait(Duration Time) {
+    TimePoint Due = Timers.now() + Time;
+    runUntil(Loop, [&] { return Timers.now() >= Due; });
+  }
+
+  void ask(int Count, const std::string &Path,
+           const HttpHeaders &More = ClientTime) {
+    for (int I = 0; I < Count; ++I)
+      Asked.push_back(send(Path, More));
+  }
+
+  /// Waits until each stream has some events.
+  void awaitEvents() {
+    runUntil(Loop, [&] {
+      return std::all_of(Asked.begin(), Asked.end(), [](const auto &Result) {
+        return idsIn(Result->Stream).size() >= 2;
+      });
+    });
+  }
+
+  /// Pauses the upstreams whose names begin with \p Prefix, or ends that.
+  void pause(const std::string &Prefix, bool Paused) {
+    for (const auto &[Name, Runner] : Runners) {
+      if (Name.rfind(Prefix, 0) == 0)
+        Runner->pause(Paused);
+    }
+  }
+
+  /// Brings a version with other timeouts into force.
+  void changeConfiguration() {
+    TimeoutMs = 5000;
+    configure();
+    wait(milliseconds(100));
+  }
+
+  void finish() {
+    runUntil(
+        Loop,
+        [&] {
+          return std::all_of(Asked.begin(), Asked.end(),
+                             [](const auto &Result) { return Result->Ended; });
+        },
+        seconds(7));
+  }
+
+  int whole() const {
+    return static_cast<int>(
+        std::count_if(Asked.begin(), Asked.end(),
+                      [](const auto &Result) { return isWhole(*Result); }));
+  }
+
+  int served() const {
+    return static_cast<int>(
+        std::count_if(Asked.begin(), Asked.end(), [](const auto &Result) {
+          return Result->Answer.Status == HttpOk;
+        }));
+  }
+};
+
+} // namespace
+
+/// Guards against streams that are broken off because all upstreams of their
+/// pool are silent at once and the retry budget is spent.
+TEST_CASE("streams go on after all their upstreams were silent", "[silence]") {
+  double Extra = GENERATE(0, 50);
+  CAPTURE(Extra);
+  SilentWorld World(Extra);
+  World.ask(12, "/stream/x");
+  World.awaitEvents();
+  World.changeConfiguration();
+  World.pause("e", true);
+  World.wait(milliseconds(1400));
+  World.pause("e", false);
+  World.finish();
+  CHECK(World.whole() == 12);
+}
+
+/// Guards against a stream that is broken off because it is to go on at another
+/// upstream, and its stages cannot be redone in time for that.
+TEST_CASE("a stream goes on at its silent upstream if no stage can be redone",
+          "[silence]") {
+  SilentWorld World(50);
+  World.ask(6, "/redo/x", ClientTimeAndPieces);
+  World.awaitEvents();
+  World.changeConfiguration();
+  World.pause("e", true);
+  World.pause("b", true);
+  World.wait(milliseconds(2600));
+  World.pause("e", false);
+  World.finish();
+  CHECK(World.whole() == 6);
+}
+
+/// Guards against a 502 in place of an answer that a silent upstream still
+/// gives.
+TEST_CASE("answers that have not begun arrive after their upstreams were "
+          "silent",
+          "[silence]") {
+  SilentWorld World(0);
+  SECTION("of streams") {
+    World.pause("e", true);
+    World.ask(8, "/stream/x");
+    World.wait(milliseconds(1200));
+    World.pause("e", false);
+    World.finish();
+    CHECK(World.whole() == 8);
+  }
+  SECTION("of plain requests") {
+    World.pause("p", true);
+    World.ask(8, "/get/x");
+    World.wait(milliseconds(1400));
+    World.pause("p", false);
+    World.finish();
+    CHECK(World.served() == 8);
+  }
+}
