Keep a silent attempt open while another one is made

What callers saw: streams that an upstream ran and that closed in the middle of the answer, and 502 in place of an answer, while upstreams paused for a second.

Cause: an attempt without an event for a fixed time was cancelled first, and only then was another one looked for. With the retry budget spent, stages that cannot be redone, no room at the others, or an attempt there that fails, the answer ended although its upstream was sound. A probe that found the path down failed the calls in the same way.

Change: the silent attempt stays open while another one is made. The first upstream to answer goes on with the request, and the other attempt is closed then. Without another one the request waits for the silent one, until its deadline or its client's end. A path that is down lets another attempt begin at once, and ends none.

The other way, to wait for as long as the connection lives, leaves streams of a dark host hanging: it closes no connection.

--- a/src/attempt_decision.cpp
+++ b/src/attempt_decision.cpp
@@ -6,8 +6,11 @@
 namespace fulmar {
 
 static constexpr EnumNames<AttemptDecision> Names = {
-    "pass_on",      "retry",     "refuse_not_run",
-    "fail_unknown", "fail_late", "break_off"};
+    "pass_on",   "retry",     "refuse_not_run", "fail_unknown",
+    "fail_late", "break_off", "await"};
+
+static constexpr EnumNames<SilenceDecision> SilenceNames = {
+    "wait", "try_elsewhere", "ask_budget"};
 
 static constexpr EnumNames<AttemptEffect> EffectNames = {
     "not_sent", "said_not_run", "may_have_run", "ran"};
@@ -51,6 +54,8 @@
     return AttemptDecision::PassOn;
   if (mayRetry(F))
     return AttemptDecision::Retry;
+  if (F.SilentOpen && !F.Expired)
+    return AttemptDecision::Await;
   if (F.Delivered)
     return AttemptDecision::AbortConnection;
   if (provablyNotRun(F))
@@ -64,4 +69,17 @@
                    : AttemptDecision::FailUnknown;
 }
 
+SilenceDecision silenceDecision(const AttemptFacts &Facts, bool MayAsk) {
+  if (mayRetry(Facts))
+    return SilenceDecision::TryElsewhere;
+  AttemptFacts Lent = Facts;
+  Lent.Budget = true;
+  return MayAsk && mayRetry(Lent) ? SilenceDecision::AskBudget
+                                  : SilenceDecision::Wait;
+}
+
+std::string_view silenceDecisionName(SilenceDecision Decision) {
+  return nameIn(SilenceNames, Decision);
+}
+
 } // namespace fulmar
--- a/src/attempt_decision_func.h
+++ b/src/attempt_decision_func.h
@@ -17,6 +17,14 @@
 /// Decides what to do after an attempt that has ended.
 AttemptDecision attemptDecisionAfter(const AttemptFacts &Facts);
 
+/// Decides what to do about an attempt whose upstream is silent.
+/// \param Facts as if the attempt had ended without an answer.
+/// \param MayAsk whether another node can be asked for a repeat.
+SilenceDecision silenceDecision(const AttemptFacts &Facts, bool MayAsk);
+
+/// \return The name of \p Decision, for logs.
+std::string_view silenceDecisionName(SilenceDecision Decision);
+
 /// \return The name of \p Effect, for logs.
 std::string_view attemptEffectName(AttemptEffect Effect);
 
--- a/src/attempt_decision_type.h
+++ b/src/attempt_decision_type.h
@@ -41,6 +41,8 @@
   bool EarlierMayRun = false; ///< An earlier attempt may have run the request.
   bool EnoughTime = false;    ///< Another attempt can still end in time.
   bool Expired = false;       ///< The request's deadline has passed.
+  bool SilentOpen = false;    ///< An earlier attempt, whose upstream is silent,
+                              ///< is still open.
 };
 
 /// What to do after an attempt.
@@ -52,10 +54,22 @@
   FailDeadlinePassed, ///< Respond that its deadline has passed: 504.
   AbortConnection,    ///< Close the connection: part of the answer was sent to
                       ///< the client, and the rest cannot be.
+  Await,              ///< Wait for the upstream of an earlier attempt, which is
+                      ///< silent.
   Count,              ///< Number of decisions.
   Invalid,            ///< Not a decision.
 };
 
+/// What to do about an attempt whose upstream is silent. It stays open in any
+/// case: a sound upstream may be silent for a while.
+enum class SilenceDecision {
+  Wait,         ///< Wait for it.
+  TryElsewhere, ///< Make another attempt; the first to answer goes on.
+  AskBudget,    ///< Ask another node for the repeat that this needs.
+  Count,        ///< Number of decisions.
+  Invalid,      ///< Not a decision.
+};
+
 } // namespace fulmar
 
 #endif
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -22,21 +22,6 @@
 /// With this many bytes unsent to the client, its stream is no longer read from
 /// the upstream. That is some hundred events, so a short stall costs nothing.
 static constexpr std::size_t MaxUnsent = std::size_t{128} << 10;
-/// An attempt at a stream that another upstream can resume is given up when its
-/// first event takes longer than this many times the target and this many times
-/// its usual time.
-static constexpr double FirstEventTimeoutTargets = 1.5;
-static constexpr double FirstEventTimeoutUsual = 6;
-/// Timeout of later events: this many times the route's gap target, with a
-/// lower bound.
-static constexpr double GapTimeoutTargets = 2;
-static constexpr Duration MinGapTimeout = std::chrono::milliseconds(1000);
-/// Interval of the checks whether another upstream can continue a silent
-/// stream.
-static constexpr Duration OtherUpstreamCheck = std::chrono::milliseconds(200);
-/// Timeout of an attempt without a stream that may be repeated, in targets of
-/// the route, while there is time for another attempt.
-static constexpr double PlainTimeoutTargets = 2;
 /// Another attempt is made only with at least this much time to the deadline.
 static constexpr Duration MinRetryTime = std::chrono::milliseconds(30);
 
@@ -105,6 +90,9 @@
   R->Tried.push_back(U.Id);
   R->LastUpstream = U.Address;
   R->Attempt.emplace();
+  AttemptNumber Number{++R->LastAttempt};
+  R->Attempt->Number = Number;
+  R->Attempt->StageRound = R->StageRounds;
   R->Attempt->Upstream = U.Id;
   R->Attempt->Start = U.Start;
   R->Attempt->Address = U.Address;
@@ -116,9 +104,9 @@
   // Another upstream is tried first: that this one cannot be connected to is
   // more likely its own fault.
   Plan.Relay = hasOtherUpstream(*R) ? RelayUse::Isolated : RelayUse::Allowed;
-  Plan.FailOnPathLoss = R->Route->repeatable();
-  R->Attempt->Call =
-      Client->start(U.Start, std::move(Call), attemptCallbacks(Serial), Plan);
+  Plan.OnPathLost = [this, Serial, Number] { pathLost(Serial, Number); };
+  R->Attempt->Call = Client->start(U.Start, std::move(Call),
+                                   attemptCallbacks(Serial, Number), Plan);
   startEventTimer(*R);
 }
 
@@ -145,12 +133,19 @@
   });
 }
 
-HttpCallbacks GatewayService::attemptCallbacks(RequestSerial Serial) {
+HttpCallbacks GatewayService::attemptCallbacks(RequestSerial Serial,
+                                               AttemptNumber Number) {
   HttpCallbacks On;
   On.OnSent = [this, Serial] { attemptSent(Serial); };
-  On.OnHead = [this, Serial](const HttpResponse &A) { attemptHead(Serial, A); };
-  On.OnChunk = [this, Serial](std::string_view B) { attemptChunk(Serial, B); };
-  On.OnDone = [this, Serial](const HttpResponse &A) { attemptDone(Serial, A); };
+  On.OnHead = [this, Serial, Number](const HttpResponse &A) {
+    attemptHead(Serial, Number, A);
+  };
+  On.OnChunk = [this, Serial, Number](std::string_view B) {
+    attemptChunk(Serial, Number, B);
+  };
+  On.OnDone = [this, Serial, Number](const HttpResponse &A) {
+    attemptDone(Serial, Number, A);
+  };
   return On;
 }
 
@@ -168,23 +163,33 @@
     retryWindowRepeat(Retries[R->PoolName], Timers->now());
 }
 
-void GatewayService::attemptHead(RequestSerial Serial,
+/// \return Whether a status says that the upstream has served the request.
+static bool isGood(int Status) {
+  constexpr int FirstBadStatus = 300;
+  return Status >= HttpOk && Status < FirstBadStatus;
+}
+
+void GatewayService::attemptHead(RequestSerial Serial, AttemptNumber Number,
                                  const HttpResponse &Answer) {
   ForwardRequest *R = find(Serial);
-  ForwardAttempt &A = *R->Attempt;
+  ForwardAttempt &A = openAttempt(*R, Number);
   A.Head = Answer;
-  attemptAnswered(*R);
+  attemptAnswered(*R, A);
   ForwardResponseInfo Reply = Wire.readResponseInfo(Answer);
-  reportNotice(*R, Answer, Reply);
-  constexpr int FirstBadStatus = 300;
-  bool Good = Answer.Status >= HttpOk && Answer.Status < FirstBadStatus;
-  A.Streaming = R->Route->Kind == RouteKind::Streaming && Good && Reply.Signed;
+  reportNotice(A, Answer, Reply);
+  A.Streaming = R->Route->Kind == RouteKind::Streaming &&
+                isGood(Answer.Status) && Reply.Signed;
 }
 
-void GatewayService::attemptChunk(RequestSerial Serial,
+void GatewayService::attemptChunk(RequestSerial Serial, AttemptNumber Number,
                                   std::string_view Bytes) {
   ForwardRequest *R = find(Serial);
-  ForwardAttempt &A = *R->Attempt;
+  if (isSilent(*R, Number) && isGood(openAttempt(*R, Number).Head.Status))
+    resumeSilent(*R, Number);
+  ForwardAttempt &A = openAttempt(*R, Number);
+  A.LastEventAt = Timers->now();
+  A.PathLost = false;
+  A.OnSilence = SilenceDecision::Invalid;
   if (!A.Streaming) {
     A.Body.append(Bytes);
     return;
@@ -211,6 +216,7 @@
 
 /// Passes a complete event on to the client.
 void GatewayService::forwardEvent(ForwardRequest &R, const StreamEvent &Event) {
+  releaseSilent(R, "another answers");
   ForwardAttempt &A = *R.Attempt;
   TimePoint Now = Timers->now();
   if (!R.HeadSent) {
@@ -228,7 +234,6 @@
   R.Cursor.take(Event);
   if (A.Events++ == 0)
     A.FirstEventAt = Now;
-  A.LastEventAt = Now;
   clearBegun(R);
   R.Exchange->sendChunk(Event.Bytes);
   if (A.Paused || R.Exchange->unsent() < MaxUnsent)
@@ -256,8 +261,7 @@
   if (A.Streaming)
     return A.Splitter.partial() || Empty ? AttemptOutcome::Broken
                                          : AttemptOutcome::Success;
-  constexpr int FirstBadStatus = 300;
-  if (Answer.Status >= FirstBadStatus)
+  if (!isGood(Answer.Status))
     return AttemptOutcome::Failure;
   return Reply.Signed ? AttemptOutcome::Success : AttemptOutcome::Broken;
 }
@@ -273,15 +277,20 @@
   return Reply.Signed ? AttemptEffect::Ran : AttemptEffect::MayHaveRun;
 }
 
-void GatewayService::attemptDone(RequestSerial Serial,
+void GatewayService::attemptDone(RequestSerial Serial, AttemptNumber Number,
                                  const HttpResponse &Answer) {
   ForwardRequest *R = find(Serial);
-  ForwardAttempt &A = *R->Attempt;
   HttpResponse Whole = Answer;
-  Whole.Body = std::move(A.Body);
+  Whole.Body = std::move(openAttempt(*R, Number).Body);
   ForwardResponseInfo Reply = Wire.readResponseInfo(Whole);
-  AttemptOutcome Outcome = outcomeOf(A, Whole, Reply);
+  AttemptOutcome Outcome = outcomeOf(openAttempt(*R, Number), Whole, Reply);
   AttemptEffect Effect = effectOf(Whole, Reply);
+  if (isSilent(*R, Number)) {
+    if (Outcome != AttemptOutcome::Success)
+      return silentEnded(*R, openAttempt(*R, Number), Whole, Outcome, Effect);
+    resumeSilent(*R, Number);
+  }
+  ForwardAttempt &A = *R->Attempt;
   // Another node that was to make the call says that it has not.
   if (A.Sent && Effect == AttemptEffect::NotSent)
     --R->Sends;
@@ -289,11 +298,11 @@
     R->LastFailure = Whole.Failure != HttpFailure::None
                          ? std::string(httpFailureName(Whole.Failure))
                          : "status " + std::to_string(Whole.Status);
-  reportRun(*R, Whole, Outcome);
+  reportRun(*R, A, Whole, Outcome);
   if (Reply.InputsGone && R->InputsFreed)
     readWaitUpdate(InputsRead, /*Missed=*/1, /*Found=*/0);
   if (Reply.InputsGone && R->StageRounds == 1) {
-    recordOutcome(*R, AttemptOutcome::Success, Effect);
+    recordOutcome(*R, A, AttemptOutcome::Success, Effect);
     closeAttempt(*R);
     // The upstream is not at fault, and may have the session's prompt part
     // cached.
@@ -304,17 +313,14 @@
 }
 
 /// Updates the state of an attempt's upstream with its outcome.
-void GatewayService::recordOutcome(ForwardRequest &R, AttemptOutcome Outcome,
+void GatewayService::recordOutcome(const ForwardRequest &R, ForwardAttempt &A,
+                                   AttemptOutcome Outcome,
                                    AttemptEffect Effect) {
-  if (!R.Attempt)
-    return;
+  endCall(R, A);
   Pool &P = Pools[R.PoolName];
-  Upstream *U = upstreamById(P, R.Attempt->Upstream);
+  Upstream *U = upstreamById(P, A.Upstream);
   if (!U)
     return;
-  --U->InFlight;
-  attemptAnswered(R);
-  guardEnded(U->Guard, Timers->now());
   PoolsToSweep.insert(R.PoolName);
   // A "not run" answer of a full upstream is no failure. An upstream that
   // answers with an error may be faulty although its health checks pass.
@@ -322,12 +328,23 @@
   if (Full)
     RateLimited->refused(U->Start);
   if (Outcome == AttemptOutcome::Success)
-    upstreamSucceeded(*U, Timers->now() - R.Attempt->Started, Duration::zero(),
-                      Policy, Timers->now());
+    upstreamSucceeded(*U, Timers->now() - A.Started, Duration::zero(), Policy,
+                      Timers->now());
   else if (!Full)
     upstreamFailed(P, *U, Policy, Timers->now());
 }
 
+/// Updates the counts of calls in progress at an attempt's upstream when its
+/// call has ended.
+void GatewayService::endCall(const ForwardRequest &R, ForwardAttempt &A) {
+  Upstream *U = upstreamById(Pools[R.PoolName], A.Upstream);
+  if (!U)
+    return;
+  --U->InFlight;
+  attemptAnswered(R, A);
+  guardEnded(U->Guard, Timers->now());
+}
+
 void GatewayService::closeAttempt(ForwardRequest &R) {
   Timers->cancel(R.EventTimer);
   Timers->cancel(R.ReadTimer);
@@ -342,11 +359,7 @@
   if (!R.Attempt)
     return;
   Client->cancel(R.Attempt->Call);
-  if (Upstream *U = upstreamById(Pools[R.PoolName], R.Attempt->Upstream)) {
-    --U->InFlight;
-    attemptAnswered(R);
-    guardEnded(U->Guard, Timers->now());
-  }
+  endCall(R, *R.Attempt);
   closeAttempt(R);
 }
 
@@ -366,26 +379,36 @@
   return false;
 }
 
-void GatewayService::afterAttempt(ForwardRequest &R, AttemptOutcome Outcome,
-                                  AttemptEffect Effect,
-                                  const HttpResponse &Answer, bool Expired) {
+/// \return The facts about an attempt in progress that has ended.
+AttemptFacts GatewayService::factsOf(const ForwardRequest &R,
+                                     AttemptOutcome Outcome,
+                                     AttemptEffect Effect) {
+  bool MayRun =
+      Effect == AttemptEffect::MayHaveRun || Effect == AttemptEffect::Ran;
   AttemptFacts Facts;
   Facts.EarlierMayRun = R.Runs > 0;
-  if (Effect == AttemptEffect::MayHaveRun || Effect == AttemptEffect::Ran)
-    ++R.Runs;
   Facts.Outcome = Outcome;
   Facts.Effect = Effect;
   Facts.Repeatable = R.Route->repeatable();
   Facts.Streaming = R.Route->Kind == RouteKind::Streaming;
   Facts.Delivered = R.HeadSent;
-  Facts.Runs = R.Runs;
+  Facts.Runs = R.Runs + (MayRun ? 1 : 0);
   Facts.Sends = R.Sends;
   Facts.MaxRuns = R.Route->Attempts;
   Facts.Budget = retryWindowAllows(Retries[R.PoolName], allowance(R.PoolName),
                                    Timers->now());
   Facts.Elsewhere = R.Attempt && hasOtherUpstream(R);
   Facts.EnoughTime = R.Deadline - Timers->now() > MinRetryTime;
+  Facts.SilentOpen = !R.Silent.empty();
+  return Facts;
+}
+
+void GatewayService::afterAttempt(ForwardRequest &R, AttemptOutcome Outcome,
+                                  AttemptEffect Effect,
+                                  const HttpResponse &Answer, bool Expired) {
+  AttemptFacts Facts = factsOf(R, Outcome, Effect);
   Facts.Expired = Expired;
+  R.Runs = Facts.Runs;
   if (requestRetry(R, Facts, Answer))
     return;
   applyDecision(R, Facts, Answer);
@@ -420,7 +443,8 @@
   bool Streaming =
       R.Ended ? R.Ended->Streaming : R.Attempt && R.Attempt->Streaming;
   R.Ended.reset();
-  recordOutcome(R, Facts.Outcome, Facts.Effect);
+  if (R.Attempt)
+    recordOutcome(R, *R.Attempt, Facts.Outcome, Facts.Effect);
   closeAttempt(R);
   switch (Next) {
   case AttemptDecision::PassOn:
@@ -440,6 +464,8 @@
     return finish(R, Facts.Effect == AttemptEffect::SaidNotRun
                          ? ResultCode::UpstreamsBusy
                          : ResultCode::NoUpstream);
+  case AttemptDecision::Await:
+    return returnToSilent(R, "attempt failed");
   case AttemptDecision::FailUnknown:
     return finish(R, ResultCode::AnswerLost);
   case AttemptDecision::FailDeadlinePassed:
@@ -451,49 +477,6 @@
   }
 }
 
-/// \return Longest time without an event after which the current attempt is
-/// given up.
-Duration GatewayService::eventTimeout(const ForwardRequest &R) const {
-  constexpr Duration Unbounded = std::chrono::hours(1);
-  if (!R.Route->repeatable() || R.Runs + 1 >= R.Route->Attempts)
-    return Unbounded;
-  if (R.Route->Kind != RouteKind::Streaming)
-    return fromMs(toMs(R.Route->Target) * PlainTimeoutTargets);
-  if (R.HeadSent)
-    return std::max(MinGapTimeout,
-                    fromMs(toMs(R.Route->GapTarget) * GapTimeoutTargets));
-  Duration Least = fromMs(toMs(R.Route->Target) * FirstEventTimeoutTargets);
-  auto Found = Times.find(R.Route->Name);
-  if (Found == Times.end())
-    return Least;
-  return std::max(
-      Least, fromMs(toMs(Found->second.FirstEvent) * FirstEventTimeoutUsual));
-}
-
-/// Starts the timer that gives up an attempt without events, if the request can
-/// continue at another upstream. A host that has lost power closes no
-/// connection; without the timer its stream would stall until the client gives
-/// up.
-/// \param Earliest the attempt is not given up before.
-void GatewayService::startEventTimer(ForwardRequest &R, TimePoint Earliest) {
-  Timers->cancel(R.EventTimer);
-  TimePoint Due = std::max(Earliest, R.Attempt->LastEventAt + eventTimeout(R));
-  if (Due >= R.Deadline)
-    return;
-  R.EventTimer = Timers->after(Due - Timers->now(), [this, Serial = R.Serial] {
-    ForwardRequest *Silent = find(Serial);
-    if (!Silent || !Silent->Attempt)
-      return;
-    TimePoint Over = Silent->Attempt->LastEventAt + eventTimeout(*Silent);
-    if (Silent->Attempt->Paused || Timers->now() < Over)
-      return startEventTimer(*Silent);
-    // A silent upstream may go on; without another one the stream would end.
-    if (Silent->HeadSent && !hasOtherUpstream(*Silent))
-      return startEventTimer(*Silent, Timers->now() + OtherUpstreamCheck);
-    abandonAttempt(*Silent, "silent");
-  });
-}
-
 void GatewayService::abandonAttempt(ForwardRequest &R, std::string Why) {
   Client->cancel(R.Attempt->Call);
   R.LastFailure = std::move(Why);
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -30,9 +30,11 @@
                                           ///< ms.
   std::uint64_t Accepted = 0;             ///< Admitted requests.
   std::uint64_t Repeats = 0;              ///< Sends beyond the first.
-  std::uint64_t RetriesLent = 0;  ///< Retries that this node lent to others.
-  std::uint64_t TurnsLent = 0;    ///< Turns that this node lent to others.
-  std::uint64_t TurnsRefused = 0; ///< Turns that it refused to others.
+  std::uint64_t SilentAttempts = 0; ///< Attempts kept open beside another one.
+  std::uint64_t SilentAnswered = 0; ///< Those whose upstream answered first.
+  std::uint64_t RetriesLent = 0;    ///< Retries that this node lent to others.
+  std::uint64_t TurnsLent = 0;      ///< Turns that this node lent to others.
+  std::uint64_t TurnsRefused = 0;   ///< Turns that it refused to others.
 };
 
 /// Counts an ended request.
--- a/src/gateway_notice.cpp
+++ b/src/gateway_notice.cpp
@@ -11,12 +11,11 @@
 
 /// Reports what the upstream of an attempt announces about itself in the head
 /// of its answer.
-void GatewayService::reportNotice(const ForwardRequest &R,
+void GatewayService::reportNotice(const ForwardAttempt &A,
                                   const HttpResponse &Answer,
                                   const ForwardResponseInfo &Reply) {
   if (Reply.Elsewhere)
     return;
-  const ForwardAttempt &A = *R.Attempt;
   UpstreamNotice Notice = Wire.readNotice(Answer);
   RateLimited->heard(A.Start, Notice, Reply.Signed, A.Started);
   Notices->heard(A.Start, Notice);
--- a/src/gateway_quarantine.cpp
+++ b/src/gateway_quarantine.cpp
@@ -22,24 +22,25 @@
 /// Reports an ended attempt that crashed its upstream, or that the upstream ran
 /// without a crash. An error answer shows neither: the upstream may have failed
 /// before it read the prompt.
-void GatewayService::reportRun(ForwardRequest &R, const HttpResponse &Answer,
+void GatewayService::reportRun(ForwardRequest &R, const ForwardAttempt &A,
+                               const HttpResponse &Answer,
                                AttemptOutcome Outcome) {
   if (peerClosedEarly(Answer))
-    return Quarantined->connectionBroke(runOf(R), Answer.Relayed,
+    return Quarantined->connectionBroke(runOf(R, A), Answer.Relayed,
                                         std::exchange(R.Trials, {}));
   if (Outcome != AttemptOutcome::Success)
     return returnTrials(R);
   R.Trials.clear();
   Quarantined->recordSuccess(R.Content);
   // A stream that had no event left may have ended before it began.
-  if (!R.Attempt->Streaming || R.Attempt->Events > 0)
+  if (!A.Streaming || A.Events > 0)
     clearParts(R);
 }
 
-/// \return What a crash of the current attempt's upstream is blamed on: the
-/// request, and the parts of its prompt if its answer has not begun.
-CrashReport GatewayService::runOf(const ForwardRequest &R) const {
-  const ForwardAttempt &A = *R.Attempt;
+/// \return What a crash of an attempt's upstream is blamed on: the request, and
+/// the parts of its prompt if its answer has not begun.
+CrashReport GatewayService::runOf(const ForwardRequest &R,
+                                  const ForwardAttempt &A) const {
   CrashReport Runs{A.Start, A.Address, {R.Content}};
   bool Begun = A.Events > 0 && Timers->now() - A.FirstEventAt > AnswerBeginTime;
   if (!Begun)
@@ -196,6 +197,7 @@
     if (R->Attempt && R->Attempt->Sent)
       ++R->Runs;
     dropAttempt(*R);
+    releaseSilent(*R, "quarantined");
     refuseQuarantined(*R);
   }
 }
--- a/src/gateway_rate_limit.cpp
+++ b/src/gateway_rate_limit.cpp
@@ -97,11 +97,12 @@
   }
 }
 
-/// Records that the attempt in progress has got a response, or has ended.
-void GatewayService::attemptAnswered(ForwardRequest &R) {
-  if (std::exchange(R.Attempt->Answered, true))
+/// Records that an attempt has got a response, or has ended.
+void GatewayService::attemptAnswered(const ForwardRequest &R,
+                                     ForwardAttempt &A) {
+  if (std::exchange(A.Answered, true))
     return;
-  if (Upstream *U = upstreamById(Pools[R.PoolName], R.Attempt->Upstream))
+  if (Upstream *U = upstreamById(Pools[R.PoolName], A.Upstream))
     --U->Guard.Unanswered;
 }
 
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -2,6 +2,9 @@
 #ifndef FULMARSTEP_GATEWAY_REQUEST_H
 #define FULMARSTEP_GATEWAY_REQUEST_H
 
+#include <algorithm>
+#include <cassert>
+
 #include "attempt_decision_type.h"
 #include "batch_relay.h"
 #include "event_stream.h"
@@ -38,8 +41,12 @@
   std::vector<std::string> Handles; ///< Handles of its results, until freed.
 };
 
+struct AttemptNumberTag {};
+using AttemptNumber = StrongId<AttemptNumberTag>; ///< 0 is never assigned.
+
 /// One send to an upstream.
 struct ForwardAttempt {
+  AttemptNumber Number;   ///< Identifies it within its request.
   HttpCallId Call;        ///< HTTP call.
   UpstreamId Upstream;    ///< Upstream that it is sent to.
   Incarnation Start;      ///< Start of that upstream.
@@ -53,7 +60,13 @@
   bool Damaged = false;   ///< Its events are out of order.
   bool Paused = false;    ///< Not read, as the client reads too slowly.
   TimePoint FirstEventAt{}; ///< When its first event arrived.
-  TimePoint LastEventAt{};  ///< When its latest event arrived.
+  TimePoint LastEventAt{};  ///< When its latest bytes arrived; at first, when
+                            ///< it was started.
+  bool PathLost = false;    ///< Since then, new connections to its upstream
+                            ///< have failed.
+  SilenceDecision OnSilence = SilenceDecision::Invalid; ///< Latest decision,
+                                                        ///< since then.
+  int StageRound = 0;  ///< Run of the stages that made its inputs.
   bool Proven = false; ///< Its answer has gone on for long enough to clear the
                        ///< parts of its prompt.
   int Events = 0;      ///< Events that were passed on.
@@ -94,14 +107,20 @@
   int StageRounds = 0;                   ///< Runs of the stages, with this one.
   TimePoint StagesDone{};                ///< When the last stage was done.
   std::optional<ForwardAttempt> Attempt; ///< Attempt in progress.
-  std::vector<UpstreamId> Tried;         ///< Upstreams that it was sent to.
-  std::optional<EndedAttempt> Ended;     ///< Waits for a RetryAnswer.
-  bool RetryRequested = false;           ///< A RetryAsk was sent for it.
-  bool RetryLent = false;             ///< Another node counts its next repeat.
-  bool TrialsTried = false;           ///< It was sent as a trial of parts.
-  std::vector<Fingerprint> Trials;    ///< Quarantined parts that its next or
-                                      ///< current attempt is a trial of.
-  bool TurnRequested = false;         ///< A TurnAsk was sent for it.
+  /// Earlier attempts whose upstreams are silent, kept open while another one
+  /// is made. The first upstream to answer goes on with the request.
+  std::vector<ForwardAttempt> Silent;
+  std::uint64_t LastAttempt = 0;     ///< Number of the latest attempt.
+  std::vector<UpstreamId> Tried;     ///< Upstreams that it was sent to.
+  std::optional<EndedAttempt> Ended; ///< Waits for a RetryAnswer.
+  bool RetryRequested = false;       ///< A RetryAsk was sent for it.
+  bool RetryLent = false;            ///< Another node counts its next repeat.
+  bool RetryForSilence = false;      ///< The RetryAsk is for an attempt that is
+                                     ///< silent and open.
+  bool TrialsTried = false;          ///< It was sent as a trial of parts.
+  std::vector<Fingerprint> Trials;   ///< Quarantined parts that its next or
+                                     ///< current attempt is a trial of.
+  bool TurnRequested = false;        ///< A TurnAsk was sent for it.
   std::optional<UpstreamId> LentTurn; ///< Upstream of a turn lent to it.
   int Sends = 0;                      ///< Attempts that were sent.
   int Runs = 0;                       ///< Attempts that ran or may have run.
@@ -121,6 +140,30 @@
   bool InputsFreed = false; ///< Freed; another attempt needs new ones.
 };
 
+/// \return Whether an attempt is kept open beside another one.
+inline bool isSilent(const ForwardRequest &R, AttemptNumber Number) {
+  return !R.Attempt || R.Attempt->Number != Number;
+}
+
+/// \return Whether an attempt of a request is still open.
+inline bool hasOpen(const ForwardRequest &R, AttemptNumber Number) {
+  return !isSilent(R, Number) || std::any_of(R.Silent.begin(), R.Silent.end(),
+                                             [Number](const ForwardAttempt &A) {
+                                               return A.Number == Number;
+                                             });
+}
+
+/// \return An open attempt of a request.
+inline ForwardAttempt &openAttempt(ForwardRequest &R, AttemptNumber Number) {
+  if (!isSilent(R, Number))
+    return *R.Attempt;
+  auto Found = std::find_if(
+      R.Silent.begin(), R.Silent.end(),
+      [Number](const ForwardAttempt &A) { return A.Number == Number; });
+  assert(Found != R.Silent.end() && "a call ends with its attempt");
+  return *Found;
+}
+
 } // namespace fulmar
 
 #endif
--- a/src/gateway_restart.cpp
+++ b/src/gateway_restart.cpp
@@ -9,13 +9,25 @@
 
 namespace fulmar {
 
-/// \return Whether \p R waits for an answer of the earlier incarnation: its run
-/// began before the restart, and no event has arrived since.
-static bool waitsForEarlier(const ForwardRequest &R,
+/// \return Whether an attempt waits for an answer of the earlier incarnation:
+/// its run began before the restart, and no event has arrived since.
+static bool waitsForEarlier(const ForwardAttempt &A,
                             const UpstreamRestart &Restart) {
-  const std::optional<ForwardAttempt> &A = R.Attempt;
-  return A && A->Address == Restart.Earlier.Address &&
-         A->LastEventAt < Restart.StartedAt;
+  return A.Address == Restart.Earlier.Address &&
+         A.LastEventAt < Restart.StartedAt;
+}
+
+/// \return The attempts of a request that wait for the earlier incarnation.
+static std::vector<AttemptNumber>
+attemptsAtEarlier(const ForwardRequest &R, const UpstreamRestart &Restart) {
+  std::vector<AttemptNumber> Found;
+  if (R.Attempt && waitsForEarlier(*R.Attempt, Restart))
+    Found.push_back(R.Attempt->Number);
+  for (const ForwardAttempt &A : R.Silent) {
+    if (waitsForEarlier(A, Restart))
+      Found.push_back(A.Number);
+  }
+  return Found;
 }
 
 /// \return Whether \p R needs results that the earlier incarnation held, and
@@ -41,28 +53,41 @@
   upstreamsChanged({{Restart.Earlier, Restart.Later}});
   if (Restart.Earlier.Version != Restart.Later.Version)
     versionChanged(Restart);
-  std::vector<RequestSerial> Cut;
+  std::vector<std::pair<RequestSerial, AttemptNumber>> Cut;
   std::vector<RequestSerial> LostInputs;
   for (const auto &[Serial, R] : Requests) {
-    if (waitsForEarlier(R, Restart))
-      Cut.push_back(Serial);
-    else if (needsLostResults(R, Wire, Restart))
+    std::vector<AttemptNumber> Lost = attemptsAtEarlier(R, Restart);
+    for (AttemptNumber Number : Lost)
+      Cut.emplace_back(Serial, Number);
+    if (!Lost.empty())
+      continue;
+    if (needsLostResults(R, Wire, Restart))
       LostInputs.push_back(Serial);
   }
   // The process that ran these requests is gone, and their connections may
   // never be closed.
-  for (RequestSerial Serial : Cut) {
-    ForwardRequest *R = find(Serial);
-    if (!R || !R->Attempt)
-      continue;
-    if (R->Attempt->Sent && !Restart.Earlier.Leaving)
-      Quarantined->upstreamEnded(runOf(*R));
-    abandonAttempt(*R, "upstream started again");
+  for (const auto &[Serial, Number] : Cut) {
+    if (ForwardRequest *R = find(Serial); R && hasOpen(*R, Number))
+      attemptLost(*R, Number, !Restart.Earlier.Leaving);
   }
   for (RequestSerial Serial : LostInputs)
     rerunLostStages(Serial);
 }
 
+/// Ends an attempt whose upstream has started again.
+/// \param Crashed the upstream had not announced its end.
+void GatewayService::attemptLost(ForwardRequest &R, AttemptNumber Number,
+                                 bool Crashed) {
+  static constexpr const char *Why = "upstream started again";
+  const ForwardAttempt &A = openAttempt(R, Number);
+  if (A.Sent && Crashed)
+    Quarantined->upstreamEnded(runOf(R, A));
+  if (isSilent(R, Number))
+    dropSilent(R, Number, Why);
+  else
+    abandonAttempt(R, Why);
+}
+
 /// Redoes the stages of a request whose results are lost, but only once. A
 /// request without time for a third round fails when its upstream finds the
 /// inputs missing.
--- a/src/gateway_retry.cpp
+++ b/src/gateway_retry.cpp
@@ -5,6 +5,8 @@
 /// and a node's share is less than one repeat; so a node without repeats left
 /// requests one from another node. The lending node counts the repeat, so that
 /// the limit holds even if the nodes' member lists differ.
+#include <utility>
+
 #include "attempt_decision_func.h"
 #include "core/hash.h"
 #include "gateway_service.h"
@@ -60,7 +62,8 @@
     return false;
   R.RetryRequested = true;
   R.Ended = {Facts, Answer, R.Attempt && R.Attempt->Streaming};
-  recordOutcome(R, Facts.Outcome, Facts.Effect);
+  if (R.Attempt)
+    recordOutcome(R, *R.Attempt, Facts.Outcome, Facts.Effect);
   closeAttempt(R);
   Peers->sendTo(Owner, RetryAsk{R.Serial.Value, R.PoolName});
   R.RetryTimer = Timers->after(RetryAskTimeout, [this, Serial = R.Serial] {
@@ -69,6 +72,29 @@
   return true;
 }
 
+/// Requests a repeat from another node for an attempt that is silent and stays
+/// open.
+/// \return Whether a node was asked.
+bool GatewayService::requestRetryForSilence(ForwardRequest &R) {
+  std::string Owner = retryOwner(R.PoolName);
+  if (Owner.empty())
+    return false;
+  R.RetryRequested = true;
+  R.RetryForSilence = true;
+  Peers->sendTo(Owner, RetryAsk{R.Serial.Value, R.PoolName});
+  return true;
+}
+
+/// Makes another attempt with a repeat that was lent, if the current one is
+/// still silent.
+void GatewayService::silenceRetryAnswered(ForwardRequest &R, bool Lent) {
+  bool Silent = R.Attempt && R.Attempt->OnSilence == SilenceDecision::AskBudget;
+  if (!Lent || !Silent || !hasOtherUpstream(R))
+    return;
+  R.RetryLent = true;
+  tryElsewhere(R);
+}
+
 /// Lends one of this node's repeats to the node that requests it, if possible.
 void GatewayService::lendRetry(const std::string &From, const RetryAsk &Ask) {
   RetryAnswer Answer{Ask.Serial, /*Lent=*/false};
@@ -84,6 +110,8 @@
 /// Handles the answer to a RetryAsk, or its timeout.
 void GatewayService::retryAnswered(const RetryAnswer &Answer) {
   ForwardRequest *R = find(RequestSerial{Answer.Serial});
+  if (R && std::exchange(R->RetryForSilence, false))
+    return silenceRetryAnswered(*R, Answer.Lent);
   if (!R || !R->Ended)
     return;
   Timers->cancel(R->RetryTimer);
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -204,8 +204,11 @@
   if (!R)
     return;
   R->DeadlineTimer = TimerId{};
-  if (R->Ended)
+  releaseSilent(*R, "time over");
+  if (R->Ended) {
+    R->Ended->Facts.SilentOpen = false;
     return retryAnswered({Serial.Value, /*Lent=*/false});
+  }
   bool Sent = R->Attempt && R->Attempt->Sent;
   if (R->Attempt)
     Client->cancel(R->Attempt->Call);
@@ -234,6 +237,8 @@
 
 void GatewayService::finish(ForwardRequest &R, ResultCode Code,
                             Duration RetryIn) {
+  if (!R.Silent.empty())
+    return returnToSilent(R, resultInfo(Code).Name);
   // The client has a part of the answer, and gets no other one.
   if (R.HeadSent)
     Code = ResultCode::StreamBroken;
@@ -283,6 +288,7 @@
 void GatewayService::removeRequest(ForwardRequest &R, ResultCode Code,
                                    int Status) {
   TimePoint Now = Timers->now();
+  releaseSilent(R, "request ended");
   R.Exchange->OnClosed = nullptr;
   R.Exchange->OnDrained = nullptr;
   Timers->cancel(R.DeadlineTimer);
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -114,12 +114,13 @@
 
   // gateway_restart.cpp: upstreams that restart.
   void upstreamRestarted(const UpstreamRestart &Restart);
+  void attemptLost(ForwardRequest &R, AttemptNumber Number, bool Crashed);
   void rerunLostStages(RequestSerial Serial);
 
   // gateway_quarantine.cpp: requests that crash upstreams.
-  void reportRun(ForwardRequest &R, const HttpResponse &Answer,
-                 AttemptOutcome Outcome);
-  CrashReport runOf(const ForwardRequest &R) const;
+  void reportRun(ForwardRequest &R, const ForwardAttempt &A,
+                 const HttpResponse &Answer, AttemptOutcome Outcome);
+  CrashReport runOf(const ForwardRequest &R, const ForwardAttempt &A) const;
   void clearParts(const ForwardRequest &R);
   void clearBegun(ForwardRequest &R);
   void retryAfterCrash(ForwardRequest &R);
@@ -142,7 +143,7 @@
                    const Upstream &U) const;
   void setPace(Pool &P, Upstream &U, double ColdRate);
   void upstreamRefused(const Incarnation &Start);
-  void attemptAnswered(ForwardRequest &R);
+  void attemptAnswered(const ForwardRequest &R, ForwardAttempt &A);
 
   // gateway_stream.cpp: software versions of streams.
   void beginStream(ForwardRequest &R);
@@ -152,7 +153,7 @@
   void continueStream(ForwardRequest &R, const StreamOrigin &Origin);
   void refuseStream(ForwardRequest &R, ResultCode Code, std::string_view Why);
   void tellOrigin(const ForwardRequest &R, const StreamOrigin &Origin);
-  void disputeStream(ForwardRequest &R);
+  void disputeStream(ForwardRequest &R, const ForwardAttempt &A);
   void versionChanged(const UpstreamRestart &Restart);
   bool versionServed(const ForwardRequest &R) const;
   RouterPolicy policyOf(const ForwardRequest &R) const;
@@ -169,7 +170,7 @@
   bool reachable(const std::string &Pool) const;
 
   // gateway_notice.cpp: announcements of upstreams.
-  void reportNotice(const ForwardRequest &R, const HttpResponse &Answer,
+  void reportNotice(const ForwardAttempt &A, const HttpResponse &Answer,
                     const ForwardResponseInfo &Reply);
   void noticeChanged(const Incarnation &Start);
   void applyNotice(Upstream &U) const;
@@ -191,31 +192,53 @@
                     const HttpResponse &Answer);
   void lendRetry(const std::string &From, const RetryAsk &Ask);
   void retryAnswered(const RetryAnswer &Answer);
+  bool requestRetryForSilence(ForwardRequest &R);
+  void silenceRetryAnswered(ForwardRequest &R, bool Lent);
 
   // gateway_attempt.cpp: attempts and their answers.
   void sendAttempt(RequestSerial Serial);
   void scheduleInputRelease(ForwardRequest &R);
-  HttpCallbacks attemptCallbacks(RequestSerial Serial);
+  HttpCallbacks attemptCallbacks(RequestSerial Serial, AttemptNumber Number);
   void abandonAttempt(ForwardRequest &R, std::string Why);
   void attemptSent(RequestSerial Serial);
-  void attemptHead(RequestSerial Serial, const HttpResponse &Answer);
-  void attemptChunk(RequestSerial Serial, std::string_view Bytes);
+  void attemptHead(RequestSerial Serial, AttemptNumber Number,
+                   const HttpResponse &Answer);
+  void attemptChunk(RequestSerial Serial, AttemptNumber Number,
+                    std::string_view Bytes);
   void forwardEvent(ForwardRequest &R, const StreamEvent &Event);
-  void attemptDone(RequestSerial Serial, const HttpResponse &Answer);
+  void attemptDone(RequestSerial Serial, AttemptNumber Number,
+                   const HttpResponse &Answer);
+  AttemptFacts factsOf(const ForwardRequest &R, AttemptOutcome Outcome,
+                       AttemptEffect Effect);
   void afterAttempt(ForwardRequest &R, AttemptOutcome Outcome,
                     AttemptEffect Effect, const HttpResponse &Answer,
                     bool Expired);
   void applyDecision(ForwardRequest &R, const AttemptFacts &Facts,
                      const HttpResponse &Answer);
   void rerunStages(ForwardRequest &R);
-  Duration eventTimeout(const ForwardRequest &R) const;
-  void startEventTimer(ForwardRequest &R, TimePoint Earliest = TimePoint{});
   void closeAttempt(ForwardRequest &R);
   void dropAttempt(ForwardRequest &R);
-  void recordOutcome(ForwardRequest &R, AttemptOutcome Outcome,
-                     AttemptEffect Effect);
+  void endCall(const ForwardRequest &R, ForwardAttempt &A);
+  void recordOutcome(const ForwardRequest &R, ForwardAttempt &A,
+                     AttemptOutcome Outcome, AttemptEffect Effect);
   bool hasOtherUpstream(const ForwardRequest &R) const;
 
+  // gateway_silence.cpp: attempts whose upstreams are silent.
+  Duration eventTimeout(const ForwardRequest &R) const;
+  void startEventTimer(ForwardRequest &R, TimePoint Earliest = TimePoint{});
+  void attemptSilent(ForwardRequest &R);
+  void pathLost(RequestSerial Serial, AttemptNumber Number);
+  void tryElsewhere(ForwardRequest &R);
+  void resumeSilent(ForwardRequest &R, AttemptNumber Number);
+  void returnToSilent(ForwardRequest &R, std::string_view Why);
+  void takeBackSilent(ForwardRequest &R, std::size_t Index);
+  void silentEnded(ForwardRequest &R, ForwardAttempt &A,
+                   const HttpResponse &Answer, AttemptOutcome Outcome,
+                   AttemptEffect Effect);
+  void dropSilent(ForwardRequest &R, AttemptNumber Number,
+                  std::string_view Why);
+  void releaseSilent(ForwardRequest &R, std::string_view Why);
+
   // gateway_service.cpp: changes of the configuration and of the fleet.
   void configChanged();
   void membersChanged();
--- a/src/gateway_stream.cpp
+++ b/src/gateway_stream.cpp
@@ -251,25 +251,41 @@
 }
 
 /// Tells other nodes that the version of a stream is not known after all.
-void GatewayService::disputeStream(ForwardRequest &R) {
-  StreamOrigin Origin{R.PoolName, R.Version, R.Attempt->Start.Instance};
+void GatewayService::disputeStream(ForwardRequest &R, const ForwardAttempt &A) {
+  StreamOrigin Origin{R.PoolName, R.Version, A.Start.Instance};
   StreamRecord Record = streamRecordOf(R, Origin, Timers->now());
   Record.Disputed = true;
   StreamVersions->tell(Record);
   R.Version.clear();
 }
 
+/// \return The open attempt of a request at an upstream; null: none.
+static ForwardAttempt *attemptAt(ForwardRequest &R, const Incarnation &Start) {
+  if (R.Attempt && R.Attempt->Start == Start)
+    return &*R.Attempt;
+  for (ForwardAttempt &A : R.Silent) {
+    if (A.Start == Start)
+      return &A;
+  }
+  return nullptr;
+}
+
 /// Handles an upstream that has restarted under the same name with another
 /// version. It is not known which of the two wrote the events of its streams.
 void GatewayService::versionChanged(const UpstreamRestart &Restart) {
   std::vector<RequestSerial> Continued;
   for (auto &[Serial, R] : Requests) {
-    if (!R.Attempt || R.Attempt->Start != Restart.Earlier.incarnation())
+    ForwardAttempt *A = attemptAt(R, Restart.Earlier.incarnation());
+    if (!A)
+      continue;
+    A->Version.clear();
+    if (A->Events > 0 && !R.Version.empty())
+      disputeStream(R, *A);
+    if (!A->Continues)
       continue;
-    R.Attempt->Version.clear();
-    if (R.Attempt->Events > 0 && !R.Version.empty())
-      disputeStream(R);
-    if (R.Attempt->Continues)
+    if (isSilent(R, A->Number))
+      dropSilent(R, A->Number, "version of the upstream changed");
+    else
       Continued.push_back(Serial);
   }
   for (RequestSerial Serial : Continued) {
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -437,29 +437,33 @@
   // links.
   if (Answer.Failure == HttpFailure::ConnectFailed && Probe.OfPath) {
     connectFailed(Address, Probe.Started);
-    failSilentCalls(Address);
+    silentCallsLost(Address);
   }
   noteChanges();
   for (const auto &Fn : Probe.Waiting)
     Fn(Life);
 }
 
-/// Fails the silent calls to an upstream whose path is down, if they may be
-/// repeated.
-void UpstreamClient::failSilentCalls(const std::string &Address) {
+/// Tells the callers of silent calls to an upstream that its path is down, and
+/// fails those calls that are to fail then.
+void UpstreamClient::silentCallsLost(const std::string &Address) {
   TimePoint Now = Timers->now();
   std::vector<HttpCallId> Lost;
   for (const auto &[Id, C] : Calls) {
-    if (C.Direct && C.Plan.FailOnPathLoss && C.Call.Address == Address &&
-        C.HeardAt > TimePoint{} && Now - C.HeardAt >= C.Plan.SilentAfter)
+    if (C.Direct && C.Call.Address == Address && C.HeardAt > TimePoint{} &&
+        Now - C.HeardAt >= C.Plan.SilentAfter)
       Lost.push_back(Id);
   }
   HttpResponse Silent;
   Silent.MayHaveBeenSent = true;
   Silent.Failure = HttpFailure::PathLost;
   for (HttpCallId Id : Lost) {
+    if (OpenCall *C = find(Id); C && C->Plan.OnPathLost) {
+      auto OnPathLost = C->Plan.OnPathLost;
+      OnPathLost();
+    }
     OpenCall *C = find(Id);
-    if (!C)
+    if (!C || !C->Plan.FailOnPathLoss)
       continue;
     Client->cancel(C->Current);
     finish(Id, Silent);
--- a/src/upstream_client.h
+++ b/src/upstream_client.h
@@ -36,9 +36,11 @@
   RelayUse Relay = RelayUse::Isolated; ///< Use of other nodes.
   /// Time without a response after which the path is probed.
   Duration SilentAfter = std::chrono::milliseconds(400);
-  /// The call fails at once when a probe shows that the path is down: it may be
-  /// repeated.
+  /// The call fails at once when it is silent and a probe shows that the path
+  /// is down: it may be repeated.
   bool FailOnPathLoss = false;
+  /// Called at that moment.
+  std::function<void()> OnPathLost;
 };
 
 /// What a new connection shows of an upstream whose connection has ended.
@@ -148,7 +150,7 @@
   PathProbe &probeTo(const std::string &Address);
   void beginProbe(const std::string &Address);
   void probeDone(const std::string &Address, const HttpResponse &Answer);
-  void failSilentCalls(const std::string &Address);
+  void silentCallsLost(const std::string &Address);
   void connectFailed(const std::string &Address, TimePoint Since);
   void connectionReset(const std::string &Address);
   void probeSilent();
--- a/tests/test_decisions.cpp
+++ b/tests/test_decisions.cpp
@@ -21,7 +21,7 @@
     // Symptom: a request that was refused as not run has run.
     // Sequence: one attempt may have run; a second one did not run.
     // Cause: the result depends on the last attempt alone.
-    for (int Bits = 0; Bits < 1 << 9; ++Bits) {
+    for (int Bits = 0; Bits < 1 << 10; ++Bits) {
       for (int Effect = 0; Effect < 4; ++Effect) {
         for (int Outcome = 0; Outcome < 3; ++Outcome) {
           AttemptFacts F;
@@ -36,6 +36,7 @@
           F.EnoughTime = Bits & 64;
           F.Expired = Bits & 128;
           F.MaxRuns = Bits & 256 ? 2 : 1;
+          F.SilentOpen = Bits & 512;
           bool Ran = F.Effect == AttemptEffect::MayHaveRun ||
                      F.Effect == AttemptEffect::Ran;
           F.Runs = (F.EarlierMayRun ? 1 : 0) + (Ran ? 1 : 0);
@@ -50,8 +51,13 @@
           if (V == AttemptDecision::Retry)
             CHECK((F.EnoughTime && !F.Expired && F.Elsewhere));
           if (F.Delivered && V != AttemptDecision::PassOn &&
-              V != AttemptDecision::Retry)
+              V != AttemptDecision::Retry && V != AttemptDecision::Await)
             CHECK(V == AttemptDecision::AbortConnection);
+          if (V == AttemptDecision::Await)
+            CHECK((F.SilentOpen && !F.Expired));
+          if (F.SilentOpen && !F.Expired)
+            CHECK((V == AttemptDecision::Await || V == AttemptDecision::Retry ||
+                   F.Outcome == AttemptOutcome::Success));
           if (F.Outcome == AttemptOutcome::Success)
             CHECK(V == AttemptDecision::PassOn);
         }
@@ -60,6 +66,31 @@
   }
 }
 
+SCENARIO("decision about a silent upstream") {
+  AttemptFacts F;
+  F.Repeatable = F.Budget = F.Elsewhere = F.EnoughTime = true;
+  F.Runs = 1;
+  F.MaxRuns = 2;
+  auto Decide = [&F] { return silenceDecision(F, /*MayAsk=*/true); };
+  THEN("another attempt is made") {
+    CHECK(Decide() == SilenceDecision::TryElsewhere);
+  }
+  THEN("without a repeat left, another node is asked for one") {
+    F.Budget = false;
+    CHECK(Decide() == SilenceDecision::AskBudget);
+    CHECK(silenceDecision(F, /*MayAsk=*/false) == SilenceDecision::Wait);
+  }
+  THEN("it waits where another attempt is not allowed or has no use") {
+    SECTION("no other upstream") { F.Elsewhere = false; }
+    SECTION("no time") { F.EnoughTime = false; }
+    SECTION("may run once") { F.Repeatable = false; }
+    SECTION("the last run") { F.Runs = 2; }
+    CHECK(Decide() == SilenceDecision::Wait);
+    F.Budget = false;
+    CHECK(Decide() == SilenceDecision::Wait);
+  }
+}
+
 SCENARIO("retries stay within the fleet-wide budget") {
   // Symptom: a failing upstream pool gets a multiple of its load.
   // Sequence: every request fails and is retried by every node.
--- a/tests/test_silent_upstream.cpp
+++ b/tests/test_silent_upstream.cpp
@@ -170,3 +170,53 @@
     CHECK(World.served() == 8);
   }
 }
+
+/// Guards against a stream that hangs because the host of its upstream has lost
+/// power, which closes no connection.
+TEST_CASE("a stream goes on elsewhere while its upstream says nothing more",
+          "[silence]") {
+  SilentWorld World(50);
+  World.ask(6, "/stream/x");
+  World.awaitEvents();
+  World.pause("e-0", true);
+  TimePoint Since = World.Timers.now();
+  World.finish();
+  CHECK(World.whole() == 6);
+  CHECK(World.Timers.now() - Since < seconds(2));
+}
+
+/// Guards against an attempt that is given up for another one, which then
+/// fails.
+TEST_CASE("a stream goes on at its silent upstream if another attempt fails",
+          "[silence]") {
+  SilentWorld World(50);
+  World.ask(6, "/stream/x");
+  World.awaitEvents();
+  World.pause("e", true);
+  World.Runners["e-0"]->pause(false);
+  SECTION("as other upstreams are full") {
+    World.Runners["e-0"]->Mode = platform::RunnerMode::Full;
+  }
+  SECTION("as other upstreams lose the answer") {
+    World.Runners["e-0"]->Mode = platform::RunnerMode::LosesAnswer;
+  }
+  World.wait(milliseconds(1500));
+  World.pause("e", false);
+  World.finish();
+  CHECK(World.whole() == 6);
+}
+
+/// Guards against a request that is held past its time by a silent upstream.
+TEST_CASE("a request ends at its deadline while its upstreams are silent",
+          "[silence]") {
+  SilentWorld World(50);
+  World.pause("e", true);
+  World.pause("p", true);
+  World.ask(2, "/stream/x", {{"X-Deadline-Remaining-Milliseconds", "2500"}});
+  World.ask(2, "/get/x", {{"X-Deadline-Remaining-Milliseconds", "2500"}});
+  TimePoint Since = World.Timers.now();
+  World.finish();
+  for (const auto &Result : World.Asked)
+    CHECK(Result->Answer.Status == 504);
+  CHECK(World.Timers.now() - Since < milliseconds(2600));
+}
