Redo the stages of a begun stream within the time of its next event

What callers saw: streams closed in the middle of the answer, after their upstream had ended or was silent, although others could go on with them.

Cause: redone stages had the deadline of the first event, counted from the request's arrival. It needs no silence: an upstream that crashes late in a stream is enough.

--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -21,12 +21,11 @@
 static constexpr Duration AnswerMargin = std::chrono::milliseconds(10);
 /// Timeout of a client that does not send one.
 static constexpr Duration DefaultClientTimeout = std::chrono::seconds(30);
-/// A client gives up a stream without a first event after the longest of these:
-/// a minimum, a multiple of the route's target, and a multiple of its gap
-/// target.
-static constexpr Duration MinFirstEventWait = std::chrono::seconds(2);
-static constexpr int FirstEventWaitTargets = 4;
-static constexpr int FirstEventWaitGaps = 8;
+/// A client gives up a stream without an event after the longest of these: a
+/// minimum, a multiple of the route's target, and a multiple of its gap target.
+static constexpr Duration MinEventWait = std::chrono::seconds(2);
+static constexpr int EventWaitTargets = 4;
+static constexpr int EventWaitGaps = 8;
 /// While draining, a request is expected to take this many times its usual
 /// time.
 static constexpr int DrainTimeFactor = 2;
@@ -34,13 +33,13 @@
 /// the process is killed.
 static constexpr Duration GraceMargin = std::chrono::milliseconds(800);
 
-/// \return Longest wait for the first event of a stream, after which clients
-/// give up; for other answers, a time longer than any deadline.
-static Duration firstEventWait(const RouteSpec &Route) {
+/// \return Longest wait for an event of a stream, after which clients give up;
+/// for other answers, a time longer than any deadline.
+static Duration eventWait(const RouteSpec &Route) {
   if (Route.Kind != RouteKind::Streaming)
     return std::chrono::hours(1);
-  return std::max({MinFirstEventWait, Route.Target * FirstEventWaitTargets,
-                   Route.GapTarget * FirstEventWaitGaps});
+  return std::max({MinEventWait, Route.Target * EventWaitTargets,
+                   Route.GapTarget * EventWaitGaps});
 }
 
 /// Number of route priorities, 0 to 9, within one organisation's priority.
@@ -129,8 +128,8 @@
   R.Deadline = R.ClientDeadline - AnswerMargin;
   if (R.Route->Timeout > Duration::zero())
     R.Deadline = std::min(R.Deadline, R.Arrived + R.Route->Timeout);
-  R.FirstEventDeadline =
-      std::min(R.Deadline, R.Arrived + firstEventWait(*R.Route));
+  R.EventWait = eventWait(*R.Route);
+  R.LastEvent = R.Arrived;
   R.PoolName = chooseTarget(*R.Route, hash64(R.Ask.RequestId));
   R.Cursor.Last = R.Ask.LastEvent;
   if (RefuseAt > TimePoint{} && cannotEndBeforeStop(R))
@@ -142,7 +141,7 @@
   R.Expected = expectedPath(R);
   if (R.Arrived + R.Expected > R.OnTimeBy)
     R.Expected = expectedLatePath(R);
-  if (R.Arrived + R.Expected > R.FirstEventDeadline) {
+  if (R.Arrived + R.Expected > nextEventDeadline(R)) {
     R.RetryIn = std::max(R.Expected - R.Route->Target, MinRetryDelay);
     return ResultCode::StageHopeless;
   }
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -231,6 +231,7 @@
       readWaitUpdate(InputsRead, /*Missed=*/0, /*Found=*/1);
     freeStages(R);
   }
+  R.LastEvent = Now;
   R.Cursor.take(Event);
   if (A.Events++ == 0)
     A.FirstEventAt = Now;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -98,10 +98,13 @@
   TimePoint Arrived{};              ///< When its first byte arrived.
   Duration UsedBefore{};            ///< Time that the client spent on earlier
                                     ///< tries.
-  TimePoint OnTimeBy{};           ///< Latest time of an answer that is on time.
-  TimePoint Deadline{};           ///< Latest time of the answer.
-  TimePoint ClientDeadline{};     ///< When the client gives up.
-  TimePoint FirstEventDeadline{}; ///< Latest time of the first event.
+  TimePoint OnTimeBy{};       ///< Latest time of an answer that is on time.
+  TimePoint Deadline{};       ///< Latest time of the answer.
+  TimePoint ClientDeadline{}; ///< When the client gives up.
+  Duration EventWait{};       ///< The client gives up a stream after this
+                              ///< time without an event.
+  TimePoint LastEvent{}; ///< When an event was last delivered; at first, when
+                         ///< the request arrived.
   std::vector<StageProgress> Stages;     ///< Run before the request.
   TimerId StageTimer;                    ///< Begins a delayed stage.
   int StageRounds = 0;                   ///< Runs of the stages, with this one.
@@ -140,6 +143,11 @@
   bool InputsFreed = false; ///< Freed; another attempt needs new ones.
 };
 
+/// \return Latest time of the next event of a request, or of its answer.
+inline TimePoint nextEventDeadline(const ForwardRequest &R) {
+  return std::min(R.Deadline, R.LastEvent + R.EventWait);
+}
+
 /// \return Whether an attempt is kept open beside another one.
 inline bool isSilent(const ForwardRequest &R, AttemptNumber Number) {
   return !R.Attempt || R.Attempt->Number != Number;
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -96,7 +96,7 @@
   Ask.Domain = bestDomain(R, Index);
   Ask.Content = stageFingerprint(R.Content, Spec.Pool);
   Ask.Due = R.OnTimeBy - Rest - Timers->now();
-  Ask.Deadline = R.FirstEventDeadline - minRemainingTime(Rest) - Timers->now();
+  Ask.Deadline = nextEventDeadline(R) - minRemainingTime(Rest) - Timers->now();
   if (Spec.After.empty())
     Ask.Key = R.Ask.PieceKey;
   for (int Needed : Spec.After) {
@@ -138,7 +138,7 @@
   if (End == BatchEnd::InputsGone)
     return true;
   return End == BatchEnd::Hopeless &&
-         Timers->now() + expectedPath(R) < R.FirstEventDeadline;
+         Timers->now() + expectedPath(R) < nextEventDeadline(R);
 }
 
 void GatewayService::stageEnded(RequestSerial Serial, std::size_t Index,
--- a/tests/test_silent_upstream.cpp
+++ b/tests/test_silent_upstream.cpp
@@ -41,11 +41,11 @@
 struct SilentWorld : GatewayWorld {
   std::vector<std::shared_ptr<ClientResult>> Asked; ///< Requests, in order.
 
-  explicit SilentWorld(double Extra) {
+  explicit SilentWorld(double Extra, Duration Gap = EventGap) {
     RetryExtra = Extra;
     TimeoutMs = 6000;
     for (std::string Name : {"e-0", "e-1", "e-2"})
-      addRunner("engine", {Name, milliseconds(5), Events, EventGap});
+      addRunner("engine", {Name, milliseconds(5), Events, Gap});
     for (std::string Name : {"p-0", "p-1"})
       addRunner("plain", {Name});
     for (std::string Name : {"b-0", "b-1"})
@@ -206,6 +206,20 @@
   CHECK(World.whole() == 6);
 }
 
+/// Guards against a stream that is broken off because its stages are redone
+/// after the time in which its client waits for a first event.
+TEST_CASE(
+    "a stream that has begun long ago goes on after its stages are redone",
+    "[silence]") {
+  SilentWorld World(50, milliseconds(250));
+  World.ask(6, "/redo/x", ClientTimeAndPieces);
+  World.wait(milliseconds(2300));
+  for (const auto &[Name, Runner] : World.Runners)
+    Runner->breakOff();
+  World.finish();
+  CHECK(World.whole() == 6);
+}
+
 /// Guards against a request that is held past its time by a silent upstream.
 TEST_CASE("a request ends at its deadline while its upstreams are silent",
           "[silence]") {
