Try elsewhere for a silent stream only if other upstreams answer, and not in a loop

Change: (1) another attempt at a stream is made once another upstream of its pool has answered since, or after a longer time, which stays within half of what its client waits. (2) One second passes between such attempts.

--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -188,6 +188,7 @@
     resumeSilent(*R, Number);
   ForwardAttempt &A = openAttempt(*R, Number);
   A.LastEventAt = Timers->now();
+  HeardAt[R->PoolName] = A.LastEventAt;
   A.PathLost = false;
   A.OnSilence = SilenceDecision::Invalid;
   if (!A.Streaming) {
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -227,6 +227,7 @@
   Duration eventTimeout(const ForwardRequest &R) const;
   void startEventTimer(ForwardRequest &R, TimePoint Earliest = TimePoint{});
   void attemptSilent(ForwardRequest &R);
+  bool othersAnswer(const ForwardRequest &R) const;
   void pathLost(RequestSerial Serial, AttemptNumber Number);
   void tryElsewhere(ForwardRequest &R);
   void resumeSilent(ForwardRequest &R, AttemptNumber Number);
@@ -296,6 +297,8 @@
                                                  ///< upstreams announce a
                                                  ///< rate limit.
   std::map<std::string, RetryWindow> Retries; ///< Sends and repeats, by pool.
+  std::map<std::string, TimePoint> HeardAt;   ///< When an upstream last sent
+                                              ///< bytes of an answer, by pool.
   std::map<std::string, RouteTimes> Times;    ///< Smoothed times, by route.
   std::map<RequestSerial, ForwardRequest> Requests; ///< In progress.
   std::uint64_t LastSerial = 0;                     ///< Of the latest request.
--- a/src/gateway_silence.cpp
+++ b/src/gateway_silence.cpp
@@ -28,6 +28,8 @@
 static constexpr Duration MinGapTimeout = std::chrono::milliseconds(1000);
 /// Interval of the checks whether another attempt can be made.
 static constexpr Duration OtherUpstreamCheck = std::chrono::milliseconds(200);
+/// Time after an attempt at another upstream has failed before the next one.
+static constexpr Duration NextAttemptDelay = std::chrono::milliseconds(1000);
 /// Timeout of an attempt without a stream that may be repeated, in targets of
 /// the route.
 static constexpr double PlainTimeoutTargets = 2;
@@ -77,6 +79,21 @@
   });
 }
 
+/// \return Whether another attempt at a stream has a use. While all upstreams
+/// of its pool are silent, it would wait as well, and its work would be in
+/// vain; it is made then only after a longer time.
+bool GatewayService::othersAnswer(const ForwardRequest &R) const {
+  const ForwardAttempt &A = *R.Attempt;
+  if (R.Route->Kind != RouteKind::Streaming || A.PathLost)
+    return true;
+  Duration Longer = std::min(eventTimeout(R) * 2, R.EventWait / 2);
+  if (Timers->now() >= A.LastEventAt + Longer)
+    return true;
+  auto Heard = HeardAt.find(R.PoolName);
+  return Heard != HeardAt.end() &&
+         Heard->second > A.LastEventAt + R.Route->GapTarget;
+}
+
 /// Handles an attempt whose upstream has been silent for too long.
 void GatewayService::attemptSilent(ForwardRequest &R) {
   ForwardAttempt &A = *R.Attempt;
@@ -84,6 +101,7 @@
     return abandonAttempt(R, "silent");
   AttemptFacts Facts =
       factsOf(R, AttemptOutcome::Broken, AttemptEffect::MayHaveRun);
+  Facts.Elsewhere = Facts.Elsewhere && othersAnswer(R);
   bool MayAsk = !R.RetryRequested && retryShareBelowOne(allowance());
   SilenceDecision Next = silenceDecision(Facts, MayAsk);
   if (Next == SilenceDecision::AskBudget && !requestRetryForSilence(R))
@@ -180,7 +198,7 @@
             {"silent_ms", toMs(Timers->now() - R.Attempt->LastEventAt)},
             {"why", Why},
             {"failure", R.LastFailure}});
-  startEventTimer(R, Timers->now() + eventTimeout(R));
+  startEventTimer(R, Timers->now() + NextAttemptDelay);
 }
 
 /// Handles the end of a silent attempt. The current one goes on.
--- a/tests/test_silent_upstream.cpp
+++ b/tests/test_silent_upstream.cpp
@@ -2,7 +2,7 @@
 /// while.
 #include <catch2/catch.hpp>
 
-#include "gateway_world.h"
+#include "path_world.h"
 
 using namespace fulmar;
 using platform::RunnerConfig;
@@ -99,6 +99,18 @@
         seconds(7));
   }
 
+  /// \return Runs at the upstreams whose names begin with \p Prefix.
+  int runs(const std::string &Prefix) const {
+    int Sum = 0;
+    for (const auto &[Name, Runner] : Runners) {
+      if (Name.rfind(Prefix, 0) != 0)
+        continue;
+      for (const auto &[Id, Count] : Runner->Runs)
+        Sum += Count;
+    }
+    return Sum;
+  }
+
   int whole() const {
     return static_cast<int>(
         std::count_if(Asked.begin(), Asked.end(),
@@ -131,6 +143,23 @@
   CHECK(World.whole() == 12);
 }
 
+/// Guards against work in vain at upstreams that are silent as well.
+TEST_CASE("no other attempt is made while all upstreams are silent",
+          "[silence]") {
+  SilentWorld World(50);
+  World.TargetMs = 2000;
+  World.configure();
+  World.wait(milliseconds(100));
+  World.ask(12, "/stream/x");
+  World.awaitEvents();
+  World.pause("e", true);
+  World.wait(milliseconds(1500));
+  World.pause("e", false);
+  World.finish();
+  CHECK(World.whole() == 12);
+  CHECK(World.runs("e") == 12);
+}
+
 /// Guards against a stream that is broken off because it is to go on at another
 /// upstream, and its stages cannot be redone in time for that.
 TEST_CASE("a stream goes on at its silent upstream if no stage can be redone",
@@ -220,6 +249,26 @@
   CHECK(World.whole() == 6);
 }
 
+/// Guards against attempts without a pause at upstreams that cannot be reached.
+TEST_CASE("a silent stream of a cut node makes few other attempts",
+          "[silence]") {
+  PathWorld World(1);
+  World.TimeoutMs = 6000;
+  World.configure();
+  World.wait(milliseconds(100));
+  auto Result = World.send("/redo/x", ClientTimeAndPieces);
+  runUntil(World.Loop, [&] { return !Result->Stream.empty(); });
+  std::string At = World.Runners["e-0"]->Arrivals.empty() ? "e-1" : "e-0";
+  World.Links[At]->cut(World.sourceOf(0), ProxyCut::Silent);
+  // Without them, stages that are redone fail at once.
+  for (std::string Name : {"b-0", "b-1"})
+    World.Store.erase("servers/" + Name);
+  World.wait(milliseconds(2500));
+  CHECK(World.Nodes[0]->gateway().metrics().SilentAttempts >= 1);
+  CHECK(World.Nodes[0]->gateway().metrics().SilentAttempts <= 4);
+  CHECK_FALSE(Result->Ended);
+}
+
 /// Guards against a request that is held past its time by a silent upstream.
 TEST_CASE("a request ends at its deadline while its upstreams are silent",
           "[silence]") {
