Test of a silent stream of a cut node: a stream that lasts

Cause: one of 263 tests failed once beside four builds: the stream of 4 events, 5 ms apart, had ended before the test cut its link (test's fault, seen as SilentAttempts >= 1 not met).

--- a/tests/test_silent_upstream.cpp
+++ b/tests/test_silent_upstream.cpp
@@ -255,10 +255,19 @@
   PathWorld World(1);
   World.TimeoutMs = 6000;
   World.configure();
-  World.wait(milliseconds(100));
+  for (std::string Name : {"e-0", "e-1"})
+    World.Store.erase("servers/" + Name);
+  for (std::string Name : {"e-2", "e-3"})
+    World.addLinked("engine",
+                    {Name, milliseconds(5), Events, milliseconds(500)});
+  const auto &Pools = World.Nodes[0]->gateway().pools();
+  runUntil(World.Loop, [&] {
+    const std::vector<Upstream> &All = Pools.at("engine").Upstreams;
+    return All.size() == 2 && All[0].Start.Instance == "e-2";
+  });
   auto Result = World.send("/redo/x", ClientTimeAndPieces);
   runUntil(World.Loop, [&] { return !Result->Stream.empty(); });
-  std::string At = World.Runners["e-0"]->Arrivals.empty() ? "e-1" : "e-0";
+  std::string At = World.Runners["e-2"]->Arrivals.empty() ? "e-3" : "e-2";
   World.Links[At]->cut(World.sourceOf(0), ProxyCut::Silent);
   // Without them, stages that are redone fail at once.
   for (std::string Name : {"b-0", "b-1"})
