Check a paused attempt at intervals, not without a pause

Cause: while a client does not read, its attempt is paused, and its event timer was started again for the time of its last event, which is over: the timer service then runs it for ever within one round, and the whole node stands still. It needs a client that leaves over 128 KB unread, beyond what the kernel holds, for a second.

Result: "a client stops reading for longer than a silence": before, the node did nothing for 40 s and the test was ended; after, it passes: the stream is whole (2,048 of 2,048 events), and other requests are served meanwhile.

--- a/src/gateway_silence.cpp
+++ b/src/gateway_silence.cpp
@@ -71,7 +71,10 @@
     if (!Waiting || !Waiting->Attempt)
       return;
     TimePoint Over = Waiting->Attempt->LastEventAt + eventTimeout(*Waiting);
-    if (Waiting->Attempt->Paused || Timers->now() < Over)
+    // The time of a paused attempt is over already.
+    if (Waiting->Attempt->Paused)
+      return startEventTimer(*Waiting, Timers->now() + OtherUpstreamCheck);
+    if (Timers->now() < Over)
       return startEventTimer(*Waiting);
     attemptSilent(*Waiting);
   });
