Wait before another attempt is tried for a silent one that had no room

Cause: the time without an event of an attempt whose path is lost is zero, so after each try that found no room elsewhere, or a quarantined request, or stages that cannot be redone, the next one began at once. Such tries use the processor of the node until the deadline.

Change: the request waits for its silent upstream for 200 ms at least.

Result: "the path of a silent attempt is lost while others have no room": attempts in one second 177,067 before; after, the test passes (7 at most).

--- a/src/gateway_silence.cpp
+++ b/src/gateway_silence.cpp
@@ -183,7 +183,8 @@
             {"silent_ms", toMs(Timers->now() - R.Attempt->LastEventAt)},
             {"why", Why},
             {"failure", R.LastFailure}});
-  startEventTimer(R, Timers->now() + eventTimeout(R));
+  startEventTimer(R, Timers->now() +
+                         std::max(eventTimeout(R), OtherUpstreamCheck));
 }
 
 /// Handles the end of a silent attempt. The current one goes on.
