Do not fall back on a silent attempt that has ended

Cause: while another node is asked for a repeat, the facts of the ended attempt say that a silent attempt is open. If its upstream ends it within these 30 ms, the decision still was to wait for it, and the node read an attempt that is not there.

Change: whether one is open is read when the answer comes.

Result: "a silent attempt ends while a repeat is asked for": SIGSEGV before, passes after.

--- a/src/gateway_retry.cpp
+++ b/src/gateway_retry.cpp
@@ -118,6 +118,8 @@
   R->RetryTimer = TimerId{};
   EndedAttempt Ended = *R->Ended;
   Ended.Facts.Budget = Answer.Lent;
+  // It may have ended meanwhile.
+  Ended.Facts.SilentOpen = !R->Silent.empty();
   R->RetryLent = Answer.Lent;
   applyDecision(*R, Ended.Facts, Ended.Answer);
 }
