Keep a silent attempt of the router open while another one is made

What callers of `serve` got: 3xxx in place of an answer, a stream cut after its first tokens, and 4000 in place of the answer of a stage that may run once, while their upstreams were only paused, or took longer than timeout_ms, and the deadline had not passed.

Cause: the timeout of an attempt cancelled it and then retried or failed. A stream with tokens, a spent retry budget, the last allowed attempt, too little time, a full queue or a late turn in it then ended the request. For a stage that may run once it answered "outcome unknown". The HTTP call had the same timeout between two reads, so it ended a silent connection by itself.

Change: the timed-out attempt stays open, and another one is made beside it under the same limits as before (attempts, time, retry budget, never for a stream with tokens or a stage that may run once and was sent). The first to answer, or to send a token, goes on; the others are cancelled then. Where no other attempt is allowed the request waits, and checks every 200 ms. A retry that the queue evicts or that comes too late no longer ends a request with an open attempt. No second attempt goes to an upstream that has one open. The call's timeout, and the time that the upstream is told, reach to the request's deadline, which ends it as before. An attempt of a stage that may run once, of which no byte was sent, is closed before another is made.

The other way, to wait for as long as the connection lives, leaves a request at a dark host until its deadline.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -305,6 +305,14 @@
   finishRequest(State, R, Code, "", Now, Out);
 }
 
+static void silentRetryDue(RouterState &State, AttemptId Id, TimePoint Now,
+                           RouterActions &Out) {
+  auto Found = State.Attempts.find(Id);
+  if (Found != State.Attempts.end())
+    retryBesideSilent(State, State.Requests.at(Found->second.Request), Now,
+                      Out);
+}
+
 /// Ages estimates, ejects slow upstreams, and marks all pools for dispatch, so
 /// that readmitted upstreams get calls.
 static void sweep(RouterState &State, TimePoint Now) {
@@ -325,6 +333,8 @@
       deadlinePassed(State, W.Request, Now, Out);
     else if (W.Kind == RouterTimerKind::Hedge)
       hedgeAttempt(State, W.Attempt, Now, Out);
+    else if (W.Kind == RouterTimerKind::SilentRetry)
+      silentRetryDue(State, W.Attempt, Now, Out);
     else
       attemptTimedOut(State, W.Attempt, Now, Out);
   }
--- a/src/router_attempt.cpp
+++ b/src/router_attempt.cpp
@@ -14,6 +14,10 @@
 /// then.
 static constexpr Duration LeavingBackoff = std::chrono::seconds(10);
 
+/// Interval of the checks whether another attempt is allowed beside a silent
+/// one.
+static constexpr Duration SilentRetryCheck = std::chrono::milliseconds(200);
+
 static Duration floorOf(RouterState &State, const Request &R,
                         const Attempt &A) {
   const StageSpec &Stage = R.Pipeline->Stages[A.Stage];
@@ -60,6 +64,22 @@
   R.AnyMaySent = true;
 }
 
+/// Takes back a retry that was queued and not sent.
+static void refundRetry(RouterState &State, const Request &R) {
+  --State.Counts.Retries;
+  if (State.Policy.BoundedRetries)
+    retryEarn(State.RetryBudgets[R.Input.Pipeline], 1);
+}
+
+/// Removes the queued attempt of \p R, as an open one has answered.
+static void leaveQueue(RouterState &State, Request &R) {
+  if (R.Phase != RequestPhase::Queued)
+    return;
+  queueRemove(State.Pools.at(R.stage().Pool).Queue, R.Serial);
+  R.Phase = RequestPhase::Running;
+  refundRetry(State, R);
+}
+
 void attemptToken(RouterState &State, AttemptId Id, std::string_view Text,
                   TimePoint Now, RouterActions &Out) {
   auto Found = State.Attempts.find(Id);
@@ -69,11 +89,12 @@
   }
   ++Found->second.Tokens;
   Request &R = State.Requests.at(Found->second.Request);
-  if (R.Phase != RequestPhase::Running || !R.lastStage())
+  if (R.Phase == RequestPhase::Detached || !R.lastStage())
     return;
   if (!R.Input.Stream)
     return;
   if (R.StreamingAttempt.Value == 0) {
+    leaveQueue(State, R);
     // The caller now has tokens of this attempt, so only this attempt can
     // continue the stream.
     R.StreamingAttempt = Id;
@@ -86,17 +107,69 @@
   dispatchQueued(State, Now, Out);
 }
 
-/// \return Whether one more attempt is safe, can complete before the deadline
-/// and is within the retry budget. Spends the budget if so.
-static bool mayRetry(RouterState &State, const Request &R, TimePoint Now) {
+/// \return Whether one more attempt is safe and can complete before the
+/// deadline.
+static bool retryUseful(RouterState &State, const Request &R, TimePoint Now) {
   if (effectPending(R) || R.StreamingAttempt.Value != 0)
     return false;
   if (R.Ran.back().Attempts >= State.Policy.MaxAttempts)
     return false;
-  if (Now + remainingService(State, R, Quantile::Median) > R.Deadline)
-    return false;
-  return !State.Policy.BoundedRetries ||
-         retrySpend(State.RetryBudgets[R.Input.Pipeline]);
+  return Now + remainingService(State, R, Quantile::Median) <= R.Deadline;
+}
+
+/// \return Whether one more attempt is useful and within the retry budget.
+/// Spends the budget if so.
+static bool mayRetry(RouterState &State, const Request &R, TimePoint Now) {
+  return retryUseful(State, R, Now) &&
+         (!State.Policy.BoundedRetries ||
+          retrySpend(State.RetryBudgets[R.Input.Pipeline]));
+}
+
+/// Queues one more attempt of the current stage.
+static void retryStage(RouterState &State, Request &R, TimePoint Now,
+                       RouterActions &Out) {
+  ++State.Counts.Retries;
+  TimePoint FirstReady = R.StageReady;
+  RequestSerial Serial = R.Serial;
+  enqueueStage(State, R, Now, Out);
+  auto Kept = State.Requests.find(Serial);
+  if (Kept != State.Requests.end())
+    Kept->second.StageReady = FirstReady;
+}
+
+/// \return Whether \p R has an attempt that is queued or not yet timed out.
+static bool hasTimelyAttempt(const RouterState &State, const Request &R,
+                             TimePoint Now) {
+  if (R.Phase == RequestPhase::Queued)
+    return true;
+  auto Timeout = std::chrono::milliseconds(R.stage().TimeoutMs);
+  return std::any_of(R.LiveAttempts.begin(), R.LiveAttempts.end(),
+                     [&](AttemptId Id) {
+                       return Now < State.Attempts.at(Id).Started + Timeout;
+                     });
+}
+
+/// Waits for the silent attempts of \p R. Checks later whether another one is
+/// allowed.
+static void awaitSilent(RouterState &State, const Request &R, TimePoint Now) {
+  if (retryUseful(State, R, Now))
+    State.TimerQueue.push({Now + SilentRetryCheck, RouterTimerKind::SilentRetry,
+                           R.Serial, R.LiveAttempts.front()});
+}
+
+void withdrawRetry(RouterState &State, Request &R, TimePoint Now) {
+  R.Phase = RequestPhase::Running;
+  refundRetry(State, R);
+  awaitSilent(State, R, Now);
+}
+
+void retryBesideSilent(RouterState &State, Request &R, TimePoint Now,
+                       RouterActions &Out) {
+  if (hasTimelyAttempt(State, R, Now))
+    return;
+  if (mayRetry(State, R, Now))
+    return retryStage(State, R, Now, Out);
+  awaitSilent(State, R, Now);
 }
 
 void retryOrFail(RouterState &State, Request &R, ResultCode Code,
@@ -104,21 +177,15 @@
                  RouterActions &Out) {
   // Another attempt of the same stage may still succeed.
   if (!R.LiveAttempts.empty())
+    return retryBesideSilent(State, R, Now, Out);
+  if (R.Phase == RequestPhase::Queued)
     return;
   if (R.Phase == RequestPhase::Detached) {
     finishRequest(State, R, ResultCode::OutcomeUnknown, Message, Now, Out);
     return;
   }
-  if (mayRetry(State, R, Now)) {
-    ++State.Counts.Retries;
-    TimePoint FirstReady = R.StageReady;
-    RequestSerial Serial = R.Serial;
-    enqueueStage(State, R, Now, Out);
-    auto Kept = State.Requests.find(Serial);
-    if (Kept != State.Requests.end())
-      Kept->second.StageReady = FirstReady;
-    return;
-  }
+  if (mayRetry(State, R, Now))
+    return retryStage(State, R, Now, Out);
   if (effectPending(R))
     Code = ResultCode::OutcomeUnknown;
   finishRequest(State, R, Code, Message, Now, Out);
@@ -180,6 +247,7 @@
     upstreamSucceeded(*U, Took, estimateFloor(E), State.Policy, Now);
   settleCost(State, R, A, Result, true, Now);
   cancelOthers(State, R, AttemptId{}, Now, Out);
+  leaveQueue(State, R);
   stageDone(State, R, Result, Now, Out);
 }
 
@@ -258,23 +326,23 @@
   auto Found = State.Attempts.find(Id);
   if (Found == State.Attempts.end())
     return;
-  Request &R = State.Requests.at(Found->second.Request);
-  if (effectPending(R)) {
-    // Closing the connection would not undo a non-idempotent call, and would
-    // lose the response that says whether it was done.
-    if (R.Phase != RequestPhase::Detached)
-      detachRequest(State, R, ResultCode::OutcomeUnknown, Now, Out, true);
+  const Attempt &A = Found->second;
+  Request &R = State.Requests.at(A.Request);
+  // A stage that may run once has no other attempt, and ends at the deadline.
+  if (effectPending(R))
     return;
-  }
-  Attempt A = closeAttempt(State, Id, true, Now, Out);
   Pool &P = State.Pools.at(A.Pool);
   if (Upstream *U = upstreamById(P, A.Upstream))
     upstreamFailed(P, *U, State.Policy, Now);
   estimateAdd(stageEstimate(State, *R.Pipeline, R.stage()), Now - A.Started,
               Now);
-  ResultCode Code =
-      R.AnyMaySent ? ResultCode::StageFailed : ResultCode::NoUpstream;
-  retryOrFail(State, R, Code, A.Address + ": no answer in time", Now, Out);
+  if (R.stage().Idempotent)
+    return retryBesideSilent(State, R, Now, Out);
+  // No byte was sent. If both attempts stayed open, both could run.
+  if (!mayRetry(State, R, Now))
+    return;
+  closeAttempt(State, Id, true, Now, Out);
+  retryStage(State, R, Now, Out);
 }
 
 } // namespace fulmar
--- a/src/router_base.h
+++ b/src/router_base.h
@@ -82,6 +82,7 @@
   Deadline,       ///< Deadline of a request.
   AttemptTimeout, ///< Timeout of an attempt.
   Hedge,          ///< An attempt is slow enough to be hedged.
+  SilentRetry,    ///< Another attempt beside a silent one may be allowed now.
   Count,          ///< Number of kinds.
   Invalid,        ///< Not a kind.
 };
--- a/src/router_dispatch.cpp
+++ b/src/router_dispatch.cpp
@@ -43,6 +43,8 @@
   if (!Evicted)
     return;
   Request &Gone = State.Requests.at(*Evicted);
+  if (!Gone.LiveAttempts.empty())
+    return withdrawRetry(State, Gone, Now);
   finishRequest(State, Gone,
                 Gone.AnyMaySent ? ResultCode::ShedBeforeStage
                                 : ResultCode::QueueFull,
@@ -81,8 +83,8 @@
   D.Payload = R.Payload;
   D.MaxTokens = R.stage().MaxTokens;
   D.Idempotent = R.stage().Idempotent;
-  D.Budget = std::min<Duration>(std::chrono::milliseconds(R.stage().TimeoutMs),
-                                R.Deadline - Now);
+  // A silent attempt stays open after its timeout.
+  D.Budget = R.Deadline - Now;
   if (!D.Idempotent)
     D.Budget += DetachedGrace;
   return D;
@@ -132,8 +134,9 @@
   State.Attempts.emplace(A.Id, std::move(A));
 }
 
-/// Ends a request whose remaining stages would miss its deadline.
-/// \return Whether it was ended.
+/// Ends a request whose remaining stages would miss its deadline, unless an
+/// earlier attempt is still open.
+/// \return Whether its call is not to be sent.
 static bool shedIfHopeless(RouterState &State, Request &R, TimePoint Now,
                            RouterActions &Out) {
   if (!State.Policy.Shedding)
@@ -141,6 +144,10 @@
   Duration Rest = remainingService(State, R, Quantile::Median);
   if (Now + Rest <= R.Deadline)
     return false;
+  if (!R.LiveAttempts.empty()) {
+    withdrawRetry(State, R, Now);
+    return true;
+  }
   // The call has been removed from the queue; finishRequest must not look for
   // it there.
   R.Phase = RequestPhase::Running;
@@ -151,6 +158,15 @@
   return true;
 }
 
+/// \return The upstreams of the open attempts of \p R.
+static std::vector<UpstreamId> openUpstreams(const RouterState &State,
+                                             const Request &R) {
+  std::vector<UpstreamId> Open;
+  for (AttemptId Id : R.LiveAttempts)
+    Open.push_back(State.Attempts.at(Id).Upstream);
+  return Open;
+}
+
 /// Sends one call that was removed from the queue.
 static void sendCall(RouterState &State, Pool &P, const QueuedCall &Call,
                      TimePoint Now, RouterActions &Out) {
@@ -161,10 +177,16 @@
                     R.TriedUpstreams.empty() ? nullptr : &R.TriedUpstreams};
   auto Index = chooseUpstream(P, State.Policy, Hints, State.Rng, Now);
   if (!Index) {
-    // Only upstreams that were tried before have free capacity.
-    Hints.Avoid = nullptr;
+    // Only upstreams that were tried before have free capacity. A silent one
+    // would run the same twice.
+    std::vector<UpstreamId> Open = openUpstreams(State, R);
+    Hints.Avoid = &Open;
     Index = chooseUpstream(P, State.Policy, Hints, State.Rng, Now);
   }
+  if (!Index && !R.LiveAttempts.empty()) {
+    queueChargeExtra(P.Queue, Call, -Call.Cost);
+    return withdrawRetry(State, R, Now);
+  }
   assert(Index && "the caller made sure that there is room");
   if (R.TriedUpstreams.empty())
     retryEarn(State.RetryBudgets[R.Input.Pipeline], R.Pipeline->RetryRatio);
--- a/src/router_internal.h
+++ b/src/router_internal.h
@@ -42,16 +42,27 @@
 void cancelOthers(RouterState &State, Request &R, AttemptId Keep, TimePoint Now,
                   RouterActions &Out);
 
-/// Retries the stage after a failed attempt, or ends the request.
+/// Retries the stage after a failed attempt, waits for its silent attempts, or
+/// ends the request.
 void retryOrFail(RouterState &State, Request &R, ResultCode Code,
                  const std::string &Message, TimePoint Now, RouterActions &Out);
 
+/// Makes another attempt beside the silent ones of \p R, if it has no other and
+/// a retry is allowed; otherwise checks again later.
+void retryBesideSilent(RouterState &State, Request &R, TimePoint Now,
+                       RouterActions &Out);
+
+/// Waits for the open attempts of \p R, as its queued one cannot be sent.
+/// \pre The call of \p R has been removed from the queue.
+void withdrawRetry(RouterState &State, Request &R, TimePoint Now);
+
 /// Sends a second attempt beside a slow one, if the caller has no tokens yet,
 /// no calls are queued and the retry budget allows it.
 void hedgeAttempt(RouterState &State, AttemptId Id, TimePoint Now,
                   RouterActions &Out);
 
-/// Handles the timeout of an attempt.
+/// Handles the timeout of an attempt. The upstream may only be paused, so the
+/// attempt stays open while another one is made.
 void attemptTimedOut(RouterState &State, AttemptId Id, TimePoint Now,
                      RouterActions &Out);
 
