Soak: pause sound upstreams around new versions, check whole answers

Cause: the soak paused one upstream at a time, never around a version of the configuration, and did not check that an answer ends whole. It did not see that streams were cut while their upstreams were silent.

Change: soak_silence holds three pools of sound upstreams. All or some of them, or their links, are paused for 0.7 to 1.5 s in series, while versions change the timeout or the idle limit, add a route or move one; the other faults go on. A try around a version whose node was left alone (no signal, no cut, not ending) and that has used less than seven tenths of its time must end whole or refused; a cut answer, a closed connection, a 502 or a 504 breaks the check. The summary says how many were checked. Load and pauses have generators of their own.

--- a/src/cli/cli_soak.cpp
+++ b/src/cli/cli_soak.cpp
@@ -14,6 +14,8 @@
 DECLARE_uint64(seed);
 DECLARE_int32(kv_port);
 DEFINE_string(signal_log, "", "soak: file of the signals sent to nodes");
+DEFINE_bool(pauses, true,
+            "soak: pause upstreams around new versions of the configuration");
 
 namespace fulmar {
 
@@ -27,6 +29,7 @@
   Plan.Rate = FLAGS_rate;
   Plan.Seed = FLAGS_seed;
   Plan.SignalLog = FLAGS_signal_log;
+  Plan.MakePauses = FLAGS_pauses;
   platform::Soak Run(Loop, Timers, Plan);
   platform::SoakReport Report = Run.run();
   std::cout << "seed " << Plan.Seed << ": sent " << Report.Sent << ", whole "
@@ -40,7 +43,10 @@
             << Report.Streams.Counted << ", whole " << Report.Streams.Whole
             << ", crashes by parts " << Report.Parts.Crashes << ", late "
             << Report.Parts.Late << ", sound beside " << Report.Parts.Sound
-            << ", without " << Report.Parts.Baseline << ", broken "
+            << ", without " << Report.Parts.Baseline << ", versions "
+            << Report.Silences.Versions << ", around versions "
+            << Report.Silences.Around << ", silent " << Report.Silences.Silent
+            << ", cut " << Report.Silences.Cut << ", broken "
             << Report.Broken.size() << "\n";
   for (const std::string &Line : Report.Broken)
     std::cout << "BROKEN " << Line << "\n";
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -58,7 +58,7 @@
       "upstreams",   "run_name", "leaving", "hosts",       "retry",
       "json",        "scenario", "svg",     "leave_share", "nodes",
       "token",       "kv",       "key",     "signer",      "changes",
-      "interval_ms", "poll_ms",  "kv_port", "signal_log"},
+      "interval_ms", "poll_ms",  "kv_port", "signal_log",  "pauses"},
      runBench},
     {"explain",
      "REQUEST_ID < LOGS",
