Keep a silent batch call open while its pieces are sent again

What callers saw: 503 for requests that had not run, while upstreams of their stages paused for a second or two.

Cause: a call without a response was cancelled after 1.5 s (or eight times its expected time), or at once when a probe found its path down; its pieces were then sent elsewhere or, without a repeat left, failed their request. A job whose pieces waited only to be sent once more was dropped as hopeless although its first call was about to answer. Calls that timed out made all upstreams of a pool "avoided", and new stages were refused as no_upstream. Evidence: batch_call_failed why=silent took_ms=1500, why=path_lost took_ms=605 to 618.

Change: such a call counts as silent and stays open until the last deadline of its pieces. They are sent elsewhere as before, as far as the repeats budget goes, also when it goes further later; the first result counts, a later one is freed. A silent call takes no slot, counts as a failure of its upstream as before and says nothing of its speed; a response ends the avoidance. A job all of whose waiting pieces are in open calls is dropped at its deadline only. An avoided upstream with a silent call and a path counts as usable later. Logs: batch_call_silent, silent_batch_call_ended.

The other way, to wait for the connection alone, would leave stages at a dark host waiting: it closes no connection.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -228,11 +228,14 @@
     Job.Crashes = std::max(Job.Crashes, ++Piece.Crashes);
   if (Piece.State != PieceState::Running || Piece.Running > 0)
     return; // Done, or another call in flight carries it.
-  if (Failure.Refused)
+  if (Failure.Refused) {
     --Piece.Sends;
-  else if (!Failure.Again || Piece.Sends >= MaxSends ||
-           !retryWindowAllows(P.Repeats, P.Allowance, Now))
+  } else if (!Failure.Again || Piece.Sends >= MaxSends ||
+             !retryWindowAllows(P.Repeats, P.Allowance, Now)) {
+    if (Failure.Again && Piece.Silent > 0)
+      return; // A silent call may still return it.
     return answer(P, Found, Failure.Why, P.Spec.CallTime, Out);
+  }
   Piece.State = PieceState::Waiting;
   ++Job.Waiting;
 }
@@ -270,6 +273,7 @@
                            const BatchCall &Call, const BatchCallResult &Result,
                            TimePoint Now) {
   U.Failures = 0;
+  U.AvoidUntil = TimePoint{};
   U.LastResponseAt = Now;
   U.OtherNodeCalls = Result.Load
                          ? std::max(0, Result.Load->Running +
@@ -279,8 +283,9 @@
     recordRefusal(U, Now);
   else
     U.Refusals = 0;
-  // A call without any result says nothing about the speed.
-  if (!anyPiece(Result, PieceEnd::Done))
+  // A call without any result says nothing about the speed, nor does one in
+  // which the upstream stood still.
+  if (Call.Silent || !anyPiece(Result, PieceEnd::Done))
     return;
   int Size = static_cast<int>(Call.Items.size());
   double Ratio =
@@ -298,9 +303,12 @@
   if (Found == P.Upstreams.end())
     return;
   --Found->second.InFlight;
+  // It is zero if the call was assigned to a later start of its upstream.
+  if (Call.Silent && Found->second.Silent > 0)
+    --Found->second.Silent;
   if (Answered)
     recordResponse(P, Found->second, Call, Result, Now);
-  else
+  else if (!Call.Silent || Result.Effect == AttemptEffect::SaidNotRun)
     recordFailure(Found->second, Result.Effect, Now);
 }
 
@@ -335,6 +343,58 @@
         std::max(0.0, Producer->second.SpaceUsed - Call.Bytes[Index]);
 }
 
+/// Sends the pieces of a silent call elsewhere that may be repeated and are in
+/// no other call.
+static void repeatPieces(BatchPool &P, const BatchCall &Call, TimePoint Now,
+                         BatchActions &Out) {
+  for (const BatchItem &Item : Call.Items)
+    pieceFailed(P, Item, {BatchEnd::Failed, /*Again=*/true}, Now, Out);
+}
+
+/// Records that a call is silent.
+static void setSilent(BatchPool &P, BatchCallId Id, BatchCall &Call,
+                      TimePoint Now, BatchActions &Out) {
+  Call.Silent = Call.Hedged = true;
+  auto Receiver = P.Upstreams.find(Call.Upstream);
+  if (Receiver != P.Upstreams.end()) {
+    BatchUpstream &U = Receiver->second;
+    ++U.Silent;
+    recordFailure(U, AttemptEffect::MayHaveRun, Now);
+    Out.push_back(SilentBatchAction{Id, U.Entry.Address, Call.Items.size(),
+                                    Now - Call.Sent});
+  }
+  for (const BatchItem &Item : Call.Items) {
+    auto Job = P.Jobs.find(Item.Request);
+    if (Job == P.Jobs.end())
+      continue;
+    BatchPiece &Piece =
+        Job->second.Pieces[static_cast<std::size_t>(Item.Piece)];
+    --Piece.Running;
+    ++Piece.Silent;
+  }
+  repeatPieces(P, Call, Now, Out);
+}
+
+void batchCallSilent(BatchPool &P, BatchCallId Id, TimePoint Now,
+                     BatchActions &Out) {
+  auto Found = P.Calls.find(Id);
+  if (Found == P.Calls.end() || Found->second.Silent)
+    return;
+  setSilent(P, Id, Found->second, Now, Out);
+  batchDispatch(P, Now, Out);
+}
+
+/// Handles calls that are silent: those that have just become so, and those
+/// whose pieces could not be repeated so far.
+static void checkSilent(BatchPool &P, TimePoint Now, BatchActions &Out) {
+  for (auto &[Id, Call] : P.Calls) {
+    if (Call.Silent)
+      repeatPieces(P, Call, Now, Out);
+    else if (Call.SilentAt <= Now)
+      setSilent(P, Id, Call, Now, Out);
+  }
+}
+
 void batchCallEnded(BatchPool &P, BatchCallId Id, const BatchCallResult &Result,
                     TimePoint Now, BatchActions &Out) {
   auto Ended = P.Calls.find(Id);
@@ -351,8 +411,11 @@
     const BatchItem &Item = Call.Items[I];
     auto Job = P.Jobs.find(Item.Request);
     bool Early = Job != P.Jobs.end() && Job->second.InputsRead;
-    if (Job != P.Jobs.end())
-      --Job->second.Pieces[static_cast<std::size_t>(Item.Piece)].Running;
+    if (Job != P.Jobs.end()) {
+      BatchPiece &Piece =
+          Job->second.Pieces[static_cast<std::size_t>(Item.Piece)];
+      --(Call.Silent ? Piece.Silent : Piece.Running);
+    }
     bool Done = Answered && Result.Pieces[I].End == PieceEnd::Done;
     if (Done) {
       Found += Early ? 1 : 0;
@@ -421,9 +484,19 @@
   });
 }
 
+/// \return Whether some open call carries each waiting piece of a job.
+static bool inOpenCalls(const BatchJob &Job) {
+  return std::all_of(Job.Pieces.begin(), Job.Pieces.end(),
+                     [](const BatchPiece &Piece) {
+                       return Piece.State != PieceState::Waiting ||
+                              Piece.Running + Piece.Silent > 0;
+                     });
+}
+
 /// Drops jobs past their deadline, and jobs so far back in the queue that they
 /// would be past it when sent: the client can retry earlier, and the capacity
-/// that their later stages would take goes to others.
+/// that their later stages would take goes to others. A job that only waits to
+/// be sent once more may get its results from the calls before.
 static void dropExpired(BatchPool &P, TimePoint Now, BatchActions &Out) {
   PoolThroughput Throughput = batchThroughput(P, Now);
   double Ahead = 0;
@@ -435,7 +508,7 @@
     AheadLate += IsLate ? Job->Waiting : 0;
     Duration Late = batchQueueDelay(Throughput, Ahead, AheadLate) +
                     P.Spec.CallTime - (Job->Deadline - Now);
-    if (Late <= Duration::zero())
+    if (Late <= Duration::zero() || (inOpenCalls(*Job) && Now <= Job->Deadline))
       continue;
     Ahead -= Job->Waiting;
     AheadLate -= IsLate ? Job->Waiting : 0;
@@ -516,6 +589,7 @@
   age(P, Now);
   dropExpired(P, Now, Out);
   hedge(P, Now);
+  checkSilent(P, Now, Out);
   notifyInputsRead(P, Now, Out);
   batchDispatch(P, Now, Out);
 }
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -22,6 +22,7 @@
   UpstreamEntry Entry;    ///< Its entry in the upstream list.
   bool Listed = true;     ///< It is in the current upstream list.
   int InFlight = 0;       ///< Calls in flight from this node.
+  int Silent = 0;         ///< Those of them that are silent.
   TimePoint FreeAt{};     ///< Expected end of the latest call.
   double Slowness = 1;    ///< Smoothed ratio of actual to expected call time.
   int Failures = 0;       ///< Consecutive failed calls.
@@ -54,7 +55,8 @@
   PieceState State = PieceState::Waiting;
   int Tries = 0;      ///< Calls that it was sent in.
   int Sends = 0;      ///< Those of them that were not refused as full.
-  int Running = 0;    ///< Calls in flight that carry it.
+  int Running = 0;    ///< Calls in flight that carry it, but silent ones.
+  int Silent = 0;     ///< Silent calls that carry it and are still open.
   int Crashes = 0;    ///< Calls with it that ended in a crash of the upstream.
   std::string Handle; ///< Handle of its result; empty: none yet.
 };
@@ -84,6 +86,8 @@
   std::vector<double> Bytes; ///< Space reserved for the result of each piece.
   TimePoint Sent{};          ///< When it was sent.
   Duration Expected{};       ///< Expected duration.
+  TimePoint SilentAt{};      ///< Without a response, it is silent from then on.
+  bool Silent = false;       ///< Its pieces no longer wait for it alone.
   bool Hedged = false;       ///< Its pieces were sent to another upstream too.
 };
 
@@ -134,11 +138,19 @@
   std::string Address;          ///< Of the upstream.
   Incarnation Upstream;         ///< Another incarnation must refuse the call.
   std::vector<BatchItem> Items; ///< Its pieces.
-  Duration Timeout{};           ///< Time after which the call is cancelled.
+  Duration Timeout{};           ///< A later response is of no use.
   Duration SilentAfter{};       ///< Its path is probed after this time.
   double SpaceUsed = 0;         ///< Bytes of results at the upstream, for logs.
 };
 
+/// Report a call that is silent. It stays open.
+struct SilentBatchAction {
+  BatchCallId Call;
+  std::string Address;    ///< Of the upstream.
+  std::size_t Pieces = 0; ///< Number of its pieces.
+  Duration For{};         ///< Time since it was sent.
+};
+
 /// Pass a result to the submitter of a batch request.
 struct AnswerBatchAction {
   BatchRequestId Request;
@@ -156,8 +168,9 @@
 };
 
 /// An action that the caller of a batch function carries out.
-using BatchAction = std::variant<SendBatchAction, AnswerBatchAction,
-                                 InputsReadAction, FreeBatchAction>;
+using BatchAction =
+    std::variant<SendBatchAction, SilentBatchAction, AnswerBatchAction,
+                 InputsReadAction, FreeBatchAction>;
 using BatchActions = std::vector<BatchAction>;
 
 } // namespace fulmar
--- a/src/batch_func.h
+++ b/src/batch_func.h
@@ -21,6 +21,13 @@
 void batchCancel(BatchPool &P, BatchRequestId Id, TimePoint Now,
                  BatchActions &Out);
 
+/// Handles a call whose upstream says nothing, or whose path is down. The
+/// upstream may be sound and answer later, so the call stays open while its
+/// pieces are sent elsewhere, as far as they may be repeated. The first result
+/// of a piece counts.
+void batchCallSilent(BatchPool &P, BatchCallId Id, TimePoint Now,
+                     BatchActions &Out);
+
 /// Handles the end of a call.
 void batchCallEnded(BatchPool &P, BatchCallId Id, const BatchCallResult &Result,
                     TimePoint Now, BatchActions &Out);
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -73,6 +73,11 @@
 /// \return Whether calls may be sent to \p U.
 bool batchUsable(const BatchUpstream &U, TimePoint Now);
 
+/// \return The calls that occupy \p U, as far as is known.
+inline int batchOccupied(const BatchUpstream &U) {
+  return U.InFlight - U.Silent;
+}
+
 /// \return When \p U can start another call.
 TimePoint batchFreeAt(const BatchPool &P, const BatchUpstream &U,
                       TimePoint Now);
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -10,19 +10,22 @@
   return Spec.CallTime + Spec.PieceTime * Pieces;
 }
 
-/// \return Whether calls may be sent to \p U, now or after its backoff.
-static bool usableAfterBackoff(const BatchUpstream &U, TimePoint Now) {
-  return U.Listed && !U.Entry.Leaving && !U.SaidLeaving && U.AvoidUntil <= Now;
+/// \return Whether calls may be sent to \p U, now or after its backoff. One
+/// that is avoided because it is silent may answer at any moment.
+static bool usableLater(const BatchUpstream &U, TimePoint Now) {
+  bool MayAnswer = U.Silent > 0 && U.Path != UpstreamPath::None;
+  return U.Listed && !U.Entry.Leaving && !U.SaidLeaving &&
+         (U.AvoidUntil <= Now || MayAnswer);
 }
 
 bool batchUsable(const BatchUpstream &U, TimePoint Now) {
-  return usableAfterBackoff(U, Now) && U.BackoffUntil <= Now &&
+  return usableLater(U, Now) && U.AvoidUntil <= Now && U.BackoffUntil <= Now &&
          U.Path != UpstreamPath::None;
 }
 
 TimePoint batchFreeAt(const BatchPool &P, const BatchUpstream &U,
                       TimePoint Now) {
-  TimePoint FreeAt = U.InFlight < P.Spec.Slots ? Now : U.FreeAt;
+  TimePoint FreeAt = batchOccupied(U) < P.Spec.Slots ? Now : U.FreeAt;
   return std::max(
       {Now, FreeAt, U.FullUntil, U.BackoffUntil, paceNext(U.Pace, Now)});
 }
@@ -117,7 +120,7 @@
 }
 
 /// \return The upstreams that estimates count: the usable ones; if there are
-/// none, those that will be usable after a backoff.
+/// none, those that will be usable later.
 static std::vector<const BatchUpstream *> countedUpstreams(const BatchPool &P,
                                                            TimePoint Now) {
   std::vector<const BatchUpstream *> Usable;
@@ -125,7 +128,7 @@
   for (const auto &[Start, U] : P.Upstreams) {
     if (batchUsable(U, Now))
       Usable.push_back(&U);
-    else if (usableAfterBackoff(U, Now))
+    else if (usableLater(U, Now))
       Later.push_back(&U);
   }
   return Usable.empty() ? Later : Usable;
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -6,11 +6,12 @@
 
 namespace fulmar {
 
-/// The timeout of a call is this many times its expected duration, and not less
-/// than the minimum: an upstream that is slow by a factor of eight still
-/// responds.
+/// A call is silent after this many times its expected duration, and not before
+/// the minimum: an upstream that is slow by a factor of eight still responds.
 static constexpr double TimeoutFactor = 8;
 static constexpr Duration MinCallTimeout = std::chrono::milliseconds(1500);
+/// A call is closed this long after the last deadline of its pieces.
+static constexpr Duration CloseDelay = std::chrono::milliseconds(100);
 /// The path to an upstream is probed if a call takes longer than this many
 /// times its expected duration and this time.
 static constexpr double SilenceFactor = 1.25;
@@ -138,15 +139,19 @@
   P.Counts.Pieces += Items.size();
   Call.Items = Items;
   Call.Bytes = std::move(Bytes);
+  Duration Silence =
+      std::max(MinCallTimeout,
+               fromMs(toMs(batchCallTime(P.Spec, Size)) * TimeoutFactor));
+  Call.SilentAt = Now + Silence;
   SendBatchAction Send;
   Send.Call = Id;
   Send.Address = U.Entry.Address;
   Send.Upstream = Call.Upstream;
   Send.Items = std::move(Items);
   Send.SpaceUsed = U.SpaceUsed;
-  Send.Timeout =
-      std::max(MinCallTimeout,
-               fromMs(toMs(batchCallTime(P.Spec, Size)) * TimeoutFactor));
+  Send.Timeout = Silence;
+  for (const BatchItem &Item : Send.Items)
+    Send.Timeout = std::max(Send.Timeout, Item.Left + CloseDelay);
   Send.SilentAfter = fromMs(toMs(Call.Expected) * SilenceFactor) + MinSilence;
   Out.push_back(std::move(Send));
 }
@@ -160,10 +165,10 @@
     if (&Other == &U || !batchUsable(Other, Now))
       continue;
     TimePoint Start = std::max(Now, Other.FreeAt);
-    if (Other.InFlight < P.Spec.Slots)
+    if (batchOccupied(Other) < P.Spec.Slots)
       Start = Now;
     if (Start + batchExpectedAt(P, Other, Pieces) < Here)
-      return Other.InFlight >= P.Spec.Slots;
+      return batchOccupied(Other) >= P.Spec.Slots;
   }
   return false;
 }
@@ -181,7 +186,7 @@
   std::vector<BatchUpstream *> Idle;
   for (auto &[Start, U] : P.Upstreams) {
     if (batchUsable(U, Now) && U.FullUntil <= Now &&
-        U.InFlight < P.Spec.Slots && paceAllows(U.Pace, Now))
+        batchOccupied(U) < P.Spec.Slots && paceAllows(U.Pace, Now))
       Idle.push_back(&U);
   }
   std::stable_sort(Idle.begin(), Idle.end(),
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -247,6 +247,13 @@
   for (const BatchAction &Action : Actions) {
     if (const auto *Send = std::get_if<SendBatchAction>(&Action))
       send(P, *Send);
+    else if (const auto *Silent = std::get_if<SilentBatchAction>(&Action))
+      logEvent(LogLevel::Warning, "batch_call_silent",
+               {{"pool", P.Name},
+                {"upstream", Silent->Address},
+                {"call", Silent->Call.Value},
+                {"pieces", Silent->Pieces},
+                {"silent_ms", toMs(Silent->For)}});
     else if (const auto *Answer = std::get_if<AnswerBatchAction>(&Action))
       Tickets.answer({P.Name, Answer->Request}, Answer->Result,
                      [this, Pool = P.Name](const BatchResult &Unclaimed) {
@@ -361,15 +368,32 @@
   UpstreamCallPlan Plan;
   Plan.Relay = RelayUse::Allowed;
   Plan.SilentAfter = Send.SilentAfter;
-  Plan.FailOnPathLoss = true;
+  Plan.OnPathLost = [this, Pool = P.Name, Id = Send.Call] {
+    callSilent(Pool, Id);
+  };
   *HttpId = Client->start(Send.Upstream, std::move(Call), std::move(On), Plan);
 }
 
+/// Handles a call whose path is down.
+void BatchService::callSilent(const std::string &Pool, BatchCallId Id) {
+  BatchPool &P = Pools.at(Pool);
+  BatchActions Out;
+  batchCallSilent(P, Id, Timers->now(), Out);
+  perform(P, Out);
+}
+
 void BatchService::callEnded(const std::string &Pool, BatchCallId Id,
                              const BatchCallResult &Result) {
   auto Found = Pools.find(Pool);
   if (Found == Pools.end())
     return;
+  auto Call = Found->second.Calls.find(Id);
+  if (Call != Found->second.Calls.end() && Call->second.Silent)
+    logEvent(LogLevel::Info, "silent_batch_call_ended",
+             {{"pool", Pool},
+              {"call", Id.Value},
+              {"answered", Result.Answered ? 1 : 0},
+              {"took_ms", toMs(Timers->now() - Call->second.Sent)}});
   BatchActions Out;
   batchCallEnded(Found->second, Id, Result, Timers->now(), Out);
   perform(Found->second, Out);
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -70,6 +70,7 @@
   void applyNotices(BatchPool &P);
   void noticeChanged(const Incarnation &Start);
   void pathsChanged();
+  void callSilent(const std::string &Pool, BatchCallId Id);
   void callEnded(const std::string &Pool, BatchCallId Id,
                  const BatchCallResult &Result);
   const BatchUpstream *upstreamAt(const std::string &Address) const;
--- a/tests/batch_world.h
+++ b/tests/batch_world.h
@@ -14,14 +14,16 @@
   BatchPool P;
   TimePoint Now{std::chrono::seconds(100)};
   std::map<std::uint64_t, std::pair<TimePoint, SendBatchAction>> Running;
+  std::map<std::uint64_t, TimePoint> TimeoutAt; ///< Of calls.
   std::map<std::uint64_t, BatchResult> Answers;
   std::set<std::uint64_t> Read;
   std::set<std::string> Freed;
   std::vector<SendBatchAction> Sent;
   std::map<std::string, double> Slow; ///< Factor of the call time, by instance.
-  bool Full = false;                  ///< Upstreams refuse calls as full.
-  bool NoSpace = false;               ///< Upstreams have no space for results.
-  Fingerprint Deadly;                 ///< Crashes upstreams; 0: none does.
+  std::set<std::string> Paused; ///< Instances that answer nothing meanwhile.
+  bool Full = false;            ///< Upstreams refuse calls as full.
+  bool NoSpace = false;         ///< Upstreams have no space for results.
+  Fingerprint Deadly;           ///< Crashes upstreams; 0: none does.
   std::map<Fingerprint, int> Crashes; ///< Crashed calls, by content.
   int OtherCalls = 0;                 ///< Of other nodes, as upstreams report.
   int LastHandle = 0;
@@ -72,11 +74,12 @@
                               P.Spec, static_cast<int>(Send->Items.size()))) *
                           Factor);
         Running[Send->Call.Value] = {Now + Took, *Send};
+        TimeoutAt[Send->Call.Value] = Now + Send->Timeout;
       } else if (const auto *Answer = std::get_if<AnswerBatchAction>(&Action)) {
         Answers[Answer->Request.Value] = Answer->Result;
       } else if (const auto *Told = std::get_if<InputsReadAction>(&Action)) {
         Read.insert(Told->Request.Value);
-      } else {
+      } else if (!std::holds_alternative<SilentBatchAction>(Action)) {
         Freed.insert(std::get<FreeBatchAction>(Action).Handle);
       }
     }
@@ -106,18 +109,33 @@
     while (Now < End) {
       Now += std::chrono::milliseconds(10);
       std::vector<std::uint64_t> Done;
+      std::vector<std::uint64_t> TimedOut;
       for (const auto &[Id, Call] : Running) {
-        if (Call.first <= Now)
-          Done.push_back(Id);
+        if (!Paused.count(Call.second.Upstream.Instance)) {
+          if (Call.first <= Now)
+            Done.push_back(Id);
+        } else if (TimeoutAt.at(Id) <= Now) {
+          TimedOut.push_back(Id);
+        }
       }
       for (std::uint64_t Id : Done)
         finish(Id);
+      for (std::uint64_t Id : TimedOut)
+        lose(Id);
       BatchActions Out;
       batchTick(P, Now, Out);
       perform(Out);
     }
   }
 
+  /// Ends a call without a response.
+  void lose(std::uint64_t Id) {
+    Running.erase(Id);
+    BatchActions Out;
+    batchCallEnded(P, BatchCallId{Id}, BatchCallResult(), Now, Out);
+    perform(Out);
+  }
+
   void finish(std::uint64_t Id) {
     SendBatchAction Call = Running.at(Id).second;
     Running.erase(Id);
