Tests of silent batch calls: later repeats, restarts of the upstream

Guards against pieces that stay at a dark upstream once the repeats budget is spent, and against an upstream whose slot is never free again because its silent call was assigned to a later start.

--- a/tests/test_silent_stage.cpp
+++ b/tests/test_silent_stage.cpp
@@ -4,6 +4,7 @@
 
 #include "batch_world.h"
 #include "path_world.h"
+#include "restart_func.h"
 
 using namespace fulmar;
 using std::chrono::milliseconds;
@@ -186,6 +187,50 @@
     CHECK(U.SpaceUsed == 0);
 }
 
+/// Guards against pieces that stay at a dark upstream because no repeat was
+/// left when it became silent.
+TEST_CASE("pieces of a silent upstream are sent again as soon as they may be",
+          "[silence]") {
+  SilentPool W(2, 0);
+  std::uint64_t Id = W.ask(W.makeBatchRequest(4));
+  W.Paused = {W.Sent[0].Upstream.Instance};
+  W.pass(seconds(3));
+  CHECK(W.endOf(Id) == BatchEnd::Invalid);
+  W.P.Allowance.Extra = 50;
+  W.pass(milliseconds(400));
+  CHECK(W.endOf(Id) == BatchEnd::Done);
+}
+
+/// Guards against an upstream that is never used again: its silent call ends
+/// with its process, or is found to be one of the process that came after it.
+TEST_CASE("an upstream restarts during a silent call", "[silence]") {
+  SilentPool W(1);
+  std::uint64_t Id = W.ask(W.makeBatchRequest(4));
+  W.Paused = {"i0"};
+  W.pass(milliseconds(3600));
+  UpstreamRestart Restart;
+  Restart.Earlier = W.P.Upstreams.begin()->second.Entry;
+  Restart.Later = Restart.Earlier;
+  Restart.Later.BornMs = 1;
+  SECTION("all of its calls were the earlier start's") {
+    Restart.StartedAt = W.Now;
+  }
+  SECTION("all of its calls were the later start's") {
+    Restart.StartedAt = W.Now - seconds(5);
+  }
+  BatchActions Out;
+  batchRestarted(W.P, Restart, W.Now, Out);
+  W.perform(Out);
+  std::uint64_t Next = W.ask(W.makeBatchRequest(1));
+  W.silence({}, milliseconds(900));
+  CHECK(W.endOf(Id) == BatchEnd::Done);
+  CHECK(W.endOf(Next) == BatchEnd::Done);
+  REQUIRE(W.P.Upstreams.size() == 1);
+  const BatchUpstream &U = W.P.Upstreams.begin()->second;
+  CHECK(U.InFlight == 0);
+  CHECK(U.Silent == 0);
+}
+
 /// Guards against requests that are refused because their stages' upstreams
 /// were silent for a second or two.
 TEST_CASE("requests are served after the upstreams of their stages were silent",
