Count runs at one upstream without those that were only looked up

"a node lends a repeat for a silent stream" failed in 7 of 7 runs: looking for the engine that runs a request made an entry of no runs, which the check took for a fault.

--- a/tests/test_silence_ends.cpp
+++ b/tests/test_silence_ends.cpp
@@ -181,7 +181,7 @@
         CHECK(runs(A.Id) == 1);
       for (const auto &[Name, Runner] : this->Runners) {
         auto Found = Runner->Runs.find(A.Id);
-        CHECK((Found == Runner->Runs.end() || Found->second == 1));
+        CHECK((Found == Runner->Runs.end() || Found->second <= 1));
       }
     }
   }
