--- a/tests/test_silent_stage.cpp
+++ b/tests/test_silent_stage.cpp
@@ -255,6 +255,20 @@
   CHECK(World.statuses() == "8 x 200");
 }
 
+/// Guards against requests of a quiet pool that are refused because a silent
+/// call times out and no repeat is left.
+TEST_CASE("a few requests are served after the upstreams of their stage were "
+          "silent",
+          "[silence]") {
+  StageWorld World(0);
+  World.pause("b", true);
+  World.ask(2, "/redo/x", "1");
+  World.wait(milliseconds(2000));
+  World.pause("b", false);
+  World.finish();
+  CHECK(World.statuses() == "2 x 200");
+}
+
 /// Guards against a stage that is ended by a probe of the path: new connections
 /// to its upstream hang for a moment, open ones come back.
 TEST_CASE("requests are served after links to their stages were silent",
