--- a/src/http_client.h
+++ b/src/http_client.h
@@ -65,7 +65,6 @@
   TimedOut,      ///< No byte was received within the call's timeout.
   NotHttp,       ///< The response is invalid or too large.
   RelayLost,     ///< The node that made the call for this one is gone.
-  PathLost,      ///< The call was silent, and new connections hang.
   Count,         ///< Number of failures.
   Invalid,       ///< Not a failure.
 };
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -99,9 +99,11 @@
   /// Changes the limits; requests that are being received keep the old ones.
   void setLimits(const HttpLimits &Limits);
   /// If \p Close is set, each response carries `Connection: close`, and its
-  /// connection is closed after it.
+  /// connection is closed after it, unless another request was received behind
+  /// it.
   void closeAfterResponses(bool Close);
-  /// \return Number of connections whose output buffer is not empty.
+  /// \return Number of connections whose output buffer is not empty, or with
+  /// received requests that are not handled yet.
   std::size_t unsent() const;
 
   struct Impl; ///< Defined in http_server.cpp.
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -444,8 +444,7 @@
     Fn(Life);
 }
 
-/// Tells the callers of silent calls to an upstream that its path is down, and
-/// fails those calls that are to fail then.
+/// Tells the callers of silent calls to an upstream that its path is down.
 void UpstreamClient::silentCallsLost(const std::string &Address) {
   TimePoint Now = Timers->now();
   std::vector<HttpCallId> Lost;
@@ -454,19 +453,13 @@
         Now - C.HeardAt >= C.Plan.SilentAfter)
       Lost.push_back(Id);
   }
-  HttpResponse Silent;
-  Silent.MayHaveBeenSent = true;
-  Silent.Failure = HttpFailure::PathLost;
   for (HttpCallId Id : Lost) {
-    if (OpenCall *C = find(Id); C && C->Plan.OnPathLost) {
-      auto OnPathLost = C->Plan.OnPathLost;
-      OnPathLost();
-    }
     OpenCall *C = find(Id);
-    if (!C || !C->Plan.FailOnPathLoss)
+    if (!C || !C->Plan.OnPathLost)
       continue;
-    Client->cancel(C->Current);
-    finish(Id, Silent);
+    // It may end the call.
+    auto OnPathLost = C->Plan.OnPathLost;
+    OnPathLost();
   }
 }
 
--- a/src/upstream_client.h
+++ b/src/upstream_client.h
@@ -36,10 +36,8 @@
   RelayUse Relay = RelayUse::Isolated; ///< Use of other nodes.
   /// Time without a response after which the path is probed.
   Duration SilentAfter = std::chrono::milliseconds(400);
-  /// The call fails at once when it is silent and a probe shows that the path
-  /// is down: it may be repeated.
-  bool FailOnPathLoss = false;
-  /// Called at that moment.
+  /// Called when the call is silent and a probe shows that the path is down.
+  /// The call stays open.
   std::function<void()> OnPathLost;
 };
 
