A silent attempt that is taken back needs new inputs; bounds on what precedes others

Cause, found in review, shown by tests there: (1) stages that were redone for another attempt are freed when the silent one is taken back, and the request did not know: the next attempt ran without inputs and its answer was passed on. (2) Stages were redone for each attempt that then found no room, without a bound. (3) An upstream that misses its inputs was taken off the list of tried ones by position, which is another one after a silent attempt came back. (4) Bytes of an answer without a signature closed the other attempt.

Change: freed inputs are recorded there; a silent attempt has its stages redone once for each attempt that its route allows; the upstream is taken off by its id; only a signed good answer counts as one of the silent upstream.

--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -181,10 +181,15 @@
                 isGood(Answer.Status) && Reply.Signed;
 }
 
+/// \return Whether the head of an attempt's answer is its upstream's, and good.
+bool GatewayService::answers(const ForwardAttempt &A) const {
+  return isGood(A.Head.Status) && Wire.readResponseInfo(A.Head).Signed;
+}
+
 void GatewayService::attemptChunk(RequestSerial Serial, AttemptNumber Number,
                                   std::string_view Bytes) {
   ForwardRequest *R = find(Serial);
-  if (isSilent(*R, Number) && isGood(openAttempt(*R, Number).Head.Status))
+  if (isSilent(*R, Number) && answers(openAttempt(*R, Number)))
     resumeSilent(*R, Number);
   ForwardAttempt &A = openAttempt(*R, Number);
   A.LastEventAt = Timers->now();
@@ -305,10 +310,10 @@
     readWaitUpdate(InputsRead, /*Missed=*/1, /*Found=*/0);
   if (Reply.InputsGone && R->StageRounds == 1) {
     recordOutcome(*R, A, AttemptOutcome::Success, Effect);
-    closeAttempt(*R);
     // The upstream is not at fault, and may have the session's prompt part
     // cached.
-    R->Tried.pop_back();
+    std::erase(R->Tried, A.Upstream);
+    closeAttempt(*R);
     return rerunStages(*R);
   }
   afterAttempt(*R, Outcome, Effect, Whole, /*Expired=*/false);
--- a/src/gateway_silence.cpp
+++ b/src/gateway_silence.cpp
@@ -97,6 +97,17 @@
          Heard->second > A.LastEventAt + R.Route->GapTarget;
 }
 
+/// \return Whether stages have to be redone for another attempt.
+static bool needsStages(const ForwardRequest &R) {
+  return !R.Stages.empty() && (R.HeadSent || R.InputsFreed);
+}
+
+/// \return Whether another attempt may be made beside a silent one. Redone
+/// stages are work for other upstreams, so their number is limited as well.
+static bool mayPrepare(const ForwardRequest &R) {
+  return !needsStages(R) || R.StageRounds <= R.Route->Attempts;
+}
+
 /// Handles an attempt whose upstream has been silent for too long.
 void GatewayService::attemptSilent(ForwardRequest &R) {
   ForwardAttempt &A = *R.Attempt;
@@ -104,7 +115,7 @@
     return abandonAttempt(R, "silent");
   AttemptFacts Facts =
       factsOf(R, AttemptOutcome::Broken, AttemptEffect::MayHaveRun);
-  Facts.Elsewhere = Facts.Elsewhere && othersAnswer(R);
+  Facts.Elsewhere = Facts.Elsewhere && mayPrepare(R) && othersAnswer(R);
   bool MayAsk = !R.RetryRequested && retryShareBelowOne(allowance());
   SilenceDecision Next = silenceDecision(Facts, MayAsk);
   if (Next == SilenceDecision::AskBudget && !requestRetryForSilence(R))
@@ -146,7 +157,7 @@
   ++R.Runs;
   R.Silent.push_back(std::move(*R.Attempt));
   closeAttempt(R);
-  if (!R.Stages.empty() && (R.HeadSent || R.InputsFreed))
+  if (needsStages(R))
     return rerunStages(R);
   sendAttempt(R.Serial);
 }
@@ -167,6 +178,7 @@
   if (R.StageRounds == R.Attempt->StageRound)
     return;
   cancelStages(R);
+  R.InputsFreed = true;
   R.StagesDone = R.Attempt->Started;
 }
 
--- a/tests/test_silence_ends.cpp
+++ b/tests/test_silence_ends.cpp
@@ -983,3 +983,76 @@
   CHECK(Call(/*Pause=*/false) == "firstlast");
   CHECK(Client.counts().Opened == 1);
 }
+
+/// Guards against a request that runs without the results of its stages, as
+/// they were freed when its silent attempt was taken back.
+TEST_CASE("an attempt after a silent one was taken back has its inputs",
+          "[silence]") {
+  EndsWorld World;
+  bool Breaks = GENERATE(false, true);
+  CAPTURE(Breaks);
+  const std::vector<std::string> Engines = {"e-0", "e-1", "e-2"};
+  for (const std::string &Name : Engines)
+    World.Runners[Name]->Mode = platform::RunnerMode::Hangs;
+  Asked Stream = World.ask("/redo/x");
+  REQUIRE(World.awaitArrived());
+  auto First = std::find_if(
+      Engines.begin(), Engines.end(), [&](const std::string &Name) {
+        return World.Runners[Name]->Runs.count(Stream.Id) > 0;
+      });
+  auto SetOthers = [&](platform::RunnerMode Mode) {
+    for (const std::string &Name : Engines) {
+      if (Name != *First)
+        World.Runners[Name]->Mode = Mode;
+    }
+  };
+  SetOthers(platform::RunnerMode::NoInputs);
+  World.pause("b", true);
+  auto Seen = [&] {
+    std::size_t Sum = 0;
+    for (const std::string &Name : Engines)
+      Sum += World.Runners[Name]->Seen.size();
+    return Sum;
+  };
+  // The second upstream says that its inputs are gone; redone stages fail.
+  REQUIRE(runUntil(
+      World.Loop, [&] { return Seen() >= 2; }, seconds(4)));
+  SetOthers(platform::RunnerMode::Serving);
+  if (Breaks) {
+    World.wait(milliseconds(2200));
+    World.Runners[*First]->breakOff();
+  }
+  World.finish();
+  for (const std::string &Name : Engines) {
+    for (const HttpHeaders &Headers : World.Runners[Name]->Seen)
+      CHECK_FALSE(headerValue(Headers, platform::wire::Inputs).empty());
+  }
+}
+
+/// Guards against stages that are redone again and again for an attempt that
+/// finds no room.
+TEST_CASE("stages are redone only a few times for a silent stream",
+          "[silence]") {
+  EndsWorld World;
+  World.TargetMs = 2000;
+  World.change({{"\"connection_limit\":40", "\"connection_limit\":1"}});
+  World.wait(milliseconds(300));
+  for (std::string Name : {"e-0", "e-1", "e-2"})
+    World.Runners[Name]->Mode = platform::RunnerMode::Hangs;
+  World.ask("/once/x");
+  World.ask("/once/x");
+  REQUIRE(World.awaitArrived());
+  for (std::string Name : {"e-0", "e-1", "e-2"}) {
+    if (World.Runners[Name]->Runs.empty())
+      World.Runners[Name]->Mode = platform::RunnerMode::Serving;
+  }
+  Asked Stream = World.ask("/redo/x");
+  REQUIRE(runUntil(World.Loop, [&] { return Stream.ids().size() >= 2; }));
+  World.pause("e", true);
+  World.wait(milliseconds(5000));
+  // One round for the request, and one for each attempt that it may have.
+  CHECK(World.Runners["b-0"]->Pieces + World.Runners["b-1"]->Pieces <= 3);
+  World.pause("e", false);
+  World.wait(milliseconds(1000));
+  CHECK(Stream.whole());
+}
