One text for a failed answer, one flag for a good head, no state that is read again anyway

Cause: the reason of a failed answer was put together in two places; whether a silent upstream's answer is good was parsed again at each of its chunks; deadline() cleared a fact that retryAnswered() reads anew.

Change: failureText(); ForwardAttempt::Good, set with the head; the dead assignment goes. Behaviour stays as it is.

--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -177,19 +177,14 @@
   attemptAnswered(*R, A);
   ForwardResponseInfo Reply = Wire.readResponseInfo(Answer);
   reportNotice(A, Answer, Reply);
-  A.Streaming = R->Route->Kind == RouteKind::Streaming &&
-                isGood(Answer.Status) && Reply.Signed;
-}
-
-/// \return Whether the head of an attempt's answer is its upstream's, and good.
-bool GatewayService::answers(const ForwardAttempt &A) const {
-  return isGood(A.Head.Status) && Wire.readResponseInfo(A.Head).Signed;
+  A.Good = isGood(Answer.Status) && Reply.Signed;
+  A.Streaming = R->Route->Kind == RouteKind::Streaming && A.Good;
 }
 
 void GatewayService::attemptChunk(RequestSerial Serial, AttemptNumber Number,
                                   std::string_view Bytes) {
   ForwardRequest *R = find(Serial);
-  if (isSilent(*R, Number) && answers(openAttempt(*R, Number)))
+  if (isSilent(*R, Number) && openAttempt(*R, Number).Good)
     resumeSilent(*R, Number);
   ForwardAttempt &A = openAttempt(*R, Number);
   A.LastEventAt = Timers->now();
@@ -302,9 +297,7 @@
   if (A.Sent && Effect == AttemptEffect::NotSent)
     --R->Sends;
   if (Outcome != AttemptOutcome::Success)
-    R->LastFailure = Whole.Failure != HttpFailure::None
-                         ? std::string(httpFailureName(Whole.Failure))
-                         : "status " + std::to_string(Whole.Status);
+    R->LastFailure = failureText(Whole);
   reportRun(*R, A, Whole, Outcome);
   if (Reply.InputsGone && R->InputsFreed)
     readWaitUpdate(InputsRead, /*Missed=*/1, /*Found=*/0);
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -56,6 +56,7 @@
   bool Sent = false;      ///< A byte may have reached the upstream.
   bool Continues = false; ///< Its stream began at an earlier attempt or try.
   bool Answered = false;  ///< Its response has begun, or it has ended.
+  bool Good = false;      ///< The answer's head is its upstream's, and good.
   bool Streaming = false; ///< The answer is passed on as it arrives.
   bool Damaged = false;   ///< Its events are out of order.
   bool Paused = false;    ///< Not read, as the client reads too slowly.
@@ -143,6 +144,13 @@
   bool InputsFreed = false; ///< Freed; another attempt needs new ones.
 };
 
+/// \return Why an answer is none that could be passed on, for logs.
+inline std::string failureText(const HttpResponse &Answer) {
+  return Answer.Failure != HttpFailure::None
+             ? std::string(httpFailureName(Answer.Failure))
+             : "status " + std::to_string(Answer.Status);
+}
+
 /// \return Latest time of the next event of a request, or of its answer.
 inline TimePoint nextEventDeadline(const ForwardRequest &R) {
   return std::min(R.Deadline, R.LastEvent + R.EventWait);
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -205,10 +205,8 @@
     return;
   R->DeadlineTimer = TimerId{};
   releaseSilent(*R, "time over");
-  if (R->Ended) {
-    R->Ended->Facts.SilentOpen = false;
+  if (R->Ended)
     return retryAnswered({Serial.Value, /*Lent=*/false});
-  }
   bool Sent = R->Attempt && R->Attempt->Sent;
   if (R->Attempt)
     Client->cancel(R->Attempt->Call);
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -205,7 +205,6 @@
                    const HttpResponse &Answer);
   void attemptChunk(RequestSerial Serial, AttemptNumber Number,
                     std::string_view Bytes);
-  bool answers(const ForwardAttempt &A) const;
   void forwardEvent(ForwardRequest &R, const StreamEvent &Event);
   void attemptDone(RequestSerial Serial, AttemptNumber Number,
                    const HttpResponse &Answer);
--- a/src/gateway_silence.cpp
+++ b/src/gateway_silence.cpp
@@ -227,9 +227,7 @@
   logEvent(LogLevel::Info, "silent_attempt_ended",
            {{"id", R.Ask.RequestId},
             {"upstream", A.Address},
-            {"why", Answer.Failure != HttpFailure::None
-                        ? std::string(httpFailureName(Answer.Failure))
-                        : "status " + std::to_string(Answer.Status)},
+            {"why", failureText(Answer)},
             {"effect", attemptEffectName(Effect)},
             {"events", A.Events}});
   reportRun(R, A, Answer, Outcome);
