Repeats by cause on the metrics page; log of what a node may repeat beyond the ratio

The logs do not tell the hypotheses of the incident apart: no line says for how many nodes a node divides the repeats beyond the ratio, nor whether the allowance was used up when a repeat was sent. retry_share has nodes and share, at each change; fulmarstep_repeats_total and fulmarstep_batch_repeats_total have a cause; fulmarstep_repeats_over_total counts repeats that the allowance did not cover any more when they were sent. No decision changes.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -210,6 +210,7 @@
   bool Again = false;              ///< The piece may be sent again.
   bool Refused = false;            ///< The upstream did not start it.
   bool Crashed = false;            ///< The upstream crashed during the call.
+  RepeatCause Cause = RepeatCause::Broken; ///< Why it may be sent again.
 };
 
 /// Handles a piece without a result: it waits again, or its batch request
@@ -237,6 +238,7 @@
     return answer(P, Found, Failure.Why, P.Spec.CallTime, Out);
   }
   Piece.State = PieceState::Waiting;
+  Piece.Cause = Failure.Refused ? RepeatCause::Refused : Failure.Cause;
   ++Job.Waiting;
 }
 
@@ -331,7 +333,8 @@
   case PieceEnd::Invalid:
     break;
   }
-  return {BatchEnd::Failed, /*Again=*/true, /*Refused=*/false};
+  return {BatchEnd::Failed, /*Again=*/true, /*Refused=*/false,
+          /*Crashed=*/false, RepeatCause::Failed};
 }
 
 /// Releases the space reserved for a result that was not produced.
@@ -347,8 +350,11 @@
 /// no other call.
 static void repeatPieces(BatchPool &P, const BatchCall &Call, TimePoint Now,
                          BatchActions &Out) {
+  PieceFailure Failure;
+  Failure.Again = true;
+  Failure.Cause = RepeatCause::Silent;
   for (const BatchItem &Item : Call.Items)
-    pieceFailed(P, Item, {BatchEnd::Failed, /*Again=*/true}, Now, Out);
+    pieceFailed(P, Item, Failure, Now, Out);
 }
 
 /// Records that a call is silent.
@@ -552,6 +558,7 @@
       if (Piece.State != PieceState::Running || Piece.Sends >= MaxSends)
         continue;
       Piece.State = PieceState::Waiting;
+      Piece.Cause = RepeatCause::Slow;
       ++Job->second.Waiting;
       Any = true;
     }
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -10,6 +10,7 @@
 #include "batch_type.h"
 #include "priority_share.h"
 #include "read_wait.h"
+#include "repeat_cause.h"
 #include "retry_window.h"
 #include "route_type.h"
 #include "send_pace.h"
@@ -53,11 +54,13 @@
 /// One piece of a batch request.
 struct BatchPiece {
   PieceState State = PieceState::Waiting;
-  int Tries = 0;      ///< Calls that it was sent in.
-  int Sends = 0;      ///< Those of them that were not refused as full.
-  int Running = 0;    ///< Calls in flight that carry it, but silent ones.
-  int Silent = 0;     ///< Silent calls that carry it and are still open.
-  int Crashes = 0;    ///< Calls with it that ended in a crash of the upstream.
+  int Tries = 0;   ///< Calls that it was sent in.
+  int Sends = 0;   ///< Those of them that were not refused as full.
+  int Running = 0; ///< Calls in flight that carry it, but silent ones.
+  int Silent = 0;  ///< Silent calls that carry it and are still open.
+  int Crashes = 0; ///< Calls with it that ended in a crash of the upstream.
+  RepeatCause Cause = RepeatCause::Broken; ///< Of its next send, after the
+                                           ///< first.
   std::string Handle; ///< Handle of its result; empty: none yet.
 };
 
@@ -105,7 +108,7 @@
   std::uint64_t Dropped = 0; ///< Batch requests given up while they waited.
   std::uint64_t Calls = 0;   ///< Calls sent.
   std::uint64_t Pieces = 0;  ///< Pieces in calls.
-  std::uint64_t Repeats = 0; ///< Pieces sent more than once.
+  RepeatCounts Repeats{};    ///< Pieces sent more than once.
   std::uint64_t Hedges = 0;  ///< Slow calls whose pieces were sent again.
   std::uint64_t Wasted = 0;  ///< Results unused: cancelled or duplicate.
 };
--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -68,7 +68,7 @@
     Call.SpaceLeft -= Job.Request.ResultBytes;
     if (Piece.Tries++ > 0) {
       retryWindowRepeat(P.Repeats, Now);
-      ++P.Counts.Repeats;
+      countRepeat(P.Counts.Repeats, Piece.Cause);
     } else if (OnTime) {
       ++P.Shares.ByPriority[Job.Request.Priority].Sent;
     }
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -131,8 +131,8 @@
   std::vector<UnlabelledMetric> Plain = {
       {"fulmarstep_requests_accepted_total", "counter",
        static_cast<double>(Gateway->metrics().Accepted)},
-      {"fulmarstep_repeats_total", "counter",
-       static_cast<double>(Gateway->metrics().Repeats)},
+      {"fulmarstep_repeats_over_total", "counter",
+       static_cast<double>(Gateway->metrics().RepeatsOver)},
       {"fulmarstep_requests_in_progress", "gauge",
        static_cast<double>(Gateway->requests())},
       {"fulmarstep_connections_opened_total", "counter",
@@ -217,7 +217,8 @@
     Sum.Dropped += P.Counts.Dropped;
     Sum.Calls += P.Counts.Calls;
     Sum.Pieces += P.Counts.Pieces;
-    Sum.Repeats += P.Counts.Repeats;
+    for (std::size_t I = 0; I < Sum.Repeats.size(); ++I)
+      Sum.Repeats[I] += P.Counts.Repeats[I];
     Waiting += static_cast<double>(P.Jobs.size());
   }
   Plain.push_back({"fulmarstep_batch_asks_total", "counter",
@@ -230,10 +231,9 @@
                    static_cast<double>(Sum.Calls)});
   Plain.push_back({"fulmarstep_batch_pieces_total", "counter",
                    static_cast<double>(Sum.Pieces)});
-  Plain.push_back({"fulmarstep_batch_repeats_total", "counter",
-                   static_cast<double>(Sum.Repeats)});
   Plain.push_back({"fulmarstep_batch_jobs", "gauge", Waiting});
-  Exchange->reply(HttpOk, gatewayMetricsText(Gateway->metrics(), Plain),
+  Exchange->reply(HttpOk,
+                  gatewayMetricsText(Gateway->metrics(), Sum.Repeats, Plain),
                   {{"Content-Type", "text/plain; version=0.0.4"}});
 }
 
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -158,9 +158,14 @@
   scheduleInputRelease(*R);
   if (R->Sends++ == 0)
     return;
-  ++Metrics.Repeats;
-  if (!std::exchange(R->RetryLent, false))
-    retryWindowRepeat(Retries[R->PoolName], Timers->now());
+  countRepeat(Metrics.Repeats, R->Cause);
+  if (std::exchange(R->RetryLent, false))
+    return;
+  RetryWindow &Window = Retries[R->PoolName];
+  TimePoint Now = Timers->now();
+  if (!retryWindowAllows(Window, allowance(R->PoolName), Now))
+    ++Metrics.RepeatsOver;
+  retryWindowRepeat(Window, Now);
 }
 
 /// \return Whether a status says that the upstream has served the request.
@@ -306,6 +311,7 @@
     // The upstream is not at fault, and may have the session's prompt part
     // cached.
     std::erase(R->Tried, A.Upstream);
+    R->Cause = RepeatCause::InputsGone;
     closeAttempt(*R);
     return rerunStages(*R);
   }
@@ -450,6 +456,7 @@
   case AttemptDecision::PassOn:
     return Streaming ? finishStream(R, Answer) : finishWithAnswer(R, Answer);
   case AttemptDecision::Retry:
+    R.Cause = repeatCauseOf(Facts.Effect);
     if (!R.Stages.empty() && (R.HeadSent || R.InputsFreed))
       return rerunStages(R);
     return peerClosedEarly(Answer) ? retryAfterCrash(R) : sendAttempt(R.Serial);
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -35,7 +35,16 @@
   return "organisation=\"" + Key.first + "\",route=\"" + Key.second + "\"";
 }
 
+static void writeRepeats(std::string &Out, const std::string &Name,
+                         const RepeatCounts &Counts) {
+  writeType(Out, Name, "counter");
+  for (std::size_t I = 0; I < Counts.size(); ++I)
+    Out += Name + "{cause=\"" + std::string(RepeatCauseNames[I]) + "\"} " +
+           std::to_string(Counts[I]) + "\n";
+}
+
 std::string gatewayMetricsText(const GatewayMetrics &M,
+                               const RepeatCounts &BatchRepeats,
                                const std::vector<UnlabelledMetric> &Others) {
   std::string Out;
   writeType(Out, "fulmarstep_requests_total", "counter");
@@ -59,6 +68,8 @@
   writeHistogram(Out, "fulmarstep_stage_ms", "", M.StageTime);
   writeType(Out, "fulmarstep_first_event_ms", "histogram");
   writeHistogram(Out, "fulmarstep_first_event_ms", "", M.FirstEvent);
+  writeRepeats(Out, "fulmarstep_repeats_total", M.Repeats);
+  writeRepeats(Out, "fulmarstep_batch_repeats_total", BatchRepeats);
   writeUnlabelled(Out, Others);
   return Out;
 }
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -7,6 +7,7 @@
 
 #include "histogram_base.h"
 #include "metrics_func.h"
+#include "repeat_cause.h"
 #include "result_type.h"
 
 namespace fulmar {
@@ -29,7 +30,9 @@
   Histogram FirstEvent{latencyEdgesMs()}; ///< From the send to the first event,
                                           ///< ms.
   std::uint64_t Accepted = 0;             ///< Admitted requests.
-  std::uint64_t Repeats = 0;              ///< Sends beyond the first.
+  RepeatCounts Repeats{};                 ///< Sends beyond the first.
+  std::uint64_t RepeatsOver = 0; ///< Those that the allowance did not cover any
+                                 ///< more when they were sent.
   std::uint64_t SilentAttempts = 0; ///< Attempts kept open beside another one.
   std::uint64_t SilentAnswered = 0; ///< Those whose upstream answered first.
   std::uint64_t RetriesLent = 0;    ///< Retries that this node lent to others.
@@ -46,7 +49,9 @@
                           const std::string &Route, double Ms, bool OnTime);
 
 /// \return The text of the metrics endpoint.
+/// \param BatchRepeats pieces of stages that were sent more than once.
 std::string gatewayMetricsText(const GatewayMetrics &M,
+                               const RepeatCounts &BatchRepeats,
                                const std::vector<UnlabelledMetric> &Others);
 
 } // namespace fulmar
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -12,6 +12,7 @@
 #include "forward_type.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "repeat_cause.h"
 #include "request_fingerprint.h"
 #include "result_type.h"
 #include "route_type.h"
@@ -125,11 +126,12 @@
   std::vector<Fingerprint> Trials;   ///< Quarantined parts that its next or
                                      ///< current attempt is a trial of.
   bool TurnRequested = false;        ///< A TurnAsk was sent for it.
-  std::optional<UpstreamId> LentTurn; ///< Upstream of a turn lent to it.
-  int Sends = 0;                      ///< Attempts that were sent.
-  int Runs = 0;                       ///< Attempts that ran or may have run.
-  bool HeadSent = false;              ///< The answer's head was sent.
-  EventCursor Cursor;                 ///< Events delivered to the client.
+  std::optional<UpstreamId> LentTurn;      ///< Upstream of a turn lent to it.
+  int Sends = 0;                           ///< Attempts that were sent.
+  RepeatCause Cause = RepeatCause::Broken; ///< Of its next repeat.
+  int Runs = 0;           ///< Attempts that ran or may have run.
+  bool HeadSent = false;  ///< The answer's head was sent.
+  EventCursor Cursor;     ///< Events delivered to the client.
   std::string Version;    ///< Software version that began its stream; empty: it
                           ///< has not begun, or the version is unknown.
   TimePoint FirstEvent{}; ///< When the first event was delivered.
--- a/src/gateway_retry.cpp
+++ b/src/gateway_retry.cpp
@@ -34,6 +34,14 @@
   return A;
 }
 
+/// Logs what this node may repeat beyond the ratio.
+void GatewayService::logRetryShare() const {
+  RetryAllowance A = allowance();
+  logEvent(
+      LogLevel::Info, "retry_share",
+      {{"nodes", A.Nodes}, {"share", RetryUsableFraction * A.Extra / A.Nodes}});
+}
+
 /// \return Another node that has a repeat for a pool; empty: none was found.
 std::string GatewayService::retryOwner(const std::string &Pool) {
   RetryAllowance Theirs = allowance();
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -180,8 +180,10 @@
 void GatewayService::membersChanged() {
   Nodes = Members->ids();
   Peers->announceMembers(memberDigest(Nodes));
-  if (std::exchange(SharingNodes, sharingNodes()) != sharingNodes())
-    shareLimits();
+  if (std::exchange(SharingNodes, sharingNodes()) == sharingNodes())
+    return;
+  shareLimits();
+  logRetryShare();
 }
 
 void GatewayService::sweep() {
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -264,6 +264,7 @@
   ForwardRequest *find(RequestSerial Serial);
   double sharingNodes() const;
   RetryAllowance allowance() const;
+  void logRetryShare() const;
   RouteTimes &timesOf(const ForwardRequest &R);
 
   Kernel &Services;              ///< Finds other services.
--- a/src/gateway_silence.cpp
+++ b/src/gateway_silence.cpp
@@ -155,6 +155,7 @@
     upstreamFailed(P, *U, Policy, Timers->now());
   ++Metrics.SilentAttempts;
   ++R.Runs;
+  R.Cause = RepeatCause::Silent;
   R.Silent.push_back(std::move(*R.Attempt));
   closeAttempt(R);
   if (needsStages(R))
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -46,7 +46,7 @@
   for (const auto &[Id, Result] : W.Answers)
     Done += Result.End == BatchEnd::Done ? 1 : 0;
   CHECK(Done == Asked);
-  CHECK(W.P.Counts.Repeats == 0);
+  CHECK(repeatTotal(W.P.Counts.Repeats) == 0);
 }
 
 SCENARIO("calls begin one after the other") {
--- a/tests/test_silent_stage.cpp
+++ b/tests/test_silent_stage.cpp
@@ -149,7 +149,7 @@
   W.Paused = {W.Sent[0].Upstream.Instance};
   W.pass(milliseconds(800));
   REQUIRE(W.endOf(Id) == BatchEnd::Done);
-  CHECK(W.P.Counts.Repeats == 4);
+  CHECK(repeatTotal(W.P.Counts.Repeats) == 4);
   THEN("its late results are freed") {
     W.pass(seconds(2));
     W.freeAll();
