--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -185,6 +185,14 @@
   A.Streaming = R->Route->Kind == RouteKind::Streaming && A.Good;
 }
 
+/// Ends an attempt whose answer is too large to be kept.
+void GatewayService::answerTooLarge(ForwardRequest &R, AttemptNumber Number) {
+  static constexpr const char *Why = "answer too large";
+  if (isSilent(R, Number))
+    return dropSilent(R, Number, Why);
+  abandonAttempt(R, Why);
+}
+
 void GatewayService::attemptChunk(RequestSerial Serial, AttemptNumber Number,
                                   std::string_view Bytes) {
   ForwardRequest *R = find(Serial);
@@ -197,6 +205,8 @@
   A.OnSilence = SilenceDecision::Invalid;
   if (!A.Streaming) {
     A.Body.append(Bytes);
+    if (A.Body.size() > MaxResponseBytes)
+      answerTooLarge(*R, Number);
     return;
   }
   bool Fits = A.Splitter.feed(Bytes, [&](const StreamEvent &Event) {
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -205,6 +205,7 @@
   void scheduleInputRelease(ForwardRequest &R);
   HttpCallbacks attemptCallbacks(RequestSerial Serial, AttemptNumber Number);
   void abandonAttempt(ForwardRequest &R, std::string Why);
+  void answerTooLarge(ForwardRequest &R, AttemptNumber Number);
   void endUnsent(ForwardRequest &R, std::string Why);
   void attemptSent(RequestSerial Serial);
   void attemptHead(RequestSerial Serial, AttemptNumber Number,
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -30,6 +30,10 @@
 /// idle, because peers announce idle timeouts in whole seconds.
 inline constexpr Duration MaxRecentIdle = std::chrono::milliseconds(700);
 
+/// Limit on the body of a response that is collected: four values of the
+/// key-value service of the maximum size (1 MB), encoded as text.
+inline constexpr std::size_t MaxResponseBytes = std::size_t{8} << 20;
+
 /// A request to send, with its timeouts.
 struct HttpCall {
   std::string Address;         ///< IP:PORT.
@@ -41,6 +45,8 @@
   std::string ExpectId;
   /// Maximum time without a byte received.
   Duration Timeout = std::chrono::seconds(60);
+  /// The timeout is for the whole response: received bytes do not extend it.
+  bool WholeTimeout = false;
   /// Maximum time to connect.
   Duration ConnectTimeout = std::chrono::seconds(2);
   HttpReuse Reuse = HttpReuse::Allowed; ///< Connection reuse.
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -85,6 +85,7 @@
   OpenCall &C = Calls[Id];
   C.Upstream = Upstream;
   C.Call = std::move(Call);
+  C.Call.WholeTimeout = true;
   C.Call.ConnectTimeout = std::min(C.Call.ConnectTimeout, ConnectTimeout);
   C.Callbacks = std::move(Callbacks);
   C.Plan = Plan;
@@ -293,6 +294,7 @@
   Call.Path = RelayPath;
   Call.Body = std::move(Sealed);
   Call.Timeout = C.Call.Timeout + ConnectTimeout;
+  Call.WholeTimeout = true;
   Call.ConnectTimeout = ConnectTimeout;
   Call.ContinueTimeout = TakeOnTimeout;
   Call.Reuse = C.Call.Reuse;
