--- a/src/cli/cli_soak.cpp
+++ b/src/cli/cli_soak.cpp
@@ -14,6 +14,9 @@
 DECLARE_uint64(seed);
 DECLARE_int32(kv_port);
 DEFINE_string(signal_log, "", "soak: file of the signals sent to nodes");
+DEFINE_bool(series, true,
+            "soak: upstreams fail most requests of one pool, whose repeats "
+            "are checked");
 DEFINE_bool(pauses, true,
             "soak: pause upstreams around new versions of the configuration");
 
@@ -30,6 +33,7 @@
   Plan.Seed = FLAGS_seed;
   Plan.SignalLog = FLAGS_signal_log;
   Plan.MakePauses = FLAGS_pauses;
+  Plan.MakeSeries = FLAGS_series;
   platform::Soak Run(Loop, Timers, Plan);
   platform::SoakReport Report = Run.run();
   std::cout << "seed " << Plan.Seed << ": sent " << Report.Sent << ", whole "
@@ -46,7 +50,9 @@
             << ", without " << Report.Parts.Baseline << ", versions "
             << Report.Silences.Versions << ", around versions "
             << Report.Silences.Around << ", silent " << Report.Silences.Silent
-            << ", cut " << Report.Silences.Cut << ", broken "
+            << ", cut " << Report.Silences.Cut << ", repeats "
+            << Report.Retries.Repeats << ", most " << Report.Retries.Most
+            << " of " << Report.Retries.Allowed << ", broken "
             << Report.Broken.size() << "\n";
   for (const std::string &Line : Report.Broken)
     std::cout << "BROKEN " << Line << "\n";
