All shares of limits are divided by the nodes that the store lists, too

A node that has just started, or is cut off, knows few other nodes and took turns at rate-limited, cold and brittle upstreams as if the fleet had no more. The number of nodes for repeats, which counts the entries of the fleet in the store, now serves for these as well; fulmarstep_nodes_sharing_limits shows it. Test: a node starts while no other node answers.

--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -207,7 +207,8 @@
        static_cast<double>(Gateway->metrics().TurnsRefused)},
       {"fulmarstep_peer_messages_total", "counter",
        static_cast<double>(Peers.SentMessages)},
-      {"fulmarstep_members", "gauge", static_cast<double>(Members->size())}};
+      {"fulmarstep_members", "gauge", static_cast<double>(Members->size())},
+      {"fulmarstep_nodes_sharing_limits", "gauge", Gateway->nodesEverKnown()}};
   const BatchService &Batches = Services.find<BatchService>(service::Batches);
   BatchCounts Sum;
   double Waiting = 0;
--- a/src/gateway_pools.cpp
+++ b/src/gateway_pools.cpp
@@ -45,7 +45,7 @@
       Listed.push_back(specOf(Entry));
   }
   updateUpstreams(P, Listed, Config.FailureDomain, LastUpstream);
-  MaxNodesSeen = std::max(MaxNodesSeen, sharingNodes());
+  MaxNodesSeen = nodesEverKnown();
   ColdRates[Spec.Name] = Spec.ColdRate;
   for (Upstream &U : P.Upstreams) {
     U.Limit.Max = static_cast<double>(P.Spec.MaxLimit);
@@ -138,7 +138,7 @@
   const RouteTablePtr &Table = Routes->table();
   if (!Table)
     return;
-  MaxNodesSeen = std::max(MaxNodesSeen, sharingNodes());
+  MaxNodesSeen = nodesEverKnown();
   for (const ServiceSpec &Spec : Table->Services) {
     auto Found = Pools.find(Spec.Name);
     if (Spec.Batch || Found == Pools.end())
--- a/src/gateway_retry.cpp
+++ b/src/gateway_retry.cpp
@@ -44,14 +44,6 @@
       {{"nodes", A.Nodes}, {"settled", A.Settled ? 1 : 0}, {"share", Share}});
 }
 
-/// \return The nodes that share the repeats beyond the ratio. A node that is
-/// cut off, and one that has just started, knows too few of them; entries in
-/// the key-value service outlast a cut.
-double GatewayService::nodesSharingRetries() const {
-  auto Listed = static_cast<double>(Members->state().Seeds.size()) + 1;
-  return std::max({sharingNodes(), MaxNodesSeen, Listed});
-}
-
 /// \return Whether a send of a request beyond the first is covered.
 bool GatewayService::mayRepeat(const ForwardRequest &R) {
   if (R.Hold == RepeatHold::Own)
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -156,7 +156,7 @@
   A.Ratio = Config.RetryRatio;
   A.Extra = Config.RetryExtra;
   A.Window = fromMs(Config.RetryWindowS * 1e3);
-  A.Nodes = nodesSharingRetries();
+  A.Nodes = nodesEverKnown();
   A.Settled = RetrySettled;
   return A;
 }
@@ -166,6 +166,13 @@
   return static_cast<double>(std::max<std::size_t>(1, Members->size()));
 }
 
+/// A node that is cut off, and one that has just started, knows too few others;
+/// entries in the key-value service outlast both.
+double GatewayService::nodesEverKnown() const {
+  auto Listed = static_cast<double>(Members->state().Seeds.size()) + 1;
+  return std::max({sharingNodes(), MaxNodesSeen, Listed});
+}
+
 RouteTimes &GatewayService::timesOf(const ForwardRequest &R) {
   RouteTimes &Found = Times[R.Route->Name];
   Found.Stages.resize(std::max(Found.Stages.size(), R.Route->Stages.size()));
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -74,6 +74,8 @@
   std::size_t unsentAnswers() const { return Server->unsent(); }
   /// \return Requests in progress.
   std::size_t requests() const { return Requests.size(); }
+  /// \return Most nodes that this one ever knew or found listed, with itself.
+  double nodesEverKnown() const;
   /// \return Metrics of the requests.
   const GatewayMetrics &metrics() const { return Metrics; }
   /// \return Pools that requests are passed on to.
@@ -272,7 +274,6 @@
   double sharingNodes() const;
   RetryAllowance allowance() const;
   void logRetryShare() const;
-  double nodesSharingRetries() const;
   RouteTimes &timesOf(const ForwardRequest &R);
 
   Kernel &Services;              ///< Finds other services.
--- a/tests/test_retry_limit.cpp
+++ b/tests/test_retry_limit.cpp
@@ -101,6 +101,19 @@
   CHECK(World.repeats() <= World.allowed());
 }
 
+/// Guards against a node that divides the limits of the fleet by the few nodes
+/// that it can reach.
+TEST_CASE("a node starts while no other node answers", "[retry_limit]") {
+  RetryWorld World;
+  for (int I = 0; I < 3; ++I)
+    World.addNode();
+  for (const auto &Node : World.Nodes)
+    Node->halt();
+  GatewayNode &Alone = World.addNode();
+  CHECK(Alone.services().find<MemberService>(service::Members).size() == 1);
+  CHECK(Alone.gateway().nodesEverKnown() == 4);
+}
+
 /// Guards against repeats that are charged only when they are sent, so that
 /// attempts which end together all find the same allowance.
 TEST_CASE("many attempts end at the same moment", "[retry_limit]") {
