Interfaces of engine placement and of reservations: messages, settings, state

Cause: parts that are built side by side need the same messages and types. Change: messages between nodes, their encoding, two settings (off by default), the tokens of an event from the configuration, the state of an engine pool. Result: nothing uses them yet, so no deployment changes.

--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -91,6 +91,34 @@
   BatchResult Result;       ///< Unless Pending.
 };
 
+/// Reserves room for a stage that is requested later, and asks for a forecast.
+struct BatchReserve {
+  std::uint64_t Ticket = 0; ///< Ticket at the sending node.
+  std::string Pool;         ///< Part of a pool, see batchPartName().
+  std::string RequestId;    ///< Request id given by the client.
+  int Stage = 0;            ///< Index of the stage in its route.
+  int Pieces = 0;           ///< Number of its pieces.
+  int Priority = 5;         ///< 0 is the most urgent.
+  Duration ArrivesIn{};     ///< From now; when the stage should be requested.
+  Duration Due{};           ///< From now; latest on-time completion.
+  Duration Deadline{};      ///< From now; a later result is of no use.
+};
+
+/// Answers a BatchReserve.
+struct BatchReserveAnswer {
+  std::uint64_t Ticket = 0; ///< As in the reservation.
+  bool Known = false;       ///< The pool has upstreams that can be used.
+  BatchForecast Forecast;   ///< From the arrival of the stage.
+  Duration RetryIn{};       ///< Until a refused request should be retried.
+};
+
+/// Drops a reservation that is not used.
+struct BatchUnreserve {
+  std::string Pool;      ///< Part of a pool.
+  std::string RequestId; ///< As in the reservation.
+  int Stage = 0;         ///< As in the reservation.
+};
+
 /// Reports to the coordinator what the requesting node has received, cancelled
 /// or released.
 struct BatchReleaseMessage {
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -31,10 +31,15 @@
                             ///< RetryExtra, s.
   std::int64_t QuarantineCrashes = 3; ///< Crashes that quarantine a request.
   double QuarantineS = 300;           ///< Duration of a quarantine, s.
-  double CpuShare = 1;                ///< CPU quota of this node, cores.
-  double LinkMbps = 1000;             ///< Link of this node, Mbit/s.
-  std::string LogLevelName = "info";  ///< Lowest level logged.
-  std::int64_t Seed = 0;              ///< Of random choices; 0: from the clock.
+  double PlacementStepBudgetMs =
+      0; ///< Engine pools are placed by a coordinator
+         ///< if a route leaves at most this time
+         ///< for a decode step, ms; 0: none.
+  std::int64_t PlacementMinSlots = 24; ///< And if engines have so many slots.
+  double CpuShare = 1;                 ///< CPU quota of this node, cores.
+  double LinkMbps = 1000;              ///< Link of this node, Mbit/s.
+  std::string LogLevelName = "info";   ///< Lowest level logged.
+  std::int64_t Seed = 0; ///< Of random choices; 0: from the clock.
 };
 
 } // namespace fulmar
--- a/src/node_services.h
+++ b/src/node_services.h
@@ -30,6 +30,7 @@
 inline constexpr std::string_view StreamVersions = "stream_versions";
 inline constexpr std::string_view UpstreamCalls = "upstream_calls";
 inline constexpr std::string_view CallRelay = "call_relay";
+inline constexpr std::string_view Placement = "placement";
 inline constexpr std::string_view Gateway = "gateway";
 inline constexpr std::string_view Entries = "entries";
 inline constexpr std::string_view Callers = "callers";
--- a/src/peer_type.h
+++ b/src/peer_type.h
@@ -8,6 +8,7 @@
 #include "batch_type.h"
 #include "bundle_base.h"
 #include "call_relay_type.h"
+#include "engine_placement_type.h"
 #include "ledger_type.h"
 #include "member_type.h"
 #include "quarantine_type.h"
@@ -44,7 +45,9 @@
                  QuarantineUpdate, QuarantineObjection, QuarantineQuery,
                  TrialAsk, TrialAnswer, RateLimitUpdate, TurnAsk, TurnAnswer,
                  RetryAsk, RetryAnswer, LeavingUpdate, RelayedCall,
-                 RefusalUpdate, StreamRecord, StreamQuery, StreamAnswer>;
+                 RefusalUpdate, StreamRecord, StreamQuery, StreamAnswer,
+                 PlacementAsk, PlacementAnswer, PlacementUpdate, BatchReserve,
+                 BatchReserveAnswer, BatchUnreserve>;
 
 /// A message between nodes, with the fields that every message has.
 struct PeerMessage {
--- a/src/route_type.h
+++ b/src/route_type.h
@@ -80,6 +80,7 @@
 struct EngineSpec {
   int Slots = 64;         ///< Requests that one engine runs at once.
   double CacheTokens = 0; ///< Capacity of an engine's KV cache, tokens.
+  int EventTokens = 1;    ///< Tokens of one event of a stream.
 };
 
 /// A pool of interchangeable upstreams.
--- a/src/table/gateway_settings.h
+++ b/src/table/gateway_settings.h
@@ -64,6 +64,18 @@
     {"quarantine_s", &GatewaySettings::QuarantineS, "s", 1, 86400,
      FieldPresence::Optional,
      "How long a quarantined request is refused before it may be tried again."},
+    {"placement_step_budget_ms", &GatewaySettings::PlacementStepBudgetMs, "ms",
+     0, 10000, FieldPresence::Optional,
+     "One node places the requests of an engine pool, and whole chains of "
+     "stages are admitted at once, if some route to the pool leaves at most "
+     "this time for a decode step: its gap target divided by the tokens of an "
+     "event; 0: never."},
+    {"placement_min_slots", &GatewaySettings::PlacementMinSlots, "", 1, 100000,
+     FieldPresence::Optional,
+     "Requests that an engine runs at once, below which "
+     "placement_step_budget_ms "
+     "has no effect: engines must hold many answers to keep the short ones "
+     "apart from long prompts."},
     {"cpu_share", &GatewaySettings::CpuShare, "cores", 0.01, 1024,
      FieldPresence::Optional, "Processor cores available to this node."},
     {"link_mbps", &GatewaySettings::LinkMbps, "Mbit/s", 0.1, 1000000,
