--- a/src/engine_placement_base.h
+++ b/src/engine_placement_base.h
@@ -20,9 +20,10 @@
 
 /// An engine as the coordinator may choose it.
 struct EngineEntry {
-  Incarnation Start;   ///< Its start.
-  bool Usable = true;  ///< It may get new requests.
-  std::string Version; ///< Of its software; empty: unknown.
+  Incarnation Start;         ///< Its start.
+  bool Usable = true;        ///< It may get new requests.
+  std::string Version;       ///< Of its software; empty: unknown.
+  std::string FailureDomain; ///< Failure domain it runs in.
 };
 
 /// A request that is placed at an engine.
--- a/src/engine_placement_type.h
+++ b/src/engine_placement_type.h
@@ -32,6 +32,7 @@
   Duration Due{};                  ///< From now; the first event is late then.
   Duration Left{};                 ///< From now; until its deadline.
   std::string Version;             ///< Software version required; empty: any.
+  std::string Domain; ///< Failure domain that holds its inputs; empty: none.
   std::vector<Incarnation> Excluded; ///< Engines that it must not use.
   int AskedBefore = 0;               ///< Asks that were answered by a hold.
 };
