--- a/src/engine_placement_base.h
+++ b/src/engine_placement_base.h
@@ -33,7 +33,9 @@
   bool ReadAlone =
       false;            ///< Nothing else waited to be read when it was placed.
   TimePoint PlacedAt{}; ///< When it was placed.
-  TimePoint Deadline{}; ///< It is dropped then.
+  TimePoint SilentFrom{}; ///< Without a first event, its engine counts as
+                          ///< silent then.
+  TimePoint Deadline{};   ///< It is dropped then.
 };
 
 /// State of one engine.
@@ -44,6 +46,8 @@
   double RecentTokens = 0;  ///< Tokens placed lately, decaying.
   TimePoint RecentAt{};     ///< When RecentTokens was last decayed.
   double WaitingTokens = 0; ///< Of placed requests that have not begun.
+  TimePoint SilentFrom = TimePoint::max(); ///< Earliest of those requests.
+  TimePoint LastBegan{};                   ///< Time of the latest first event.
   std::map<PlacementKey, PlacedRequest> Placed; ///< Not ended.
   std::unordered_map<std::uint64_t, TimePoint>
       Kept; ///< Shared parts sent to it, by PromptShare::Key; latest use.
@@ -62,10 +66,12 @@
 struct EnginePool {
   std::string Name;        ///< Of the part.
   int Slots = 64;          ///< Requests that one engine runs at once.
+  int EventTokens = 1;     ///< Tokens of one event of a response.
   TimePoint KnownSince{};  ///< When the coordinator began to know placements.
   double TokensPerMs = 0;  ///< Smoothed mean speed of its engines; 0: unknown.
   double SharedTokens = 0; ///< Smoothed mean of a prompt's shared tokens.
   std::map<Incarnation, EngineState> Engines; ///< By start.
+  std::map<PlacementKey, Incarnation> Where;  ///< Engine of each placement.
   EnginePoolCounts Counts;                    ///< For metrics.
 };
 
