--- a/src/engine_placement.cpp
+++ b/src/engine_placement.cpp
@@ -153,6 +153,13 @@
   return S;
 }
 
+static double promptTokens(const PlacementRequest &Request) {
+  double Tokens = 0;
+  for (const PromptShare &Part : Request.Prompt)
+    Tokens += Part.Tokens;
+  return Tokens;
+}
+
 /// \return How long to hold a request; zero: do not.
 static Duration holdTime(const EngineSurvey &S,
                          const PlacementRequest &Request) {
@@ -194,6 +201,7 @@
   Placed.PlacedAt = Now;
   Placed.Deadline = Now + Request.Left;
   recordPlacement(P, *S.Best, Key, Placed, Request.Prompt, Now);
+  learnShared(P, promptTokens(Request) - S.FewestTokens);
   ++P.Counts.Placed;
   P.Counts.AgainTokens += Out.AgainTokens;
   return Out;
--- a/src/engine_placement_state.cpp
+++ b/src/engine_placement_state.cpp
@@ -20,7 +20,7 @@
 static constexpr double DefaultSpeed = 60;
 /// Speed of a silent engine, relative to its own.
 static constexpr double SilentSpeed = 0.25;
-/// Weight of the latest prompt in the mean of shared tokens.
+/// Weight in the mean of shared tokens of a prompt that has as many.
 static constexpr double SharedFactor = 0.02;
 
 static double poolSpeed(const EnginePool &P) {
@@ -60,16 +60,7 @@
   }
 }
 
-/// The mean is weighted by tokens: it is the size of the part that a shared
-/// token belongs to on average. Otherwise, many short prompts would make the
-/// parts of long ones too costly to be read again.
-static void learnShared(EnginePool &P, std::span<const PromptShare> Prompt) {
-  // The last entry of a prompt of three or more belongs to the request alone.
-  if (Prompt.size() > 2)
-    Prompt = Prompt.first(Prompt.size() - 1);
-  double Tokens = 0;
-  for (const PromptShare &Part : Prompt)
-    Tokens += Part.Tokens;
+void learnShared(EnginePool &P, double Tokens) {
   if (Tokens <= 0)
     return;
   if (P.SharedTokens <= 0)
@@ -98,7 +89,6 @@
   P.Where.emplace(Key, E.Entry.Start);
   for (const PromptShare &Part : Prompt)
     E.Kept[Part.Key] = Now;
-  learnShared(P, Prompt);
 }
 
 /// Takes a request that has begun or ended out of those that wait.
