--- a/src/engine_placement.cpp
+++ b/src/engine_placement.cpp
@@ -156,7 +156,7 @@
 static double promptTokens(const PlacementRequest &Request) {
   double Tokens = 0;
   for (const PromptShare &Part : Request.Prompt)
-    Tokens += Part.Tokens;
+    Tokens += std::max(0, Part.Tokens);
   return Tokens;
 }
 
--- a/src/engine_placement_state.cpp
+++ b/src/engine_placement_state.cpp
@@ -41,7 +41,7 @@
       auto Found = E.Kept.find(Part.Key);
       Cached = Found != E.Kept.end() && Now - Found->second <= ShareKept;
     }
-    Tokens += Cached ? 0 : Part.Tokens;
+    Tokens += Cached ? 0 : std::max(0, Part.Tokens);
   }
   return Tokens;
 }
