Coordinators place the requests of engine pools

Cause: each node knows only its own calls, so prompts meet at one engine while others are free, and the responses there pause. Off unless placement_step_budget_ms is set.

--- a/src/engine_placement_type.h
+++ b/src/engine_placement_type.h
@@ -77,7 +77,8 @@
   std::vector<PromptShare> Prompt; ///< Parts of its prompt, when Placed.
   int OutputTokens = 0;            ///< Limit of its output, when Placed.
   Duration GapTarget{};            ///< When Placed.
-  Duration Left{};                 ///< Until its deadline, when Placed.
+  Duration Left{};                 ///< From then until its deadline, when
+                                   ///< Placed.
   Duration Ago{};                  ///< Since it happened.
 };
 
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "call_relay_service.h"
+#include "engine_placement_service.h"
 #include "gateway_service.h"
 #include "log_func.h"
 #include "loop_service.h"
@@ -127,6 +128,8 @@
       Services.find<UpstreamNoticeService>(service::Notices).counts();
   const StreamVersionService &Streams =
       Services.find<StreamVersionService>(service::StreamVersions);
+  const EnginePlacementService &Placements =
+      Services.find<EnginePlacementService>(service::Placement);
   auto Age = Routes->age();
   std::vector<UnlabelledMetric> Plain = {
       {"fulmarstep_requests_accepted_total", "counter",
@@ -205,6 +208,16 @@
        static_cast<double>(Gateway->metrics().TurnsLent)},
       {"fulmarstep_turns_kept_total", "counter",
        static_cast<double>(Gateway->metrics().TurnsRefused)},
+      {"fulmarstep_placement_holds_total", "counter",
+       static_cast<double>(Gateway->metrics().PlacementHolds)},
+      {"fulmarstep_placement_asks_total", "counter",
+       static_cast<double>(Placements.counts().Asks)},
+      {"fulmarstep_placement_asks_unanswered_total", "counter",
+       static_cast<double>(Placements.counts().Unanswered)},
+      {"fulmarstep_placements_in_progress", "gauge",
+       static_cast<double>(Placements.known())},
+      {"fulmarstep_placements_expired_total", "counter",
+       static_cast<double>(Placements.expired())},
       {"fulmarstep_peer_messages_total", "counter",
        static_cast<double>(Peers.SentMessages)},
       {"fulmarstep_members", "gauge", static_cast<double>(Members->size())},
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -40,6 +40,7 @@
 
 /// Handles an attempt that cannot be made.
 void GatewayService::endUnsent(ForwardRequest &R, std::string Why) {
+  releasePlacement(R);
   R.LastFailure = std::move(Why);
   HttpResponse None;
   afterAttempt(R, AttemptOutcome::Broken, AttemptEffect::NotSent, None,
@@ -63,8 +64,14 @@
   bool Lent = Index.has_value();
   if (!Lent && requestTurn(*R, P, Hints))
     return;
+  if (!Lent && requestPlacement(*R, P, Hints))
+    return;
   if (!Lent)
+    Index = placedUpstream(*R, P, Hints);
+  if (!Index)
     Index = chooseForAttempt(*R, P, Hints);
+  if (!Index)
+    releasePlacement(*R);
   if (!Index && waitForTurn(*R, P))
     return;
   if (!Index)
@@ -106,6 +113,7 @@
   R->Attempt->Continues = !R->Version.empty();
   R->Attempt->Started = Now;
   R->Attempt->LastEventAt = Now;
+  placementSent(*R);
   UpstreamCallPlan Plan;
   // Another upstream is tried first: that this one cannot be connected to is
   // more likely its own fault.
@@ -203,6 +211,7 @@
   HeardAt[R->PoolName] = A.LastEventAt;
   A.PathLost = false;
   A.OnSilence = SilenceDecision::Invalid;
+  placementBegan(A);
   if (!A.Streaming) {
     A.Body.append(Bytes);
     if (A.Body.size() > MaxResponseBytes)
@@ -356,6 +365,7 @@
 /// Updates the counts of calls in progress at an attempt's upstream when its
 /// call has ended.
 void GatewayService::endCall(const ForwardRequest &R, ForwardAttempt &A) {
+  placementEnded(A);
   Upstream *U = upstreamById(Pools[R.PoolName], A.Upstream);
   if (!U)
     return;
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -43,6 +43,16 @@
            std::to_string(Counts[I]) + "\n";
 }
 
+static void writePlacements(std::string &Out, const GatewayMetrics &M) {
+  static constexpr const char *Name = "fulmarstep_placements_total";
+  writeType(Out, Name, "counter");
+  Out += std::string(Name) + "{source=\"coordinator\"} " +
+         std::to_string(M.PlacedByCoordinator) + "\n" + Name +
+         "{source=\"own\"} " + std::to_string(M.PlacedOwn) + "\n";
+  writeType(Out, "fulmarstep_placement_read_ms", "histogram");
+  writeHistogram(Out, "fulmarstep_placement_read_ms", "", M.PlacementRead);
+}
+
 std::string gatewayMetricsText(const GatewayMetrics &M,
                                const RepeatCounts &BatchRepeats,
                                const std::vector<UnlabelledMetric> &Others) {
@@ -68,6 +78,7 @@
   writeHistogram(Out, "fulmarstep_stage_ms", "", M.StageTime);
   writeType(Out, "fulmarstep_first_event_ms", "histogram");
   writeHistogram(Out, "fulmarstep_first_event_ms", "", M.FirstEvent);
+  writePlacements(Out, M);
   writeRepeats(Out, "fulmarstep_repeats_total", M.Repeats);
   writeRepeats(Out, "fulmarstep_batch_repeats_total", BatchRepeats);
   writeUnlabelled(Out, Others);
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -29,8 +29,17 @@
   Histogram StageTime{latencyEdgesMs()};   ///< One stage, with queueing, ms.
   Histogram FirstEvent{latencyEdgesMs()}; ///< From the send to the first event,
                                           ///< ms.
-  std::uint64_t Accepted = 0;             ///< Admitted requests.
-  RepeatCounts Repeats{};                 ///< Sends beyond the first.
+  Histogram PlacementRead{latencyEdgesMs()}; ///< Expected time until an engine
+                                             ///< that a coordinator chose has
+                                             ///< read a prompt, ms.
+  std::uint64_t PlacedByCoordinator = 0;     ///< Sends to an engine that the
+                                             ///< coordinator of the pool chose.
+  std::uint64_t PlacedOwn = 0; ///< Sends to an engine of such a pool that this
+                               ///< node chose.
+  std::uint64_t PlacementHolds = 0; ///< Waits for an engine to have read
+                                    ///< earlier prompts.
+  std::uint64_t Accepted = 0;       ///< Admitted requests.
+  RepeatCounts Repeats{};           ///< Sends beyond the first.
   std::uint64_t RepeatsOver = 0; ///< Those that the allowance did not cover any
                                  ///< more when they were sent.
   std::uint64_t SilentAttempts = 0; ///< Attempts kept open beside another one.
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -5,6 +5,7 @@
 #include "call_relay_service.h"
 #include "core/hash.h"
 #include "drain_service.h"
+#include "engine_placement_service.h"
 #include "entry_api.h"
 #include "gateway_service.h"
 #include "gateway_settings_func.h"
@@ -88,6 +89,8 @@
                std::make_unique<UpstreamNoticeService>(Services));
   Services.add(service::StreamVersions,
                std::make_unique<StreamVersionService>(Services));
+  Services.add(service::Placement, std::make_unique<EnginePlacementService>(
+                                       Services, Config, Seed + 10));
   Services.add(service::CallRelay, std::make_unique<CallRelayService>(
                                        Services, Wire, Common.Strength));
   Services.add(service::Gateway, std::make_unique<GatewayService>(
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -7,6 +7,7 @@
 
 #include "attempt_decision_type.h"
 #include "batch_relay.h"
+#include "engine_placement_type.h"
 #include "event_stream.h"
 #include "fair_queue_base.h"
 #include "forward_type.h"
@@ -70,12 +71,14 @@
                                                         ///< since then.
   TimePoint RepeatAt{}; ///< When it was counted as a repeat of this node; zero:
                         ///< it was not.
-  int StageRound = 0;   ///< Run of the stages that made its inputs.
-  bool Proven = false;  ///< Its answer has gone on for long enough to clear the
-                        ///< parts of its prompt.
-  int Events = 0;       ///< Events that were passed on.
-  HttpResponse Head;    ///< Head of the answer.
-  std::string Body;     ///< Body of an answer that is not streamed.
+  std::uint64_t PlacementSerial = 0; ///< Under which its placement at an
+                                     ///< engine is known; 0: it is not.
+  int StageRound = 0;  ///< Run of the stages that made its inputs.
+  bool Proven = false; ///< Its answer has gone on for long enough to clear the
+                       ///< parts of its prompt.
+  int Events = 0;      ///< Events that were passed on.
+  HttpResponse Head;   ///< Head of the answer.
+  std::string Body;    ///< Body of an answer that is not streamed.
   EventSplitter Splitter; ///< Splits a streamed answer.
 };
 
@@ -95,6 +98,16 @@
   Invalid, ///< Not a hold.
 };
 
+/// The choice of an engine for the next attempt of a request, by a coordinator.
+struct PlacementProgress {
+  bool Waits = false;   ///< For an answer, or for the end of a hold.
+  bool Holds = false;   ///< RetryTimer ends a hold.
+  bool Decided = false; ///< The coordinator is not asked any more.
+  int Held = 0;         ///< Holds so far.
+  Duration HeldFor{};   ///< Sum of the holds.
+  Placement Answer;     ///< Once decided; no engine: the node chooses itself.
+};
+
 /// A request in progress.
 struct ForwardRequest {
   RequestSerial Serial;             ///< Identifies it on this node.
@@ -139,6 +152,7 @@
                                    ///< current attempt is a trial of.
   bool TurnRequested = false;      ///< A TurnAsk was sent for it.
   std::optional<UpstreamId> LentTurn;      ///< Upstream of a turn lent to it.
+  PlacementProgress Placing;               ///< Engine of the next attempt.
   int Sends = 0;                           ///< Attempts that were sent.
   RepeatCause Cause = RepeatCause::Broken; ///< Of its next repeat.
   int Runs = 0;           ///< Attempts that ran or may have run.
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "engine_placement_service.h"
 #include "gateway_reply.h"
 #include "log_func.h"
 #include "loop_service.h"
@@ -58,6 +59,7 @@
   Notices = &Services.find<UpstreamNoticeService>(service::Notices);
   StreamVersions =
       &Services.find<StreamVersionService>(service::StreamVersions);
+  Placements = &Services.find<EnginePlacementService>(service::Placement);
   RateLimited->onChange(
       [this](const Incarnation &Start) { rateLimitChanged(Start); });
   RateLimited->onRefusal(
@@ -313,6 +315,7 @@
   cancelStages(R);
   returnTrials(R);
   releaseRepeat(R);
+  releasePlacement(R);
   TimePoint Useful = R.FirstEvent > TimePoint{} ? R.FirstEvent : Now;
   bool OnTime = Code == ResultCode::Complete && Useful <= R.OnTimeBy;
   std::initializer_list<LogField> Fields = {
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -18,6 +18,7 @@
 namespace fulmar {
 
 class RouteFeed;
+class EnginePlacementService;
 class UpstreamFeed;
 class MemberService;
 class PeerService;
@@ -164,6 +165,7 @@
   void recordVersions(const UpstreamChanges &Changes);
   void rebuildVersions();
   void recordMovedRoutes();
+  std::set<std::string> avoidedVersions(const ForwardRequest &R) const;
   std::optional<std::size_t> chooseForAttempt(const ForwardRequest &R, Pool &P,
                                               const ChoiceHints &Hints);
 
@@ -187,6 +189,24 @@
   bool waitForTurn(ForwardRequest &R, const Pool &P);
   std::optional<std::size_t> lentUpstream(ForwardRequest &R, const Pool &P);
 
+  // gateway_placement.cpp: engines that a coordinator chooses.
+  PlacementAsk placementAsk(const ForwardRequest &R,
+                            std::uint64_t Attempt) const;
+  std::vector<bool> usableEngines(const ForwardRequest &R, const Pool &P,
+                                  const ChoiceHints &Hints) const;
+  bool requestPlacement(ForwardRequest &R, const Pool &P,
+                        const ChoiceHints &Hints);
+  void placementAnswered(RequestSerial Serial,
+                         const std::optional<Placement> &Answer);
+  bool holdPlacement(ForwardRequest &R, const std::optional<Placement> &Answer);
+  std::optional<std::size_t> placedUpstream(const ForwardRequest &R,
+                                            const Pool &P,
+                                            const ChoiceHints &Hints) const;
+  void placementSent(ForwardRequest &R);
+  void placementBegan(const ForwardAttempt &A);
+  void placementEnded(ForwardAttempt &A);
+  void releasePlacement(ForwardRequest &R);
+
   // gateway_retry.cpp: repeats lent between nodes.
   RetryAllowance allowance(const std::string &Pool) const;
   bool mayRepeat(const ForwardRequest &R);
@@ -293,6 +313,7 @@
   RateLimitService *RateLimited = nullptr;  ///< Upstreams with a rate limit.
   UpstreamNoticeService *Notices = nullptr; ///< Announcements of upstreams.
   StreamVersionService *StreamVersions = nullptr; ///< Where streams began.
+  EnginePlacementService *Placements = nullptr;   ///< Places requests.
   std::unique_ptr<HttpServer> Server;             ///< Listens for clients.
   std::map<std::string, Pool> Pools;              ///< Plain pools and engines.
   /// Pools with attempts that ended since the latest sweep().
--- a/src/gateway_silence.cpp
+++ b/src/gateway_silence.cpp
@@ -167,6 +167,7 @@
 /// Makes a silent attempt the current one again. There is no other.
 void GatewayService::takeBackSilent(ForwardRequest &R, std::size_t Index) {
   assert(!R.Attempt);
+  releasePlacement(R);
   Timers->cancel(R.RetryTimer);
   Timers->cancel(R.StageTimer);
   R.RetryTimer = TimerId{};
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -230,6 +230,7 @@
   logEvent(LogLevel::Info, "stages_redone",
            {{"id", R.Ask.RequestId}, {"rounds", R.StageRounds}});
   cancelStages(R);
+  releasePlacement(R);
   Timers->cancel(R.RetryTimer);
   R.InputsFreed = false;
   beginStages(R);
--- a/src/gateway_stream.cpp
+++ b/src/gateway_stream.cpp
@@ -150,13 +150,20 @@
   return Own;
 }
 
+/// \return Versions at which a stream should not begin, as others could hardly
+/// continue it.
+std::set<std::string>
+GatewayService::avoidedVersions(const ForwardRequest &R) const {
+  if (!R.Route->Resumable || !R.Version.empty())
+    return {};
+  return unsettledVersions(Versions, R.PoolName, Timers->now());
+}
+
 std::optional<std::size_t>
 GatewayService::chooseForAttempt(const ForwardRequest &R, Pool &P,
                                  const ChoiceHints &Hints) {
   TimePoint Now = Timers->now();
-  std::set<std::string> Unsettled;
-  if (R.Route->Resumable && R.Version.empty())
-    Unsettled = unsettledVersions(Versions, R.PoolName, Now);
+  std::set<std::string> Unsettled = avoidedVersions(R);
   if (!Unsettled.empty()) {
     ChoiceHints Settled = Hints;
     Settled.Without = &Unsettled;
--- a/src/upstream.cpp
+++ b/src/upstream.cpp
@@ -66,8 +66,8 @@
          (!Hints.Without || !Hints.Without->count(U.Version));
 }
 
-static bool usable(const Upstream &U, const RouterPolicy &Policy,
-                   const ChoiceHints &Hints, TimePoint Now) {
+bool upstreamUsable(const Upstream &U, const RouterPolicy &Policy,
+                    const ChoiceHints &Hints, TimePoint Now) {
   if (!fits(U, Policy, Hints, Now) || !hasCapacity(U, Policy, Now))
     return false;
   if (!Hints.Avoid)
@@ -91,7 +91,7 @@
                                               TimePoint Now) {
   for (std::size_t I = 0; I < P.Upstreams.size(); ++I) {
     std::size_t Index = (From + I) % P.Upstreams.size();
-    if (usable(P.Upstreams[Index], Policy, Hints, Now))
+    if (upstreamUsable(P.Upstreams[Index], Policy, Hints, Now))
       return Index;
   }
   return std::nullopt;
@@ -134,7 +134,7 @@
                                              const ChoiceHints &Hints,
                                              TimePoint Now) {
   const Upstream *U = affineUpstream(P, Policy, Hints, Now);
-  if (!U || !usable(*U, Policy, Hints, Now))
+  if (!U || !upstreamUsable(*U, Policy, Hints, Now))
     return std::nullopt;
   double MaxInFlight =
       Policy.AffinityBound * (meanInFlight(P, Policy, Now) + 1) +
@@ -157,7 +157,7 @@
   int Sampled = 0;
   for (int Draw = 0; Draw < Policy.SampleCount * DrawsPerSample; ++Draw) {
     std::size_t I = randomIndex(Rng, P.Upstreams.size());
-    if (!usable(P.Upstreams[I], Policy, Hints, Now))
+    if (!upstreamUsable(P.Upstreams[I], Policy, Hints, Now))
       continue;
     double Score = score(P.Upstreams[I], Policy, Now);
     if (!Best || Score < BestScore) {
--- a/src/upstream_func.h
+++ b/src/upstream_func.h
@@ -29,6 +29,10 @@
 bool upstreamEligible(const Upstream &U, const RouterPolicy &Policy,
                       TimePoint Now);
 
+/// \return Whether \p U may get one more call that meets all of \p Hints.
+bool upstreamUsable(const Upstream &U, const RouterPolicy &Policy,
+                    const ChoiceHints &Hints, TimePoint Now);
+
 /// \return Whether an eligible upstream has capacity for one more call.
 bool poolHasCapacity(const Pool &P, const RouterPolicy &Policy, TimePoint Now);
 
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -25,6 +25,9 @@
   std::string Stream;  ///< Body received so far.
 };
 
+/// Requests that an engine runs at once, as configured.
+inline constexpr int EngineSlots = 8;
+
 /// A platform with a few upstreams, and nodes that forward requests to them.
 struct GatewayWorld {
   TimerService Timers;
@@ -60,7 +63,9 @@
   std::string ListDomain = "z1"; ///< Failure domain of upstreams added next.
   std::string StoreAddress;      ///< For nodes added next; empty: Store.
   std::map<std::string, std::string>
-      ListedAddress;    ///< Address in the list, by upstream; empty: its own.
+      ListedAddress; ///< Address in the list, by upstream; empty: its own.
+  /// For nodes added next; 0: no engine pool is coordinated.
+  double PlacementStepBudgetMs = 0;
   bool Sources = false; ///< Nodes connect from addresses of their own; see
                         ///< sourceOf().
 
@@ -127,8 +132,9 @@
         "\"cold_per_s\":" +
         std::to_string(ColdPerS) +
         "},"
-        "{\"name\":\"engine\",\"connection_limit\":40,\"engine\":{\"slots\":"
-        "8}},{\"name\":\"batch\",\"connection_limit\":40,\"pieces\":{"
+        "{\"name\":\"engine\",\"connection_limit\":40,\"engine\":{\"slots\":" +
+        std::to_string(EngineSlots) +
+        "}},{\"name\":\"batch\",\"connection_limit\":40,\"pieces\":{"
         "\"slots\":1,\"queue\":2,\"batch\":4,\"call_ms\":" +
         std::to_string(CallMs) +
         ",\"item_ms\":1,"
@@ -187,6 +193,9 @@
     S.GraceS = 3;
     S.QuarantineCrashes = QuarantineCrashes;
     S.QuarantineS = QuarantineS;
+    S.PlacementStepBudgetMs = PlacementStepBudgetMs;
+    if (PlacementStepBudgetMs > 0)
+      S.PlacementMinSlots = EngineSlots;
     Settings.push_back(S);
     return Settings.back();
   }
