Pauses between the events of a stream are measured

Cause: on_time compared only the first event with a target, so streams that stall for longer than their route allows were reported as on time. Change: the time between events that are delivered to a client, without the first wait and without the time in which the client does not read. request_done has max_gap_ms (-1 without two events); on_time requires that no pause was longer than the route's gap target (0: any is allowed); fulmarstep_stream_gaps_total and the histogram fulmarstep_stream_longest_gap_ms, by organisation and route. Result: test_stream_gap: an engine that pauses for 160 ms at a target of 100 ms makes a complete stream late; a late first event, and a client that does not read for 900 ms, do not. No decision depends on the figures.

--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -247,6 +247,7 @@
     freeStages(R);
   }
   R.LastEvent = Now;
+  streamGapEvent(R.Gaps, Now);
   R.Cursor.take(Event);
   if (A.Events++ == 0)
     A.FirstEventAt = Now;
@@ -255,9 +256,12 @@
   if (A.Paused || R.Exchange->unsent() < MaxUnsent)
     return;
   A.Paused = true;
+  streamGapClientBehind(R.Gaps);
   Client->pause(A.Call);
   R.Exchange->OnDrained = [this, Serial = R.Serial] {
     ForwardRequest *Behind = find(Serial);
+    if (Behind)
+      streamGapClientReads(Behind->Gaps, Timers->now());
     if (!Behind || !Behind->Attempt || !Behind->Attempt->Paused)
       return;
     Behind->Attempt->Paused = false;
--- a/src/gateway_metrics.cpp
+++ b/src/gateway_metrics.cpp
@@ -31,6 +31,13 @@
   Found.OnTime += OnTime ? 1 : 0;
 }
 
+void gatewayRecordGap(GatewayMetrics &M, const std::string &Organisation,
+                      const std::string &Route, double Ms, bool Over) {
+  RouteMetrics &Found = metricsOf(M, Organisation, Route);
+  Found.LongestGap.add(Ms);
+  Found.GapsOver += Over ? 1 : 0;
+}
+
 static std::string labels(const RouteKey &Key) {
   return "organisation=\"" + Key.first + "\",route=\"" + Key.second + "\"";
 }
@@ -64,6 +71,18 @@
     if (Route.Latency.count() > 0)
       writeHistogram(Out, "fulmarstep_latency_ms", labels(Key), Route.Latency);
   }
+  writeType(Out, "fulmarstep_stream_gaps_total", "counter");
+  for (const auto &[Key, Route] : M.Routes) {
+    if (Route.LongestGap.count() > 0)
+      Out += "fulmarstep_stream_gaps_total{" + labels(Key) + "} " +
+             std::to_string(Route.GapsOver) + "\n";
+  }
+  writeType(Out, "fulmarstep_stream_longest_gap_ms", "histogram");
+  for (const auto &[Key, Route] : M.Routes) {
+    if (Route.LongestGap.count() > 0)
+      writeHistogram(Out, "fulmarstep_stream_longest_gap_ms", labels(Key),
+                     Route.LongestGap);
+  }
   writeType(Out, "fulmarstep_stage_ms", "histogram");
   writeHistogram(Out, "fulmarstep_stage_ms", "", M.StageTime);
   writeType(Out, "fulmarstep_first_event_ms", "histogram");
--- a/src/gateway_metrics.h
+++ b/src/gateway_metrics.h
@@ -15,12 +15,20 @@
 /// Organisation and route of a request, by which requests are counted.
 using RouteKey = std::pair<std::string, std::string>;
 
+/// Upper bucket edges in ms of pauses between events. Routes allow 100 to
+/// 400 ms; the edges of latencies are too far apart there.
+inline constexpr double GapEdgesMs[] = {
+    5, 10, 20, 32, 50, 70, 100, 150, 200, 300, 400, 500, 700, 1000, 2000, 4000};
+
 /// Metrics of one organisation and route.
 struct RouteMetrics {
   std::map<ResultCode, std::uint64_t> Codes; ///< Ended requests by code.
   Histogram Latency{latencyEdgesMs()}; ///< To the first event, or to the end
                                        ///< without one, ms.
-  std::uint64_t OnTime = 0;            ///< Complete within the target.
+  std::uint64_t OnTime = 0;            ///< Complete within the targets.
+  Histogram LongestGap{GapEdgesMs};    ///< Longest pause between events of
+                                       ///< each stream, ms.
+  std::uint64_t GapsOver = 0; ///< Streams with a pause over the target.
 };
 
 /// Metrics of a forwarding node.
@@ -48,6 +56,11 @@
 void gatewayRecordLatency(GatewayMetrics &M, const std::string &Organisation,
                           const std::string &Route, double Ms, bool OnTime);
 
+/// Records the longest pause between the events of a stream.
+/// \param Over it was longer than the route allows.
+void gatewayRecordGap(GatewayMetrics &M, const std::string &Organisation,
+                      const std::string &Route, double Ms, bool Over);
+
 /// \return The text of the metrics endpoint.
 /// \param BatchRepeats pieces of stages that were sent more than once.
 std::string gatewayMetricsText(const GatewayMetrics &M,
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -16,6 +16,7 @@
 #include "request_fingerprint.h"
 #include "result_type.h"
 #include "route_type.h"
+#include "stream_gap.h"
 #include "timer_base.h"
 #include "upstream_base.h"
 
@@ -147,6 +148,7 @@
   std::string Version;    ///< Software version that began its stream; empty: it
                           ///< has not begun, or the version is unknown.
   TimePoint FirstEvent{}; ///< When the first event was delivered.
+  StreamGaps Gaps;        ///< Pauses between the events delivered.
   std::string LastUpstream; ///< Address, for logs.
   std::string LastFailure;  ///< Reason, for logs.
   Duration Expected{};      ///< Time it should take, estimated at admission.
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -314,7 +314,9 @@
   returnTrials(R);
   releaseRepeat(R);
   TimePoint Useful = R.FirstEvent > TimePoint{} ? R.FirstEvent : Now;
-  bool OnTime = Code == ResultCode::Complete && Useful <= R.OnTimeBy;
+  bool GapOver = streamGapOver(R.Gaps, R.Route->GapTarget);
+  bool OnTime =
+      Code == ResultCode::Complete && Useful <= R.OnTimeBy && !GapOver;
   std::initializer_list<LogField> Fields = {
       {"id", R.Ask.RequestId},
       {"fingerprint", fingerprintText(R.Content)},
@@ -335,6 +337,7 @@
        R.StagesDone > TimePoint{} ? toMs(R.StagesDone - R.Arrived) : -1.0},
       {"first_ms",
        R.FirstEvent > TimePoint{} ? toMs(R.FirstEvent - R.Arrived) : -1.0},
+      {"max_gap_ms", R.Gaps.Most ? toMs(*R.Gaps.Most) : -1.0},
       {"took_ms", toMs(Now - R.Arrived)},
       {"retry_in_ms", toMs(R.RetryIn)},
       {"failure", R.LastFailure}};
@@ -346,6 +349,9 @@
   gatewayCountRequest(Metrics, R.Organisation, R.Route->Name, Code);
   gatewayRecordLatency(Metrics, R.Organisation, R.Route->Name,
                        toMs(Useful - R.Arrived), OnTime);
+  if (R.Gaps.Most)
+    gatewayRecordGap(Metrics, R.Organisation, R.Route->Name, toMs(*R.Gaps.Most),
+                     GapOver);
   Requests.erase(R.Serial);
 }
 
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -259,6 +259,20 @@
   HttpCallId LastCall; ///< Of the latest request.
 };
 
+/// \return The metrics page of the first node.
+inline std::string metricsPage(GatewayWorld &W) {
+  HttpCall Call;
+  Call.Address = "127.0.0.1:" + std::to_string(W.Settings[0].MetricsPort);
+  Call.Method = "GET";
+  Call.Path = "/metrics";
+  std::optional<std::string> Page;
+  HttpCallbacks On;
+  On.OnDone = [&](const HttpResponse &Answer) { Page = Answer.Body; };
+  W.Client.start(std::move(Call), std::move(On));
+  runUntil(W.Loop, [&] { return Page.has_value(); });
+  return Page.value_or("");
+}
+
 } // namespace fulmar
 
 #endif
