The load of an upstream is read from three or four figures

Cause: upstreams of some stages add a fourth figure to X-Server-Load. Any other count than three made the whole header unreadable, so nothing was known there of other nodes' calls. Change: the fourth figure is UpstreamLoad::WorkPercent, the time that work takes on that host at this moment in per cent of the usual. It changes many times during a call, so calls are still planned with the smoothed call time; the mean of the latest figures by pool is the metric fulmarstep_upstream_work_percent. A figure that is no number, negative or empty leaves the header unread; it was taken as 0 before, which says that an upstream is idle.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -299,6 +299,7 @@
                          ? std::max(0, Result.Load->Running +
                                            Result.Load->Waiting - U.InFlight)
                          : 0;
+  U.WorkPercent = Result.Load ? Result.Load->WorkPercent : std::nullopt;
   if (anyPiece(Result, PieceEnd::NoSpace))
     recordRefusal(U, Now);
   else
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -29,6 +29,9 @@
   int Failures = 0;       ///< Consecutive failed calls.
   int Refusals = 0;       ///< Consecutive calls that it refused as full.
   int OtherNodeCalls = 0; ///< Calls of other nodes, as last reported.
+  /// UpstreamLoad::WorkPercent, as last reported. It changes many times during
+  /// a call, so calls are planned with Slowness instead.
+  std::optional<double> WorkPercent;
   TimePoint LastResponseAt{}; ///< Time of its latest response; zero: none yet.
   TimePoint AvoidUntil{};     ///< Gets no calls until then, after failures.
   TimePoint FullUntil{}; ///< Gets no calls until then, after it reported that
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -4,6 +4,7 @@
 
 #include <set>
 
+#include "batch_metrics.h"
 #include "call_relay_service.h"
 #include "gateway_service.h"
 #include "log_func.h"
@@ -234,7 +235,9 @@
                    static_cast<double>(Sum.Pieces)});
   Plain.push_back({"fulmarstep_batch_jobs", "gauge", Waiting});
   Exchange->reply(HttpOk,
-                  gatewayMetricsText(Gateway->metrics(), Sum.Repeats, Plain),
+                  gatewayMetricsText(Gateway->metrics(), Sum.Repeats, Plain) +
+                      batchWorkPercentText(batchWorkPercent(
+                          Batches.pools(), EventLoop::clock())),
                   {{"Content-Type", "text/plain; version=0.0.4"}});
 }
 
--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -50,9 +50,11 @@
 
 /// Load that an upstream reports.
 struct UpstreamLoad {
-  int Running = 0; ///< Requests in progress.
-  int Waiting = 0; ///< Requests queued.
-  int Slots = 0;   ///< Requests that it can run at once.
+  int Running = 0;                   ///< Requests in progress.
+  int Waiting = 0;                   ///< Requests queued.
+  int Slots = 0;                     ///< Requests that it can run at once.
+  std::optional<double> WorkPercent; ///< Time that work takes on its host at
+                                     ///< this moment, per cent of the usual.
 };
 
 /// What an upstream announces about itself in the head of an answer.
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -216,6 +216,34 @@
     Answer.Headers = {{"x-not-executed", "1"}};
     CHECK(Wire.readBatch(Answer).Effect == AttemptEffect::SaidNotRun);
   }
+  GIVEN("the load in the response to a batch call") {
+    // Guards against upstreams whose other calls are not known: some send a
+    // fourth figure, and the whole header was ignored.
+    auto Read = [&](const std::string &Text) {
+      HttpResponse Answer;
+      Answer.Status = HttpOk;
+      Answer.Headers = {{"X-Server-Load", Text}};
+      Answer.Body = R"({"items":[{"handle":"1.2.3.4:5/ab"}]})";
+      return Wire.readBatch(Answer).Load;
+    };
+    for (const char *Text : {"3,2,4", "3, 2, 4, 137.5"}) {
+      auto Load = Read(Text);
+      REQUIRE(Load);
+      CHECK(Load->Running == 3);
+      CHECK(Load->Waiting == 2);
+      CHECK(Load->Slots == 4);
+    }
+    CHECK_FALSE(Read("3,2,4")->WorkPercent);
+    CHECK(Read("3,2,4,137.5")->WorkPercent == 137.5);
+    CHECK(Read("0,0,1,80")->WorkPercent == 80);
+    for (const char *Text :
+         {"", "3", "3,2", "3,2,4,100,1", "a,2,4", "3,2,4x", "3,,2,4", "3,2,4,",
+          "3,2,-4", "3,2,4,fast", "3,2,4,0", "3,2,4,-5", "3,2,4,nan",
+          "3,2,4,inf", "99999999999,2,4"}) {
+      CAPTURE(Text);
+      CHECK_FALSE(Read(Text));
+    }
+  }
 }
 
 SCENARIO("errors in a forwarding node's settings name the setting") {
