Soak: long prompts at a pool of engines, with a chain of stages

Cause: placement of requests at engines and admission of whole chains had no soak test. Both depend on coordinators that the soak test restarts. Change: a pool of six engines that read prompts, long prompts with two stages and short ones, and the settings for both parts. They come beside the other load and for 16 s after it, in which one node is restarted and a burst fills the second stage. Checks while all nodes were left alone for 3 s: at most 1 of 5 long prompts meets another one at its engine while another engine reads none; no refusal later than 300 ms after the request was sent; 8 of 10 requests before the burst are served. At the end the gauges of placements and reservations are 0 at all nodes; a gauge that no node has is named and not checked until both parts are merged. The load has its own random numbers; FULMARSTEP_SOAK_PROMPTS=0 leaves it out.

--- a/src/cli/cli_soak.cpp
+++ b/src/cli/cli_soak.cpp
@@ -20,8 +20,30 @@
 DEFINE_bool(pauses, true,
             "soak: pause upstreams around new versions of the configuration");
 
+DEFINE_bool(prompts, true,
+            "soak: long prompts compete for the engines of one pool, also for "
+            "16 s after the other load");
+DEFINE_string(metrics, "", "soak: addresses of the nodes' metrics");
+DEFINE_string(calm_mark, "",
+              "soak: file that is made when only prompts are left");
+
 namespace fulmar {
 
+/// \return What a soak test saw of its prompts.
+static std::string promptText(const platform::PromptSoakReport &Prompts) {
+  std::string Text = ", prompts " + std::to_string(Prompts.Sent) + ", quiet " +
+                     std::to_string(Prompts.Quiet) + ", whole " +
+                     std::to_string(Prompts.Whole) + ", refused " +
+                     std::to_string(Prompts.Refused) + ", late refused " +
+                     std::to_string(Prompts.LateRefused) + ", long counted " +
+                     std::to_string(Prompts.Counted) + ", met " +
+                     std::to_string(Prompts.Met) + ", gauges " +
+                     std::to_string(Prompts.Gauges);
+  for (const std::string &Name : Prompts.Missing)
+    Text += ", not checked " + Name;
+  return Text;
+}
+
 ExitCode runSoak() {
   TimerService Timers;
   EventLoop Loop(Timers);
@@ -34,6 +56,9 @@
   Plan.SignalLog = FLAGS_signal_log;
   Plan.MakePauses = FLAGS_pauses;
   Plan.MakeSeries = FLAGS_series;
+  Plan.MakePrompts = FLAGS_prompts;
+  Plan.Metrics = splitList(FLAGS_metrics);
+  Plan.CalmMark = FLAGS_calm_mark;
   platform::Soak Run(Loop, Timers, Plan);
   platform::SoakReport Report = Run.run();
   std::cout << "seed " << Plan.Seed << ": sent " << Report.Sent << ", whole "
@@ -52,8 +77,9 @@
             << Report.Silences.Around << ", silent " << Report.Silences.Silent
             << ", cut " << Report.Silences.Cut << ", repeats "
             << Report.Retries.Repeats << ", most " << Report.Retries.Most
-            << " of " << Report.Retries.Allowed << ", broken "
-            << Report.Broken.size() << "\n";
+            << " of " << Report.Retries.Allowed
+            << (Plan.MakePrompts ? promptText(Report.Prompts) : "")
+            << ", broken " << Report.Broken.size() << "\n";
   for (const std::string &Line : Report.Broken)
     std::cout << "BROKEN " << Line << "\n";
   for (const std::string &Line : Report.Trace)
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -59,7 +59,7 @@
       "json",        "scenario", "svg",     "leave_share", "nodes",
       "token",       "kv",       "key",     "signer",      "changes",
       "interval_ms", "poll_ms",  "kv_port", "signal_log",  "pauses",
-      "series"},
+      "series",      "prompts",  "metrics", "calm_mark"},
      runBench},
     {"explain",
      "REQUEST_ID < LOGS",
