Engines are preferred in the failure domain of a request's inputs

Cause: large results of stages are made in one failure domain and cross to an engine that is chosen elsewhere. A cold engine in the pool turned placement off. Change: the ask names the domain of the final stages' large results, an engine elsewhere costs 0.15; cold engines do not count as paced, as the coordinator never chooses them.

--- a/src/engine_placement.cpp
+++ b/src/engine_placement.cpp
@@ -47,6 +47,9 @@
 static constexpr double PauseFrom = 0.5;
 /// Cost of an engine of which more than half of the slots are taken.
 static constexpr double CrowdedCost = 5;
+/// Cost of an engine in another failure domain than the request's inputs, which
+/// then cross domains.
+static constexpr double OtherDomainCost = 0.15;
 /// Difference between equal costs.
 static constexpr double CostEpsilon = 1e-9;
 /// A request is held at most so often.
@@ -107,7 +110,10 @@
     Later *= FewEventsShare;
   double Again = P.SharedTokens > 0 ? Tokens / P.SharedTokens : 0;
   double Crowded = 2 * Running > P.Slots ? CrowdedCost : 0;
-  return Read + Running * Pausing + Later + Again + Crowded;
+  bool Crosses =
+      !Request.Domain.empty() && Request.Domain != E.Entry.FailureDomain;
+  double Domain = Crosses ? OtherDomainCost : 0;
+  return Read + Running * Pausing + Later + Again + Crowded + Domain;
 }
 
 /// \return Whether an engine of this cost replaces the best one; engines of
--- a/src/engine_placement_serve.cpp
+++ b/src/engine_placement_serve.cpp
@@ -137,7 +137,7 @@
     Incarnation Start = Entry.incarnation();
     bool Usable =
         !Entry.Leaving && !Entry.cold() && !Notices->of(Start).Leaving;
-    Listed.push_back({Start, Usable, Entry.Version});
+    Listed.push_back({Start, Usable, Entry.Version, Entry.FailureDomain});
   }
   P.Slots = L.Spec.Slots;
   P.EventTokens = L.Spec.EventTokens;
--- a/src/gateway_placement.cpp
+++ b/src/gateway_placement.cpp
@@ -63,10 +63,11 @@
 }
 
 /// \return Whether this node sends to some upstream of a pool in turns only.
+/// Cold ones do not count: the coordinator never chooses them.
 static bool isPaced(const Pool &P) {
   return std::any_of(
       P.Upstreams.begin(), P.Upstreams.end(), [](const Upstream &U) {
-        return U.Listed && U.Pace.Turns.Interval > Duration::zero();
+        return U.Listed && !U.Cold && U.Pace.Turns.Interval > Duration::zero();
       });
 }
 
@@ -86,6 +87,7 @@
   Ask.Request.Due = R.OnTimeBy - Now;
   Ask.Request.Left = R.Deadline - Now;
   Ask.Request.Version = R.Version;
+  Ask.Request.Domain = domainOfFinalInputs(R);
   Ask.Request.AskedBefore = R.Placing.Held;
   return Ask;
 }
--- a/src/gateway_plan.cpp
+++ b/src/gateway_plan.cpp
@@ -1,6 +1,7 @@
 /// \file gateway_plan.cpp Expected times, begin and placement of a request's
 /// stages.
 #include <algorithm>
+#include <map>
 
 #include "gateway_service.h"
 #include "route_func.h"
@@ -97,12 +98,13 @@
   return Rest;
 }
 
-/// \return The failure domain that holds most of a stage's large inputs.
-std::string GatewayService::domainOfInputs(const ForwardRequest &R,
-                                           std::size_t Index) const {
+/// \return The failure domain that holds most of the large results of some
+/// stages.
+std::string GatewayService::domainOfResults(const ForwardRequest &R,
+                                            std::span<const int> Stages) const {
   std::map<std::string, int> Counts;
-  for (int Needed : R.Route->Stages[Index].After) {
-    auto Input = static_cast<std::size_t>(Needed);
+  for (int Stage : Stages) {
+    auto Input = static_cast<std::size_t>(Stage);
     if (R.Route->Stages[Input].ResultBytes < LargeInputBytes)
       continue;
     for (const std::string &Handle : R.Stages[Input].Handles) {
@@ -122,6 +124,17 @@
   return Best;
 }
 
+/// \return The failure domain that holds most of the large results that an
+/// engine reads for a request.
+std::string GatewayService::domainOfFinalInputs(const ForwardRequest &R) const {
+  std::vector<int> Final;
+  for (std::size_t I = 0; I < R.Stages.size(); ++I) {
+    if (R.Route->Stages[I].Final)
+      Final.push_back(static_cast<int>(I));
+  }
+  return domainOfResults(R, Final);
+}
+
 /// \return The preferred failure domain of a stage's pieces: where their large
 /// result is used, or where their large inputs are.
 std::string GatewayService::bestDomain(const ForwardRequest &R,
@@ -129,7 +142,7 @@
   const RouteStage &Spec = R.Route->Stages[Index];
   std::uint64_t Affinity = affinityOf(R);
   if (!Spec.Final || Spec.ResultBytes < LargeResultBytes || Affinity == 0)
-    return domainOfInputs(R, Index);
+    return domainOfResults(R, Spec.After);
   ChoiceHints Hints;
   Hints.Affinity = Affinity;
   Hints.Version = R.Version;
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -2,6 +2,8 @@
 #ifndef FULMARSTEP_GATEWAY_SERVICE_H
 #define FULMARSTEP_GATEWAY_SERVICE_H
 
+#include <span>
+
 #include "attempt_decision_type.h"
 #include "caller_time.h"
 #include "gateway_metrics.h"
@@ -105,7 +107,9 @@
   Duration expectedPath(const ForwardRequest &R) const;
   Duration expectedLatePath(const ForwardRequest &R) const;
   std::string bestDomain(const ForwardRequest &R, std::size_t Index);
-  std::string domainOfInputs(const ForwardRequest &R, std::size_t Index) const;
+  std::string domainOfResults(const ForwardRequest &R,
+                              std::span<const int> Stages) const;
+  std::string domainOfFinalInputs(const ForwardRequest &R) const;
   bool mayRerun(const ForwardRequest &R, std::size_t Index, BatchEnd End) const;
   void stageEnded(RequestSerial Serial, std::size_t Index,
                   const BatchResult &Result);
