Reservations in the pools of stages, and the messages for them

Cause: a pool's forecast counts only work that waits there, not the work still in earlier stages, so a request is refused when its last stage finds a full pool. BatchRelay asks the coordinators, with a timeout of 40 ms. Result: nothing asks for reservations yet; forecasts of batchForecast() are unchanged.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -141,9 +141,7 @@
                   MinRetryDelay);
 }
 
-/// Decays smoothed values by the time since the last call. A pool without work
-/// is not ticked.
-static void age(BatchPool &P, TimePoint Now) {
+void batchAge(BatchPool &P, TimePoint Now) {
   double Periods = toMs(Now - P.DecayedAt) / toMs(BatchTickPeriod);
   double Kept = std::pow(1 - SlownessDecay, Periods);
   for (auto &[Start, U] : P.Upstreams) {
@@ -158,7 +156,8 @@
                            TimePoint Now, BatchActions &Out) {
   assert(Request.Pieces > 0);
   if (batchIdle(P))
-    age(P, Now);
+    batchAge(P, Now);
+  batchUnreserve(P, Request.RequestId, Request.Stage);
   ++P.Counts.Asks;
   if (P.Jobs.size() >= MaxJobs)
     return refuse(P, BatchEnd::Full, P.Spec.CallTime, Out);
@@ -610,7 +609,8 @@
   }
   for (const std::string &Handle : Expired)
     releaseSpace(P, Handle);
-  age(P, Now);
+  batchAge(P, Now);
+  batchExpireReservations(P, Now);
   dropExpired(P, Now, Out);
   hedge(P, Now);
   checkSilent(P, Now, Out);
--- a/src/batch_backend.h
+++ b/src/batch_backend.h
@@ -23,6 +23,10 @@
   /// \return Nothing when it is not known.
   virtual std::optional<BatchForecast>
   forecast(const std::string &Pool, const BatchRequest &Request) = 0;
+  /// Reserves room for a stage that is requested later; see batchReserve().
+  virtual BatchReserveAnswer reserve(const BatchReserve &Reserve) = 0;
+  /// Drops a reservation that is not used.
+  virtual void unreserve(const BatchUnreserve &Unused) = 0;
   /// Cancels a batch request; \p Done is not called.
   virtual void cancel(BatchTicket Ticket) = 0;
   /// Frees results of \p Pool that are not needed any more.
--- a/src/batch_base.h
+++ b/src/batch_base.h
@@ -4,7 +4,9 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <unordered_map>
+#include <utility>
 #include <variant>
 
 #include "batch_type.h"
@@ -102,6 +104,19 @@
   TimePoint Until{};    ///< When it expires there.
 };
 
+/// Room for a stage that is requested later.
+struct BatchReservation {
+  int Pieces = 0;       ///< Number of its pieces.
+  int Priority = 5;     ///< 0 is the most urgent.
+  TimePoint Arrival{};  ///< When the stage should be requested.
+  TimePoint Due{};      ///< Latest completion for the request to be on time.
+  TimePoint Deadline{}; ///< A later result is of no use.
+  bool OnTime = false;  ///< It should be done when it is due.
+};
+
+/// Request id and stage of a reservation.
+using ReservationKey = std::pair<std::string, int>;
+
 /// Counters for metrics.
 struct BatchCounts {
   std::uint64_t Asks = 0;    ///< Batch requests.
@@ -112,6 +127,7 @@
   RepeatCounts Repeats{};    ///< Pieces sent more than once.
   std::uint64_t Hedges = 0;  ///< Slow calls whose pieces were sent again.
   std::uint64_t Wasted = 0;  ///< Results unused: cancelled or duplicate.
+  std::uint64_t ReservationsExpired = 0; ///< Reservations that nobody used.
 };
 
 /// The state of a pool, or of one part of it, at its coordinator.
@@ -123,7 +139,10 @@
   std::map<Incarnation, BatchUpstream> Upstreams; ///< By incarnation.
   std::map<BatchRequestId, BatchJob> Jobs; ///< In progress, oldest first.
   std::map<BatchCallId, BatchCall> Calls;  ///< In flight.
-  std::unordered_map<std::string, StoredResult> Kept; ///< By handle.
+  std::unordered_map<std::string, StoredResult> Kept;      ///< By handle.
+  std::map<ReservationKey, BatchReservation> Reservations; ///< Not used so far.
+  TimePoint RetryFrom{};  ///< When the next caller that is refused should
+                          ///< come back, on top of the present backlog.
   ReadWait InputsRead;    ///< Time after which a call has read its inputs.
   PriorityShares Shares;  ///< Of the pool among priorities.
   double CallFill = 0;    ///< Smoothed pieces in a call while more wait than it
--- a/src/batch_func.h
+++ b/src/batch_func.h
@@ -56,6 +56,15 @@
 std::optional<BatchForecast> batchForecast(const BatchPool &P, int Pieces,
                                            int Priority, TimePoint Now);
 
+/// Reserves room for a stage that is requested later. It replaces an earlier
+/// reservation of the same stage, and batchSubmit() of the stage removes it. A
+/// stage that this pool could not complete before its deadline gets none.
+BatchReserveAnswer batchReserve(BatchPool &P, const BatchReserve &Reserve,
+                                TimePoint Now);
+
+/// Drops a reservation that is not used.
+void batchUnreserve(BatchPool &P, const std::string &RequestId, int Stage);
+
 /// \return The duration of a call of \p Pieces at an upstream of ordinary
 /// speed.
 Duration batchCallTime(const BatchSpec &Spec, int Pieces);
--- a/src/batch_internal.h
+++ b/src/batch_internal.h
@@ -47,8 +47,21 @@
   double Fill = 1;      ///< Pieces in a call while more wait.
   double CallMs = 0;    ///< Duration of such a call, ms.
   double LateShare = 1; ///< Share of the pool that late jobs get, 0 to 1.
+  double OwnShare = 1;  ///< Share of the pool that more urgent pieces leave
+                        ///< while they keep arriving, 0 to 1.
 };
 
+/// Pieces that wait in a pool at some time, as seen by one request.
+struct BatchBacklog {
+  double Ahead = 0;  ///< Those that go before it, if it can be on time.
+  double OnTime = 0; ///< All of jobs that can be on time.
+  double Late = 0;   ///< All of jobs that will be late.
+};
+
+/// Least share of a pool that late or less urgent jobs get in estimates: a
+/// burst ends at an unknown time.
+inline constexpr double MinPoolShare = 0.1;
+
 /// A waiting job with its expected completion in its preferred failure domain.
 struct PlacedJob {
   BatchJob *Job = nullptr; ///< A job with waiting pieces.
@@ -93,6 +106,28 @@
 /// \return The throughput for waiting pieces.
 PoolThroughput batchThroughput(const BatchPool &P, TimePoint Now);
 
+/// \return The throughput while \p OnTimePieces wait that can be on time.
+PoolThroughput batchThroughputFor(const BatchPool &P, double OnTimePieces,
+                                  TimePoint Now);
+
+/// \return Pieces a second that a pool completes while more wait.
+double batchPiecesPerSecond(const PoolThroughput &Throughput);
+
+/// \return The pieces that wait now, as seen by a request of this priority.
+BatchBacklog batchBacklog(const BatchPool &P, int Priority, TimePoint Now);
+
+/// \return Expected time until \p Pieces complete behind a backlog.
+BatchForecast batchForecastBehind(const BatchPool &P,
+                                  const PoolThroughput &Throughput,
+                                  const BatchBacklog &Backlog, int Pieces);
+
+/// Decays smoothed values by the time since the last call. A pool without work
+/// is not ticked.
+void batchAge(BatchPool &P, TimePoint Now);
+
+/// Drops reservations whose stage has not been requested.
+void batchExpireReservations(BatchPool &P, TimePoint Now);
+
 /// \return The time until the next call starts behind \p Ahead pieces that are
 /// sent first, of which \p AheadLate belong to late jobs.
 Duration batchQueueDelay(const PoolThroughput &Throughput, double Ahead,
--- a/src/batch_order.cpp
+++ b/src/batch_order.cpp
@@ -88,12 +88,7 @@
   return {rankOf(P, Job, Now), Job.Request.Priority, Job.Due};
 }
 
-/// Least share of a pool that late jobs get in estimates: a burst ends at an
-/// unknown time.
-static constexpr double MinLateShare = 0.1;
-
-/// \return Pieces a second that a pool completes while more wait.
-static double piecesPerSecond(const PoolThroughput &Throughput) {
+double batchPiecesPerSecond(const PoolThroughput &Throughput) {
   return Throughput.Upstreams * Throughput.Fill * 1e3 / Throughput.CallMs;
 }
 
@@ -114,9 +109,9 @@
   // The next call is full without late pieces; the rate of recent sends would
   // show a burst only after a delay.
   if (OnTimePieces >= P.Spec.MaxPieces)
-    return MinLateShare;
-  return std::max(MinLateShare,
-                  1 - sharesSentRate(P.Shares) / piecesPerSecond(Throughput));
+    return MinPoolShare;
+  return std::max(MinPoolShare, 1 - sharesSentRate(P.Shares) /
+                                        batchPiecesPerSecond(Throughput));
 }
 
 /// \return The upstreams that estimates count: the usable ones; if there are
@@ -134,10 +129,8 @@
   return Usable.empty() ? Later : Usable;
 }
 
-/// \return The throughput for waiting pieces, of which \p OnTimePieces can be
-/// on time.
-static PoolThroughput estimateThroughput(const BatchPool &P,
-                                         double OnTimePieces, TimePoint Now) {
+PoolThroughput batchThroughputFor(const BatchPool &P, double OnTimePieces,
+                                  TimePoint Now) {
   PoolThroughput Throughput;
   Throughput.Fill = P.CallFill > 0 ? P.CallFill : P.Spec.MaxPieces;
   Throughput.CallMs =
@@ -155,7 +148,7 @@
 }
 
 PoolThroughput batchThroughput(const BatchPool &P, TimePoint Now) {
-  return estimateThroughput(P, onTimeWaiting(P, Now), Now);
+  return batchThroughputFor(P, onTimeWaiting(P, Now), Now);
 }
 
 Duration batchQueueDelay(const PoolThroughput &Throughput, double Ahead,
@@ -176,34 +169,46 @@
          CallOverhead;
 }
 
-std::optional<BatchForecast> batchForecast(const BatchPool &P, int Pieces,
-                                           int Priority, TimePoint Now) {
+BatchBacklog batchBacklog(const BatchPool &P, int Priority, TimePoint Now) {
   WaitOrder Mine{WaitRank::OnTime, Priority, TimePoint::max()};
-  double Ahead = 0;
-  double All = 0;
-  double AllLate = 0;
+  BatchBacklog Out;
   for (const auto &[Id, Job] : P.Jobs) {
     if (Job.Waiting == 0)
       continue;
     WaitOrder Order = batchOrder(P, Job, Now);
-    All += Job.Waiting;
-    AllLate += Order.Rank == WaitRank::Late ? Job.Waiting : 0;
-    Ahead += Order <= Mine ? Job.Waiting : 0;
+    (Order.Rank == WaitRank::Late ? Out.Late : Out.OnTime) += Job.Waiting;
+    Out.Ahead += Order <= Mine ? Job.Waiting : 0;
   }
-  PoolThroughput Throughput = estimateThroughput(P, All - AllLate, Now);
-  if (Throughput.Upstreams == 0)
-    return std::nullopt;
+  return Out;
+}
+
+BatchForecast batchForecastBehind(const BatchPool &P,
+                                  const PoolThroughput &Throughput,
+                                  const BatchBacklog &Backlog, int Pieces) {
   BatchForecast Out;
+  Duration Queue =
+      batchQueueDelay(Throughput, Backlog.Ahead, 0) - Throughput.NextFree;
   // A job that waits behind others must still have the reserve of an on-time
   // job when its call starts.
-  Out.OnTime = batchQueueDelay(Throughput, Ahead, 0) +
-               (Ahead < P.Spec.MaxPieces ? timeOfCall(P, Pieces, Ahead)
-                                         : onTimeReserve(P));
-  Out.Late =
-      batchQueueDelay(Throughput, All, AllLate) + timeOfCall(P, Pieces, All);
+  Out.OnTime =
+      Throughput.NextFree + fromMs(toMs(Queue) / Throughput.OwnShare) +
+      (Backlog.Ahead < P.Spec.MaxPieces ? timeOfCall(P, Pieces, Backlog.Ahead)
+                                        : onTimeReserve(P));
+  double All = Backlog.OnTime + Backlog.Late;
+  Out.Late = batchQueueDelay(Throughput, All, Backlog.Late) +
+             timeOfCall(P, Pieces, All);
   return Out;
 }
 
+std::optional<BatchForecast> batchForecast(const BatchPool &P, int Pieces,
+                                           int Priority, TimePoint Now) {
+  BatchBacklog Backlog = batchBacklog(P, Priority, Now);
+  PoolThroughput Throughput = batchThroughputFor(P, Backlog.OnTime, Now);
+  if (Throughput.Upstreams == 0)
+    return std::nullopt;
+  return batchForecastBehind(P, Throughput, Backlog, Pieces);
+}
+
 std::vector<BatchJob *> batchWaitingJobs(BatchPool &P, TimePoint Now) {
   std::vector<std::pair<WaitOrder, BatchJob *>> Ordered;
   for (auto &[Id, Job] : P.Jobs) {
--- a/src/batch_relay.cpp
+++ b/src/batch_relay.cpp
@@ -38,6 +38,12 @@
 /// How long a result is kept for a node that does not acknowledge it.
 static constexpr Duration ResultLifetime = std::chrono::seconds(3);
 static constexpr int MaxResultSends = 6;
+/// A node is avoided after so many consecutive reservations without an answer,
+/// and not before this time. It is longer than a node pauses whose processor
+/// quota is used up: if reservations and stages went to different nodes for
+/// that, two nodes would coordinate the pool.
+static constexpr int ReservesBeforeAvoid = 4;
+static constexpr Duration MinReserveSilence = std::chrono::milliseconds(200);
 
 void BatchRelay::start() {
   Timers = &Services.find<TimerService>(service::Timers);
@@ -56,6 +62,18 @@
       [this](const PeerMessage &From, const BatchReleaseMessage &Message) {
         released(From.Sender, Message);
       });
+  Peers->on<BatchReserve>(
+      [this](const PeerMessage &From, const BatchReserve &Message) {
+        Peers->sendTo(From.Sender, Pools->reserve(Message));
+      });
+  Peers->on<BatchReserveAnswer>(
+      [this](const PeerMessage &From, const BatchReserveAnswer &Message) {
+        reserveAnswered(From.Sender, Message);
+      });
+  Peers->on<BatchUnreserve>(
+      [this](const PeerMessage &, const BatchUnreserve &Message) {
+        Pools->unreserve(Message);
+      });
   Members->onChange([this] { membersChanged(); });
   Timers->every(TickPeriod, [this] { tick(); });
 }
@@ -86,13 +104,7 @@
   Mine.Held = !Members->settled() && Timers->now() - Mine.Asked < MaxHoldTime;
   if (Mine.Held)
     return;
-  std::set<std::string> Avoided;
-  for (const auto &[Node, Until] : Unresponsive) {
-    if (Until > Timers->now())
-      Avoided.insert(Node);
-  }
-  std::string Coordinator =
-      batchCoordinator(Members->state(), Mine.Pool, Avoided);
+  std::string Coordinator = coordinatorOf(Mine.Pool);
   Mine.Unanswered = 0;
   if (Coordinator != Members->state().Self.Id) {
     ++Counts.Remote;
@@ -112,6 +124,74 @@
       [this, Ticket] { inputsRead(Ticket); });
 }
 
+/// \return The node that coordinates a part of a pool, as far as is known.
+std::string BatchRelay::coordinatorOf(const std::string &Part) const {
+  std::set<std::string> Avoided;
+  for (const auto &[Node, Until] : Unresponsive) {
+    if (Until > Timers->now())
+      Avoided.insert(Node);
+  }
+  return batchCoordinator(Members->state(), Part, Avoided);
+}
+
+void BatchRelay::reserve(const std::string &Service, BatchReserve Reserve,
+                         ReserveFn Done) {
+  if (!Members->settled())
+    return Done(std::nullopt);
+  BatchTicket Ticket{++LastTicket};
+  Reserve.Ticket = Ticket.Value;
+  Reserve.Pool = partFor(Service, Reserve.RequestId);
+  std::string Coordinator = coordinatorOf(Reserve.Pool);
+  if (Coordinator == Members->state().Self.Id)
+    return Done(Pools->reserve(Reserve));
+  OwnReserve &Mine = OwnReserves[Ticket];
+  Mine.Coordinator = Coordinator;
+  Mine.Done = std::move(Done);
+  Mine.Timeout = Timers->after(ReserveTimeout,
+                               [this, Ticket] { reserveTimedOut(Ticket); });
+  Peers->sendTo(Coordinator, std::move(Reserve));
+}
+
+void BatchRelay::unreserve(const std::string &Service,
+                           const std::string &RequestId, int Stage) {
+  std::string Part = partFor(Service, RequestId);
+  std::string Coordinator = coordinatorOf(Part);
+  if (Coordinator == Members->state().Self.Id)
+    return Pools->unreserve({Part, RequestId, Stage});
+  // If this message is lost, the reservation expires.
+  Peers->sendTo(Coordinator, BatchUnreserve{Part, RequestId, Stage});
+}
+
+void BatchRelay::reserveAnswered(const std::string &Node,
+                                 const BatchReserveAnswer &Answer) {
+  UnansweredReserves.erase(Node);
+  Unresponsive.erase(Node);
+  auto Found = OwnReserves.find(BatchTicket{Answer.Ticket});
+  if (Found == OwnReserves.end() || Found->second.Coordinator != Node)
+    return;
+  OwnReserve Mine = std::move(Found->second);
+  OwnReserves.erase(Found);
+  Timers->cancel(Mine.Timeout);
+  Mine.Done(Answer);
+}
+
+void BatchRelay::reserveTimedOut(BatchTicket Ticket) {
+  OwnReserve Mine = std::move(OwnReserves.at(Ticket));
+  OwnReserves.erase(Ticket);
+  TimePoint Now = Timers->now();
+  Unanswered &Node = UnansweredReserves[Mine.Coordinator];
+  if (Node.Count++ == 0)
+    Node.Since = Now;
+  if (Node.Count >= ReservesBeforeAvoid &&
+      Now - Node.Since >= MinReserveSilence) {
+    logEvent(LogLevel::Warning, "coordinator_silent",
+             {{"node", Mine.Coordinator}, {"reserves", Node.Count}});
+    Unresponsive[Mine.Coordinator] = Now + UnresponsiveTime;
+    UnansweredReserves.erase(Mine.Coordinator);
+  }
+  Mine.Done(std::nullopt);
+}
+
 void BatchRelay::cacheForecast(const std::string &Pool, int Priority,
                                const BatchForecast &Forecast) {
   // The forecast for a request that is sent again includes the request itself.
--- a/src/batch_relay.h
+++ b/src/batch_relay.h
@@ -19,12 +19,20 @@
   std::uint64_t Served = 0;     ///< Batch requests of other nodes.
 };
 
+/// How long a node waits for the answer to a reservation: several round trips
+/// between failure domains (2 to 3 ms), and a short wait for the processor. The
+/// request waits for as long at most.
+inline constexpr Duration ReserveTimeout = std::chrono::milliseconds(40);
+
 /// Submits batch requests to the coordinators of their pools, and serves those
 /// of other nodes.
 class BatchRelay : public Service {
 public:
   using DoneFn = BatchService::DoneFn;
   using ReadFn = BatchService::ReadFn;
+  /// Called with the answer of a pool's coordinator; nothing: there was none.
+  using ReserveFn =
+      std::function<void(const std::optional<BatchReserveAnswer> &)>;
 
   /// \param Seed differs at each start. Tickets are counted from a random
   /// number derived from it: other nodes still work on requests of this host's
@@ -39,6 +47,14 @@
   /// \param Read is called if the inputs have been read before that.
   BatchTicket ask(const std::string &Pool, const BatchRequest &Request,
                   DoneFn Done, ReadFn Read);
+  /// Reserves room for a stage in the part of \p Service that will be asked for
+  /// it. \p Done is called once, within ReserveTimeout, and before this returns
+  /// if this node coordinates the part.
+  void reserve(const std::string &Service, BatchReserve Reserve,
+               ReserveFn Done);
+  /// Drops the reservation of a stage that is not requested.
+  void unreserve(const std::string &Service, const std::string &RequestId,
+                 int Stage);
   /// Cancels a batch request; \p Done is not called.
   void cancel(BatchTicket Ticket);
   /// Frees results that \p Service made for a request and that are not needed
@@ -86,8 +102,24 @@
     TimePoint At{}; ///< When it was received.
   };
 
+  /// A reservation that was sent to another node.
+  struct OwnReserve {
+    std::string Coordinator; ///< The other node.
+    ReserveFn Done;          ///< Called with the answer.
+    TimerId Timeout;         ///< Ends the wait for the answer.
+  };
+  /// Consecutive reservations that a node has not answered.
+  struct Unanswered {
+    int Count = 0;     ///< Their number.
+    TimePoint Since{}; ///< When the wait for the first of them was over.
+  };
+
   std::string partFor(const std::string &Pool,
                       const std::string &RequestId) const;
+  std::string coordinatorOf(const std::string &Part) const;
+  void reserveAnswered(const std::string &Node,
+                       const BatchReserveAnswer &Answer);
+  void reserveTimedOut(BatchTicket Ticket);
   void dispatch(BatchTicket Ticket);
   void cacheForecast(const std::string &Pool, int Priority,
                      const BatchForecast &Forecast);
@@ -112,6 +144,8 @@
   std::map<BatchTicket, OwnRequest> OwnRequests; ///< By ticket.
   std::map<ServedKey, ServedRequest> Served;     ///< In progress or just ended.
   std::map<std::string, TimePoint> Unresponsive; ///< Avoided until then.
+  std::map<BatchTicket, OwnReserve> OwnReserves; ///< Not answered yet.
+  std::map<std::string, Unanswered> UnansweredReserves; ///< By node.
   std::map<std::pair<std::string, std::string>, BatchReleaseMessage>
       Releases; ///< To be sent, by node and pool.
   std::map<std::pair<std::string, int>, CachedForecast>
--- a/src/batch_service.cpp
+++ b/src/batch_service.cpp
@@ -223,6 +223,24 @@
   return batchForecast(*P, Request.Pieces, Request.Priority, Timers->now());
 }
 
+BatchReserveAnswer BatchService::reserve(const BatchReserve &Reserve) {
+  BatchPool *P = find(Reserve.Pool);
+  if (!P) {
+    BatchReserveAnswer Unknown;
+    Unknown.Ticket = Reserve.Ticket;
+    return Unknown;
+  }
+  // Ticks remove the reservation if its request never comes.
+  ActiveParts.insert(P->Name);
+  return batchReserve(*P, Reserve, Timers->now());
+}
+
+void BatchService::unreserve(const BatchUnreserve &Unused) {
+  auto Found = Pools.find(Unused.Pool);
+  if (Found != Pools.end())
+    batchUnreserve(Found->second, Unused.RequestId, Unused.Stage);
+}
+
 void BatchService::cancel(BatchTicket Ticket) {
   auto Gone = Tickets.remove(Ticket);
   auto Pool = Gone ? Pools.find(Gone->Pool) : Pools.end();
@@ -264,7 +282,7 @@
     else
       queueFree(std::get<FreeBatchAction>(Action).Handle);
   }
-  if (!batchIdle(P))
+  if (!batchIdle(P) || !P.Reservations.empty())
     ActiveParts.insert(P.Name);
   scheduleDispatch(P);
 }
--- a/src/batch_service.h
+++ b/src/batch_service.h
@@ -34,6 +34,8 @@
                   DoneFn Done, ReadFn Read) override;
   std::optional<BatchForecast> forecast(const std::string &Pool,
                                         const BatchRequest &Request) override;
+  BatchReserveAnswer reserve(const BatchReserve &Reserve) override;
+  void unreserve(const BatchUnreserve &Unused) override;
   void cancel(BatchTicket Ticket) override;
   void free(const std::string &Pool,
             const std::vector<std::string> &Handles) override;
--- a/src/priority_share.h
+++ b/src/priority_share.h
@@ -53,15 +53,17 @@
   S.DecayedAt = Now;
 }
 
+/// \return Ratio of a count to the rate that it decays from, s.
+inline double shareCountSeconds() {
+  return toMs(ShareHalfLife) / 1e3 / std::log(2.0);
+}
+
 /// \return Recent rate of pieces sent while they could be on time, per second.
 inline double sharesSentRate(const PriorityShares &S) {
   double Sent = 0;
   for (const auto &[Priority, Share] : S.ByPriority)
     Sent += Share.Sent;
-  // A count that decays with this half-life equals the rate times this many
-  // seconds.
-  double Seconds = toMs(ShareHalfLife) / 1e3 / std::log(2.0);
-  return Sent / Seconds;
+  return Sent / shareCountSeconds();
 }
 
 /// \return Whether a priority gets much less than the mean share.
