--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -226,6 +226,7 @@
   const BatchService &Batches = Services.find<BatchService>(service::Batches);
   BatchCounts Sum;
   double Waiting = 0;
+  double Reserved = 0;
   for (const auto &[Name, P] : Batches.pools()) {
     Sum.Asks += P.Counts.Asks;
     Sum.Refused += P.Counts.Refused;
@@ -235,6 +236,8 @@
     for (std::size_t I = 0; I < Sum.Repeats.size(); ++I)
       Sum.Repeats[I] += P.Counts.Repeats[I];
     Waiting += static_cast<double>(P.Jobs.size());
+    Reserved += static_cast<double>(P.Reservations.size());
+    Sum.ReservationsExpired += P.Counts.ReservationsExpired;
   }
   Plain.push_back({"fulmarstep_batch_asks_total", "counter",
                    static_cast<double>(Sum.Asks)});
@@ -247,6 +250,9 @@
   Plain.push_back({"fulmarstep_batch_pieces_total", "counter",
                    static_cast<double>(Sum.Pieces)});
   Plain.push_back({"fulmarstep_batch_jobs", "gauge", Waiting});
+  Plain.push_back({"fulmarstep_reservations", "gauge", Reserved});
+  Plain.push_back({"fulmarstep_reservations_expired_total", "counter",
+                   static_cast<double>(Sum.ReservationsExpired)});
   Exchange->reply(HttpOk,
                   gatewayMetricsText(Gateway->metrics(), Sum.Repeats, Plain) +
                       batchWorkPercentText(batchWorkPercent(
