--- a/tests/test_chain_gateway.cpp
+++ b/tests/test_chain_gateway.cpp
@@ -16,7 +16,7 @@
 /// Forwarding nodes whose engine pool is coordinated, unless \p Budget is 0.
 struct ChainWorld : GatewayWorld {
   explicit ChainWorld(double Budget = 100, int Call = 20) {
-    StepBudgetMs = Budget;
+    PlacementStepBudgetMs = Budget;
     CallMs = Call;
     addRunner("engine", {"i-e", milliseconds(5), 3});
     for (std::string Name : {"i-s", "i-t"}) {
