--- a/src/engine_placement.cpp
+++ b/src/engine_placement.cpp
@@ -45,6 +45,10 @@
 static constexpr int FewEvents = 4;
 /// Responses begin to pause at this part of the gap target.
 static constexpr double PauseFrom = 0.5;
+/// Cost of an engine that has to read a whole prompt of which all tokens are
+/// cached elsewhere. It is relative to the prompt: a short one has little to
+/// gain at another engine, and many of them move for each long one.
+static constexpr double AgainCost = 2;
 /// Cost of an engine of which more than half of the slots are taken.
 static constexpr double CrowdedCost = 5;
 /// Cost of an engine in another failure domain than the request's inputs, which
@@ -96,11 +100,18 @@
          Request.OutputTokens <= FewEvents * P.EventTokens;
 }
 
+static double promptTokens(const PlacementRequest &Request) {
+  double Tokens = 0;
+  for (const PromptShare &Part : Request.Prompt)
+    Tokens += std::max(0, Part.Tokens);
+  return Tokens;
+}
+
 /// All terms are in units of the gap target. The fewest tokens to read at any
 /// engine are the same for all, so they are left out.
 static double engineCost(const EnginePool &P, const EngineState &E,
-                         const PlacementRequest &Request, double Tokens,
-                         double Speed, TimePoint Now) {
+                         const PlacementRequest &Request, double PromptTokens,
+                         double Tokens, double Speed, TimePoint Now) {
   double Read = (E.WaitingTokens + Tokens) / Speed / gapMs(Request);
   double Pausing = std::clamp((Read - PauseFrom) / (1 - PauseFrom), 0.0, 1.0);
   auto Running = static_cast<double>(E.Placed.size());
@@ -108,7 +119,7 @@
   double Later = LaterPauseCost * std::min(1.0, Busy);
   if (fewEvents(P, Request))
     Later *= FewEventsShare;
-  double Again = P.SharedTokens > 0 ? Tokens / P.SharedTokens : 0;
+  double Again = PromptTokens > 0 ? AgainCost * Tokens / PromptTokens : 0;
   double Crowded = 2 * Running > P.Slots ? CrowdedCost : 0;
   bool Crosses =
       !Request.Domain.empty() && Request.Domain != E.Entry.FailureDomain;
@@ -133,6 +144,7 @@
                                   const PlacementRequest &Request, Random &Rng,
                                   TimePoint Now) {
   EngineSurvey S;
+  double PromptTokens = promptTokens(Request);
   for (auto &[Start, E] : P.Engines) {
     if (!engineUsable(P, E, Request))
       continue;
@@ -148,7 +160,7 @@
       S.FreeMs = FreeMs;
       S.OwnMs = OwnMs;
     }
-    double Cost = engineCost(P, E, Request, Tokens, Speed, Now);
+    double Cost = engineCost(P, E, Request, PromptTokens, Tokens, Speed, Now);
     if (!isBetter(S, Cost, Rng))
       continue;
     S.Best = &E;
@@ -159,13 +171,6 @@
   return S;
 }
 
-static double promptTokens(const PlacementRequest &Request) {
-  double Tokens = 0;
-  for (const PromptShare &Part : Request.Prompt)
-    Tokens += std::max(0, Part.Tokens);
-  return Tokens;
-}
-
 /// \return How long to hold a request; zero: do not.
 static Duration holdTime(const EngineSurvey &S,
                          const PlacementRequest &Request) {
@@ -207,7 +212,6 @@
   Placed.PlacedAt = Now;
   Placed.Deadline = Now + Request.Left;
   recordPlacement(P, *S.Best, Key, Placed, Request.Prompt, Now);
-  learnShared(P, promptTokens(Request) - S.FewestTokens);
   ++P.Counts.Placed;
   P.Counts.AgainTokens += Out.AgainTokens;
   return Out;
--- a/src/engine_placement_base.h
+++ b/src/engine_placement_base.h
@@ -65,12 +65,11 @@
 
 /// One part of an engine pool, at its coordinator.
 struct EnginePool {
-  std::string Name;        ///< Of the part.
-  int Slots = 64;          ///< Requests that one engine runs at once.
-  int EventTokens = 1;     ///< Tokens of one event of a response.
-  TimePoint KnownSince{};  ///< When the coordinator began to know placements.
-  double TokensPerMs = 0;  ///< Smoothed mean speed of its engines; 0: unknown.
-  double SharedTokens = 0; ///< Smoothed mean of a prompt's shared tokens.
+  std::string Name;       ///< Of the part.
+  int Slots = 64;         ///< Requests that one engine runs at once.
+  int EventTokens = 1;    ///< Tokens of one event of a response.
+  TimePoint KnownSince{}; ///< When the coordinator began to know placements.
+  double TokensPerMs = 0; ///< Smoothed mean speed of its engines; 0: unknown.
   std::map<Incarnation, EngineState> Engines; ///< By start.
   std::map<PlacementKey, Incarnation> Where;  ///< Engine of each placement.
   EnginePoolCounts Counts;                    ///< For metrics.
--- a/src/engine_placement_internal.h
+++ b/src/engine_placement_internal.h
@@ -39,12 +39,6 @@
 /// \return The tokens placed lately, decayed until \p Now.
 double recentTokens(const EngineState &E, TimePoint Now);
 
-/// Updates the pool's mean of shared tokens. It is weighted by tokens: many
-/// prompts that share only a short start would otherwise make it too costly to
-/// read the long part of a session again.
-/// \param Tokens of a prompt that an engine has cached.
-void learnShared(EnginePool &P, double Tokens);
-
 /// Records a placement at an engine of the pool.
 /// \pre \p Key is not placed.
 void recordPlacement(EnginePool &P, EngineState &E, const PlacementKey &Key,
--- a/src/engine_placement_state.cpp
+++ b/src/engine_placement_state.cpp
@@ -20,8 +20,6 @@
 static constexpr double DefaultSpeed = 60;
 /// Speed of a silent engine, relative to its own.
 static constexpr double SilentSpeed = 0.25;
-/// Weight in the mean of shared tokens of a prompt that has as many.
-static constexpr double SharedFactor = 0.02;
 
 static double poolSpeed(const EnginePool &P) {
   return P.TokensPerMs > 0 ? P.TokensPerMs : DefaultSpeed;
@@ -60,15 +58,6 @@
   }
 }
 
-void learnShared(EnginePool &P, double Tokens) {
-  if (Tokens <= 0)
-    return;
-  if (P.SharedTokens <= 0)
-    P.SharedTokens = Tokens;
-  double Weight = std::min(1.0, SharedFactor * Tokens / P.SharedTokens);
-  P.SharedTokens += Weight * (Tokens - P.SharedTokens);
-}
-
 void recordPlacement(EnginePool &P, EngineState &E, const PlacementKey &Key,
                      PlacedRequest Placed, std::span<const PromptShare> Prompt,
                      TimePoint Now) {
