--- a/src/engine_placement_service.cpp
+++ b/src/engine_placement_service.cpp
@@ -18,6 +18,11 @@
 /// 3 ms, and a request must not wait longer for a better engine than a worse
 /// one costs it.
 static constexpr Duration AskTimeout = std::chrono::milliseconds(40);
+/// If this node finds out so much too late that a timeout is over, it was
+/// paused itself, and the answer may wait to be read; it gets this further
+/// time.
+static constexpr Duration LateTimer = std::chrono::milliseconds(5);
+static constexpr Duration ReadTime = std::chrono::milliseconds(10);
 /// A coordinator that left this many asks in a row unanswered is avoided for a
 /// time in which membership finds out whether it is dead.
 static constexpr int MaxUnanswered = 2;
@@ -119,7 +124,8 @@
   assert(!Asks.count(Ask.Serial) && "an attempt has one ask at a time");
   ClosedAsks.erase(Ask.Serial);
   std::uint64_t Serial = Ask.Serial;
-  Asks[Serial] = {std::move(Ask), Coordinator, std::move(Done), Timer};
+  TimePoint Due = Timers->now() + AskTimeout;
+  Asks[Serial] = {std::move(Ask), Coordinator, std::move(Done), Timer, Due};
   return std::nullopt;
 }
 
@@ -169,6 +175,14 @@
 }
 
 void EnginePlacementService::unanswered(std::uint64_t Serial) {
+  auto Late = Asks.find(Serial);
+  TimePoint Now = Timers->now();
+  if (Late != Asks.end() && Now - Late->second.Due > LateTimer) {
+    Late->second.Due = TimePoint::max();
+    Late->second.Timer =
+        Timers->after(ReadTime, [this, Serial] { unanswered(Serial); });
+    return;
+  }
   auto Open = close(Serial);
   if (!Open)
     return;
@@ -187,7 +201,9 @@
 EnginePlacementService::record(const PlacementAsk &Ask,
                                const Incarnation &Engine) {
   OwnPlacement &Own = Placements[Ask.Serial];
-  Own.Part = Ask.Pool;
+  // The number of parts may have changed since a coordinator placed it.
+  if (Own.Part.empty())
+    Own.Part = Ask.Pool;
   Own.Event.Serial = Ask.Serial;
   Own.Event.Engine = Engine;
   Own.Event.Prompt = Ask.Request.Prompt;
--- a/src/engine_placement_service.h
+++ b/src/engine_placement_service.h
@@ -94,6 +94,7 @@
     std::string Coordinator; ///< Node that it was sent to.
     AnswerFn Done;           ///< Gets the answer.
     TimerId Timer;           ///< Ends the wait.
+    TimePoint Due{};         ///< When it does; max: after a pause.
   };
   /// An ask that was cancelled or not answered in time.
   struct ClosedAsk {
--- a/src/gateway_placement.cpp
+++ b/src/gateway_placement.cpp
@@ -23,6 +23,9 @@
 /// Parts of a prompt in an ask. Together with names of a few engines they fit
 /// one datagram.
 static constexpr std::size_t MaxShares = 24;
+/// Longest prompt, in tokens. Clients state the lengths, and sums of them must
+/// not overflow.
+static constexpr int MaxPromptTokens = 100'000'000;
 /// Bits of the number of an attempt in the serial of its placement.
 static constexpr int AttemptBits = 16;
 
@@ -39,7 +42,8 @@
   std::vector<PromptShare> Shares;
   std::uint64_t Key = 0;
   int Assigned = 0;
-  auto Add = [&](const std::string &Id, int Tokens) {
+  auto Add = [&](const std::string &Id, int Stated) {
+    int Tokens = std::clamp(Stated, 0, MaxPromptTokens - Assigned);
     Key = hash64(Id, Key);
     Assigned += Tokens;
     if (Shares.size() < MaxShares)
@@ -48,7 +52,7 @@
       Shares.back() = {Key, Shares.back().Tokens + Tokens};
   };
   for (const PromptPart &Part : R.Ask.Prompt)
-    Add(Part.Id, std::max(0, Part.Tokens));
+    Add(Part.Id, Part.Tokens);
   if (Assigned < R.Ask.PromptTokens)
     Add(R.Ask.RequestId, R.Ask.PromptTokens - Assigned);
   return Shares;
@@ -70,6 +74,12 @@
       });
 }
 
+/// \return Whether an attempt may be held. A repeat that another node has lent,
+/// and a trial of quarantined parts, are granted for a short time only.
+static bool mayHold(const ForwardRequest &R) {
+  return R.Sends == 0 && R.Trials.empty() && R.Placing.Held < MaxHolds;
+}
+
 /// \return What the coordinator has to know of an attempt.
 PlacementAsk GatewayService::placementAsk(const ForwardRequest &R,
                                           std::uint64_t Attempt) const {
@@ -86,7 +96,7 @@
   Ask.Request.Due = R.OnTimeBy - Now;
   Ask.Request.Left = R.Deadline - Now;
   Ask.Request.Version = R.Version;
-  Ask.Request.AskedBefore = R.Placing.Held;
+  Ask.Request.AskedBefore = mayHold(R) ? R.Placing.Held : MaxHolds;
   return Ask;
 }
 
@@ -166,8 +176,8 @@
   PlacementProgress &Placing = R.Placing;
   Duration Spare = (R.OnTimeBy - Timers->now()) / HoldFraction;
   Duration Hold = Answer ? std::min(Answer->Hold, Spare) : Duration::zero();
-  bool Holds = Answer && !Answer->Engine && Hold > Duration::zero() &&
-               Placing.Held < MaxHolds;
+  bool Holds =
+      Answer && !Answer->Engine && Hold > Duration::zero() && mayHold(R);
   if (!Holds) {
     Placing.Decided = true;
     Placing.Answer = Answer.value_or(Placement());
--- a/tests/test_placement_nodes.cpp
+++ b/tests/test_placement_nodes.cpp
@@ -1,11 +1,12 @@
 /// \file test_placement_nodes.cpp Nodes that let a coordinator place requests
 /// at engines.
+#include <thread>
+
 #include <catch2/catch.hpp>
 
 #include "batch_coordinator.h"
 #include "engine_placement_service.h"
 #include "gateway_world.h"
-#include "metrics_text.h"
 
 using namespace fulmar;
 using platform::RunnerConfig;
@@ -126,6 +127,24 @@
     CHECK(W.metricsAt(I).PlacedByCoordinator == 2);
     CHECK(W.metricsAt(I).PlacedOwn == 0);
   }
+  THEN("metrics show who has placed them") {
+    HttpCall Call;
+    Call.Address = "127.0.0.1:" + std::to_string(W.Settings[0].MetricsPort);
+    Call.Method = "GET";
+    Call.Path = "/metrics";
+    std::string Text;
+    HttpCallbacks On;
+    On.OnDone = [&Text](const HttpResponse &Answer) { Text = Answer.Body; };
+    W.Client.start(std::move(Call), std::move(On));
+    runUntil(W.Loop, [&] { return !Text.empty(); });
+    for (std::string Line :
+         {"placements_total{source=\"coordinator\"} 2",
+          "placements_total{source=\"own\"} 0", "placement_holds_total 0",
+          "placement_asks_unanswered_total 0"})
+      CHECK_THAT(Text, Catch::Contains("fulmarstep_" + Line + "\n"));
+    CHECK_THAT(Text, Catch::Contains("fulmarstep_placement_read_ms_count"));
+    CHECK(W.metricsAt(0).PlacementRead.count() == 2);
+  }
   THEN("the coordinator learns that all of them have ended") {
     CHECK(runUntil(
         W.Loop, [&] { return W.nonePlaced(); }, seconds(1)));
@@ -165,14 +184,40 @@
   CHECK(W.metricsAt(Node).PlacedByCoordinator == 1);
 }
 
+SCENARIO("a node is paused while it waits for an answer") {
+  // Guards against a node that avoids a sound coordinator, whose answer it has
+  // not read, since it was paused itself.
+  PlacementWorld W(2, /*Engines=*/2, /*Work=*/milliseconds(20));
+  EnginePlacementService &Asking = W.placementsAt(W.otherNode());
+  PlacementAsk Ask{/*Serial=*/1, "engine", {}};
+  Ask.Request.Left = seconds(1);
+  std::optional<Placement> Got;
+  bool Ended = false;
+  auto Local = Asking.ask(Ask, [&](const std::optional<Placement> &Answer) {
+    Got = Answer;
+    Ended = true;
+  });
+  REQUIRE_FALSE(Local);
+  std::this_thread::sleep_for(AskTime * 2);
+  runUntil(W.Loop, [&] { return Ended; });
+  CHECK(Got);
+  CHECK(Asking.counts().Unanswered == 0);
+  Asking.ended(Ask.Serial);
+  CHECK(runUntil(
+      W.Loop, [&] { return W.nonePlaced(); }, seconds(1)));
+}
+
 SCENARIO("a coordinator ends while requests are in progress") {
   // Guards against a new coordinator that takes busy engines for free ones.
   PlacementWorld W(3, /*Engines=*/6, /*Work=*/milliseconds(1500));
   std::size_t Dead = W.coordinator(0);
   std::size_t Node = W.otherNode();
+  std::string Parts = "a:100";
+  for (int I = 0; I < 40; ++I)
+    Parts += ",p" + std::to_string(I) + ":100";
   std::vector<std::shared_ptr<ClientResult>> Asked;
   for (int I = 0; I < 3; ++I)
-    Asked.push_back(W.sendLong(Node));
+    Asked.push_back(W.sendLong(Node, {{"X-Prompt-Prefix", Parts}}));
   runUntil(W.Loop, [&] { return W.arrivals() == 3; });
   REQUIRE(W.placementsAt(Dead).known() == 3);
   std::size_t Next = W.coordinator(Node, {"n" + std::to_string(Dead)});
@@ -185,6 +230,10 @@
   runUntil(W.Loop, [&] { return W.arrivals() == 6; });
   CHECK(W.placementsAt(Next).known() == 6);
   CHECK(W.metricsAt(Node).PlacedByCoordinator == 4);
+  // The five placements that the next coordinator is informed of do not fit one
+  // datagram.
+  bool Informed = Next == Node || W.placementsAt(Node).counts().Updates >= 5;
+  CHECK(Informed);
   for (const auto &Result : Asked)
     W.await(*Result);
   CHECK(runUntil(
@@ -262,6 +311,14 @@
       W.Loop, [&] { return W.nonePlaced(); }, seconds(1)));
 }
 
+SCENARIO("a client states a prompt of an impossible length") {
+  // Guards against sums of tokens that overflow.
+  PlacementWorld W(2, /*Engines=*/2, /*Work=*/milliseconds(5));
+  HttpHeaders More = {{"X-Prompt-Prefix", "a:2147483647,b:2147483647,c:-5"}};
+  W.await(*W.sendLong(W.otherNode(), More));
+  CHECK(W.metricsAt(W.otherNode()).PlacedByCoordinator == 1);
+}
+
 SCENARIO("an engine is leaving") {
   // Guards against placements at an engine that takes no new requests.
   PlacementWorld W(2, /*Engines=*/2, /*Work=*/milliseconds(20));
