--- a/src/engine_placement.cpp
+++ b/src/engine_placement.cpp
@@ -48,7 +48,7 @@
 /// Cost of an engine that has to read a whole prompt of which all tokens are
 /// cached elsewhere. It is relative to the prompt: a short one has little to
 /// gain at another engine, and many of them move for each long one.
-static constexpr double AgainCost = 2;
+static constexpr double AgainCost = 4;
 /// Cost of an engine of which more than half of the slots are taken.
 static constexpr double CrowdedCost = 5;
 /// Cost of an engine in another failure domain than the request's inputs, which
--- a/src/gateway_chain.cpp
+++ b/src/gateway_chain.cpp
@@ -93,6 +93,7 @@
 GatewayService::stageArrivals(const ForwardRequest &R) const {
   std::vector<ChainStage> Stages = usualStages(R);
   std::vector<Duration> Usual;
+  Usual.reserve(Stages.size());
   for (const ChainStage &Stage : Stages)
     Usual.push_back(Stage.Fallback.OnTime);
   std::vector<Duration> Arrivals = chainBegins(Stages, Usual);
