Chain admission: any answer of a node shows that it responds

Cause: a node of an earlier version does not answer reservations. After four of them without an answer its pools were taken over, although it answered stages. Change: answers to batch requests reset the count. A check of requests that are not admitted by chains is exact.

--- a/src/batch_relay.cpp
+++ b/src/batch_relay.cpp
@@ -300,6 +300,8 @@
   if (!Message.Pending)
     release(Node, "", {"", {Message.Ticket}, {}, {}});
   Unresponsive.erase(Node);
+  // A node of an earlier version does not answer reservations.
+  UnansweredReserves.erase(Node);
   if (!Message.Pending)
     return ended(Ticket, Message.Result);
   Found->second.Unanswered = 0;
--- a/tests/test_chain_gateway.cpp
+++ b/tests/test_chain_gateway.cpp
@@ -109,7 +109,7 @@
         W.ask("/redo/x",
               {{"X-Pieces", "1"}, {"X-Piece-Key", "k"}, {"Last-Event-ID", "0"}})
             .Ended);
-    CHECK(W.allChains() <= 1);
+    CHECK(W.allChains() == 0);
   }
   GIVEN("a chain that takes longer than its client waits") {
     // Guards against stage work for a request that cannot be served.
