--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,206 +1,148 @@
-// A route has two stages, and the second needs the results of the first. A
-// client omits the first stage (0 pieces).
+// A node freezes for 4 s. Meanwhile a server leaves: its entry is removed from
+// the store, and it goes on serving for a while. Then the node wakes.
 //
-// Three nodes, five stage servers, three model runners, ten requests a second.
-// Broken if a stage server is asked for a piece with a key that is not the
-// client's.
+// Three nodes, seven servers of one service, 120 requests a second. Each node
+// freezes once, and one server leaves in each freeze. Broken if a node that was
+// not frozen sends a request to a server later than drain_ms after the store
+// acknowledged that it is gone.
 #include "lab.h"
 
 using namespace lab;
 
-static constexpr int StageServers = 5;
-static constexpr std::int64_t TrafficMs = 20000;
-static constexpr int PerSecond = 10;
-static constexpr std::int64_t CallMs = 30;
-static constexpr std::int64_t PieceMs = 5;
-
-// A result of a stage, as its maker knows it.
-struct Result {
-  std::string RequestId;
-  int Stage = 0;
-  int Piece = 0;
-  bool Freed = false;
-};
+static constexpr int Servers = 7;
+static constexpr int PerSecond = 120;
+static constexpr std::int64_t DrainMs = 2000;
+static constexpr std::int64_t FreezeMs = 4000;
+static constexpr std::int64_t LeavesAfterMs = 3200; // Within the freeze.
+static constexpr std::int64_t ServesOnMs = 6000;    // After its entry is gone.
+static constexpr std::int64_t RoundMs = 14000;
 
 static std::mutex Lock;
-static std::map<std::string, Result> Results; // By handle.
-static std::map<std::string, int> RunsOf;     // Model runs by request.
-static std::map<std::string, std::string> KeyOf; // X-Piece-Key by request.
-static int Pieces = 0, OtherKey = 0, Runs = 0, Answered = 0, Other = 0;
+static std::map<std::string, int> NodeOf; // Node of each request, by id.
+static std::atomic<int> Frozen{-1};       // Node out of touch; -1: none.
+static std::atomic<bool> Going{true};
+static int Runs = 0, Late = 0, Answered = 0, Other = 0;
+static std::int64_t MostLate = 0;
 
-// A server of the stage: one call at a time.
-class StageServer {
+class Runner {
 public:
-  StageServer(Store &S, int Number, const std::string &Zone)
-      : Listener([this](Conn &C, Message &M) { return serve(C, M); }) {
-    Me.Id = "i-stage-" + std::to_string(Number);
-    Me.Service = "encode";
-    Me.Zone = Zone;
-    Me.Address = Listener.address();
-    Me.Slots = 1;
-    registerServer(S, Me);
-  }
-
-private:
-  bool serve(Conn &C, Message &M) {
-    std::string Expected = M.header("X-Expected-Instance");
-    if (!Expected.empty() && Expected != Me.Id)
-      return C.write(response(421, {{"X-Instance-Id", Me.Id}}, ""));
-    if (M.Path == "/health")
-      return C.write(response(200, {{"X-Instance-Id", Me.Id}}, ""));
-    if (M.Path == "/fulmarstep/stage-free") {
-      std::lock_guard<std::mutex> Guard(Lock);
-      for (const Json &Handle : parseJson(M.Body).at("handles").Items)
-        Results[Handle.Str].Freed = true;
-      return C.write(response(200, {}, ""));
-    }
-    if (M.Path != "/fulmarstep/stage-run")
-      return C.write(response(404, {}, ""));
-    std::lock_guard<std::mutex> Turn(Working);
-    Json Items = parseJson(M.Body).at("items");
-    sleepMs(CallMs + PieceMs * static_cast<std::int64_t>(Items.Items.size()));
-    std::lock_guard<std::mutex> Guard(Lock);
-    std::string List;
-    for (const Json &Item : Items.Items) {
-      ++Pieces;
-      // A piece has either the client's key or inputs.
-      const Json &Key = Item.at("key");
-      if (Key.Kind == Json::Text && Key.Str != KeyOf[Item.at("id").Str]) {
-        ++OtherKey;
-        note("BROKEN: %s is asked for piece %d of stage %d of request %s with "
-             "key \"%s\" and %zu inputs, the client's key is \"%s\"",
-             Me.Id.c_str(), static_cast<int>(Item.at("piece").Num),
-             static_cast<int>(Item.at("stage").Num), Item.at("id").Str.c_str(),
-             Key.Str.c_str(), Item.at("inputs").Items.size(),
-             KeyOf[Item.at("id").Str].c_str());
-      }
-      std::string Handle =
-          Me.Address + "/" + std::to_string(1000 + Results.size());
-      Results[Handle] = {Item.at("id").Str,
-                         static_cast<int>(Item.at("stage").Num),
-                         static_cast<int>(Item.at("piece").Num), false};
-      List += (List.empty() ? "" : ",") + ("{\"handle\":" + quoted(Handle)) +
-              "}";
-      note("%s makes %s for piece %d of request %s", Me.Id.c_str(),
-           Handle.c_str(), static_cast<int>(Item.at("piece").Num),
-           Item.at("id").Str.c_str());
-    }
-    // The runner echoes the request's id, if there is one.
-    Headers Head = {{"Content-Type", "application/json"},
-                    {"X-Server-Load", "0,0,1"}};
-    if (std::string Id = M.header("X-Request-Id"); !Id.empty())
-      Head.push_back({"X-Request-Id", Id});
-    std::string Answer = response(200, Head, "{\"items\":[" + List + "]}");
-    return C.write(Answer);
-  }
-
-  Registration Me;
-  std::mutex Working;
-  Server Listener;
-};
-
-// A model runner: streams five events.
-class ModelRunner {
-public:
-  ModelRunner(Store &S, int Number, const std::string &Zone)
-      : Listener([this](Conn &C, Message &M) { return serve(C, M); }) {
+  Runner(Store &S, int Number, const std::string &Zone)
+      : TheStore(S),
+        Listener([this](Conn &C, Message &M) { return serve(C, M); }) {
     Me.Id = "i-model-" + std::to_string(Number);
     Me.Service = "generate";
     Me.Zone = Zone;
     Me.Address = Listener.address();
     Me.Slots = 64;
-    registerServer(S, Me);
+    std::thread([this] {
+      for (int Sequence = 1; GoneAt < 0; ++Sequence) {
+        {
+          std::lock_guard<std::mutex> Guard(Entry);
+          if (GoneAt < 0)
+            TheStore.put("servers/" + Me.Id, Me.text(Sequence));
+        }
+        sleepMs(1200);
+      }
+    }).detach();
+  }
+  // Leaves without reporting "draining": the entry is removed.
+  void leave() {
+    std::lock_guard<std::mutex> Guard(Entry);
+    TheStore.remove("servers/" + Me.Id);
+    GoneAt = nowMs();
+    note("%s: its entry is removed, it serves for %lld ms more", Me.Id.c_str(),
+         static_cast<long long>(ServesOnMs));
   }
 
 private:
   bool serve(Conn &C, Message &M) {
     std::string Expected = M.header("X-Expected-Instance");
+    std::int64_t Gone = GoneAt;
+    std::int64_t Since = Gone < 0 ? -1 : nowMs() - Gone;
+    if (Since > ServesOnMs)
+      return false; // It has exited.
     if (!Expected.empty() && Expected != Me.Id)
       return C.write(response(421, {{"X-Instance-Id", Me.Id}}, ""));
     if (M.Path == "/health")
-      return C.write(response(200, {{"X-Instance-Id", Me.Id}}, ""));
+      return C.write(
+          response(Since < 0 ? 200 : 503, {{"X-Instance-Id", Me.Id}}, ""));
     std::string Id = M.header("X-Request-Id");
-    std::string Inputs = M.header("X-Inputs");
-    Headers NotRun = {{"X-Not-Executed", "1"}, {"X-Request-Id", Id}};
-    if (Inputs.empty())
-      return C.write(response(400, NotRun, ""));
     {
       std::lock_guard<std::mutex> Guard(Lock);
-      for (const std::string &Handle : split(Inputs, ',')) {
-        auto Found = Results.find(Handle);
-        if (Found == Results.end() || Found->second.Freed) {
-          note("%s: request %s, input %s is gone: 409, not run", Me.Id.c_str(),
-               Id.c_str(), Handle.c_str());
-          return C.write(response(409, NotRun, ""));
-        }
-      }
       ++Runs;
-      ++RunsOf[Id];
+      int Sender = NodeOf[Id];
+      bool Counts = Since > DrainMs && Sender != Frozen;
+      if (Since >= 0)
+        note("%s%s: request %s arrives from node %d, %lld ms after its entry "
+             "was removed",
+             Counts ? "BROKEN: " : "", Me.Id.c_str(), Id.c_str(), Sender,
+             static_cast<long long>(Since));
+      if (Counts) {
+        ++Late;
+        MostLate = std::max(MostLate, Since);
+      }
     }
     std::string Head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                        "X-Request-Id: " +
                        Id + "\r\nX-Server-Signature: " + Me.Id +
                        "\r\nTransfer-Encoding: chunked\r\n\r\n";
-    sleepMs(60);
+    sleepMs(40);
     if (!C.write(Head))
       return false;
-    for (int Event = 1; Event <= 5; ++Event) {
-      std::string Text =
-          "id: " + std::to_string(Event) + "\ndata: of " + Id + "\n\n";
+    for (int Event = 1; Event <= 3; ++Event) {
+      std::string Text = "id: " + std::to_string(Event) + "\ndata: t\n\n";
       char Size[16];
       std::snprintf(Size, sizeof(Size), "%zx\r\n", Text.size());
       if (!C.write(Size + Text + "\r\n"))
         return false;
-      sleepMs(30);
+      sleepMs(20);
     }
     return C.write("0\r\n\r\n");
   }
 
+  Store &TheStore;
   Registration Me;
+  std::mutex Entry;
+  std::atomic<std::int64_t> GoneAt{-1};
   Server Listener;
 };
 
 static const char *Config =
-    R"({"version":3,"routes":[{"name":"r-explain","host":"explain.example",)"
-    R"("prefix":"/explain/","kind":"streaming","timeout_ms":12000,)"
-    R"("target_latency_ms":1900,"priority":1,"service":"generate",)"
-    R"("attempts":1,"stages":[{"service":"encode","after":[],"bytes":8000},)"
-    R"({"service":"encode","after":[0],"bytes":8000}],)"
-    R"("public":false,"session_affinity":true,"stream_resumption":false,)"
-    R"("gap_target_ms":600}],"services":[{"name":"generate",)"
-    R"("health_check_path":"/health","connection_limit":280,"protocol":"h1",)"
-    R"("tls":false,"engine":{"slots":64,"kv_cache_tokens":422348,"stride":7,)"
-    R"("models":[{"name":"m"}]}},{"name":"encode","health_check_path":)"
-    R"("/health","connection_limit":280,"protocol":"h1","tls":false,)"
-    R"("pieces":{"slots":1,"queue":2,"batch":10,"call_ms":30.0,"item_ms":5.0,)"
-    R"("headroom_mb":12.0,"handle_s":4.0,"link_mbps":10000}}],"limits":)"
+    R"({"version":3,"routes":[{"name":"r-tag","host":"tag.example",)"
+    R"("prefix":"/tag/","kind":"streaming","timeout_ms":6000,)"
+    R"("target_latency_ms":2300,"priority":2,"service":"generate",)"
+    R"("attempts":1,"public":false,"session_affinity":true,)"
+    R"("stream_resumption":false,"gap_target_ms":600}],"services":[{"name":)"
+    R"("generate","health_check_path":"/health","connection_limit":280,)"
+    R"("protocol":"h1","tls":false,"engine":{"slots":64,"kv_cache_tokens":)"
+    R"(422348,"stride":7,"models":[{"name":"m"}]}}],"limits":)"
     R"({"max_header_bytes":16384,"max_body_bytes":4194304,)"
     R"("header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[)"
     R"({"name":"byra","api_keys":["key-of-byra-1"]}]})";
 
-static void oneRequest(const std::string &To, int Number) {
+static void oneRequest(const std::string &To, int NodeNumber, int Number) {
   char Id[32];
-  std::snprintf(Id, sizeof(Id), "%016x", 0x4a000000 + Number);
-  // Every second client has nothing for the first stage.
-  bool Omits = trouble() && Number % 2 == 1;
+  std::snprintf(Id, sizeof(Id), "%016x", 0x7a000000 + Number);
   {
     std::lock_guard<std::mutex> Guard(Lock);
-    KeyOf[Id] = "key-" + std::string(Id);
+    NodeOf[Id] = NodeNumber;
   }
-  Headers Head = {{"Host", "explain.example"},
-                  {"X-Request-Id", Id},
-                  {"X-Model", "m"},
-                  {"X-Token-Counts", "1460,35"},
-                  {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410," +
-                                          std::string(Id) + ":250"},
-                  {"X-Pieces", Omits ? "0,2" : "1,2"},
-                  {"X-Piece-Key", "key-" + std::string(Id)},
-                  {"X-Deadline-Remaining-Milliseconds", "12000"},
-                  {"Authorization", "Bearer key-of-byra-1"}};
-  note("client sends request %s, X-Pieces: %s", Id, Omits ? "0,2" : "1,2");
-  Message M = request(To, "POST", "/explain/2f", Head, "statement", 12000);
-  note("client got %d%s for request %s", M.Status,
-       M.Complete ? "" : " (incomplete)", Id);
+  // One of 40 subjects; requests about one go to the same server.
+  std::string Subject = "ab" + std::to_string(10 + Number % 40);
+  Message M =
+      request(To, "POST", "/tag/2f",
+              {{"Host", "tag.example"},
+               {"X-Request-Id", Id},
+               {"X-Model", "m"},
+               {"X-Token-Counts", "2368,21"},
+               {"X-Prompt-Prefix", "5c1e07a2:568," + Subject + ":1500," +
+                                       std::string(Id) + ":300"},
+               {"X-Deadline-Remaining-Milliseconds", "6000"},
+               {"Authorization", "Bearer key-of-byra-1"}},
+              "row", 6000);
+  note("request %s to node %d: %d%s from %s", Id, NodeNumber, M.Status,
+       M.Complete ? "" : " (incomplete)",
+       M.header("X-Server-Signature").c_str());
   std::lock_guard<std::mutex> Guard(Lock);
   ++(M.Status == 200 && M.Complete ? Answered : Other);
 }
@@ -210,15 +152,13 @@
   static Store TheStore;
   TheStore.put("op/config", Config);
   const char *Zones[] = {"hall-a", "hall-b", "hall-c"};
-  for (int I = 0; I < StageServers; ++I)
-    new StageServer(TheStore, I, Zones[I % 3]);
+  std::vector<Runner *> All;
+  for (int I = 0; I < Servers; ++I)
+    All.push_back(new Runner(TheStore, I, Zones[I % 3]));
+  static std::vector<Node *> Nodes;
   for (int I = 0; I < 3; ++I)
-    new ModelRunner(TheStore, I, Zones[I]);
-  std::vector<Node *> Nodes;
-  for (int I = 0; I < 3; ++I) {
     Nodes.push_back(new Node{"front-" + std::string(Zones[I]) + "-1", Zones[I],
                              Folder, ""});
-  }
   for (Node *N : Nodes) {
     writeSettings(*N, Nodes, TheStore.address());
     N->start();
@@ -226,18 +166,47 @@
   if (!waitReady(Nodes, 15000))
     finish(2);
   sleepMs(2000);
-  std::int64_t From = nowMs();
-  for (int I = 0; I * 1000 / PerSecond < TrafficMs; ++I) {
-    sleepUntil(From + I * 1000 / PerSecond);
-    std::thread(oneRequest, Nodes[static_cast<std::size_t>(I) % 3]->caller(), I)
-        .detach();
+  std::thread Load([] {
+    std::int64_t From = nowMs();
+    for (int I = 0; Going; ++I) {
+      sleepUntil(From + I * 1000 / PerSecond);
+      int To = I % 3;
+      // Clients leave a node that does not answer.
+      if (To == Frozen)
+        continue;
+      std::thread(oneRequest, Nodes[static_cast<std::size_t>(To)]->caller(), To,
+                  I)
+          .detach();
+    }
+  });
+  for (int Round = 0; Round < 3; ++Round) {
+    std::int64_t From = nowMs();
+    Node &N = *Nodes[static_cast<std::size_t>(Round)];
+    if (trouble()) {
+      Frozen = Round;
+      N.signal(SIGSTOP);
+    }
+    sleepUntil(From + LeavesAfterMs);
+    // Of the failure domain of another node.
+    All[static_cast<std::size_t>((Round + 1) % 3)]->leave();
+    sleepUntil(From + FreezeMs);
+    if (trouble())
+      N.signal(SIGCONT);
+    // It counts as calm again 3 s (stable_window_ms) after its freeze; the
+    // server has exited by the end of the round.
+    sleepUntil(From + RoundMs - 1000);
+    Frozen = -1;
+    sleepUntil(From + RoundMs);
   }
-  sleepMs(6000);
+  Going = false;
+  Load.join();
+  sleepMs(1000);
   std::lock_guard<std::mutex> Guard(Lock);
-  note("%d pieces asked for, %d with another key than the client's; %d model "
-       "runs, %d answered, %d not",
-       Pieces, OtherKey, Runs, Answered, Other);
-  if (Pieces < 100)
+  note("%d runs, %d answered, %d not; %d requests came later than %lld ms, the "
+       "last after %lld ms",
+       Runs, Answered, Other, Late, static_cast<long long>(DrainMs),
+       static_cast<long long>(MostLate));
+  if (Answered < 500)
     finish(2);
-  finish(OtherKey > 0 ? 1 : 0);
+  finish(Late > 0 ? 1 : 0);
 }
--- a/review/common/lab.h
+++ b/review/common/lab.h
@@ -197,7 +197,8 @@
       if (In[At] == '\\' && At + 1 < In.size()) {
         ++At;
         if (In[At] == 'u') {
-          Out += static_cast<char>(std::stoi(In.substr(At + 1, 4), nullptr, 16));
+          Out +=
+              static_cast<char>(std::stoi(In.substr(At + 1, 4), nullptr, 16));
           At += 5;
           continue;
         }
@@ -292,9 +293,10 @@
   // Waits at most until Deadline for more bytes. False: none, or the end.
   bool more(std::int64_t Deadline = -1) {
     pollfd P{Fd, POLLIN, 0};
-    int Wait = Deadline < 0 ? -1
-                            : static_cast<int>(std::max<std::int64_t>(
-                                  0, Deadline - nowMs()));
+    int Wait =
+        Deadline < 0
+            ? -1
+            : static_cast<int>(std::max<std::int64_t>(0, Deadline - nowMs()));
     if (::poll(&P, 1, Wait) <= 0)
       return false;
     char Bytes[16384];
@@ -401,7 +403,8 @@
       std::string Out;
       for (std::size_t I = Equal + 1; I < Pair.size(); ++I) {
         if (Pair[I] == '%' && I + 2 < Pair.size()) {
-          Out += static_cast<char>(std::stoi(Pair.substr(I + 1, 2), nullptr, 16));
+          Out +=
+              static_cast<char>(std::stoi(Pair.substr(I + 1, 2), nullptr, 16));
           I += 2;
         } else {
           Out += Pair[I];
@@ -514,32 +517,61 @@
 public:
   using Handler = std::function<bool(Conn &, Message &)>;
 
-  explicit Server(Handler F) : Fn(std::move(F)) {
-    Fd = bindTcp(0);
-    ::listen(Fd, 512);
-    Port = portOf(Fd);
-    std::thread([this] { accept(); }).detach();
-  }
+  explicit Server(Handler F) : Fn(std::move(F)) { start(); }
   std::string address() const { return lab::address(Port); }
 
+  // Listens at the port that it had before, if any.
+  void start() {
+    int Listener = bindTcp(Port);
+    ::listen(Listener, 512);
+    Port = portOf(Listener);
+    Fd = Listener;
+    std::thread([this, Listener] { accept(Listener); }).detach();
+  }
+  // Ends all connections, and refuses new ones.
+  void stop() {
+    std::lock_guard<std::mutex> Guard(Lock);
+    int Listener = Fd.exchange(-1);
+    ::shutdown(Listener, SHUT_RDWR);
+    ::close(Listener);
+    for (int Client : Clients)
+      ::shutdown(Client, SHUT_RDWR);
+  }
+
 private:
-  void accept() {
+  void accept(int Listener) {
     while (true) {
-      int Client = ::accept4(Fd, nullptr, nullptr, SOCK_CLOEXEC);
+      int Client = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
       if (Client < 0)
         return;
+      {
+        std::lock_guard<std::mutex> Guard(Lock);
+        Clients.insert(Client);
+      }
       std::thread([this, Client] {
-        Conn C(Client);
-        while (true) {
-          Message M;
-          if (!readHead(C, M, true) || !readBody(C, M, true) || !Fn(C, M))
-            return;
-        }
+        serve(Client);
+        std::lock_guard<std::mutex> Guard(Lock);
+        Clients.erase(Client);
+        ::close(Client);
       }).detach();
     }
   }
+  void serve(int Client) {
+    Conn C(Client);
+    while (true) {
+      Message M;
+      if (!readHead(C, M, true) || !readBody(C, M, true) || !Fn(C, M))
+        break;
+    }
+    ::shutdown(Client, SHUT_WR);
+    // The caller closes the descriptor, so that no other connection has it
+    // while stop() may still use it.
+    C.Fd = -1;
+  }
   Handler Fn;
-  int Fd = -1;
+  std::mutex Lock;
+  std::set<int> Clients;
+  std::atomic<int> Fd{-1};
   int Port = 0;
 };
 
@@ -652,8 +684,7 @@
     }
   }
   static std::string itemText(const std::string &Key, const Item &I) {
-    return "{\"key\":" + quoted(Key) + ",\"value\":\"" +
-           base64Encode(I.Value) +
+    return "{\"key\":" + quoted(Key) + ",\"value\":\"" + base64Encode(I.Value) +
            "\",\"revision\":" + std::to_string(I.Revision) +
            ",\"created\":" + std::to_string(I.Created) +
            ",\"lease\":" + std::to_string(I.Lease);
@@ -738,8 +769,8 @@
         if (E.Revision <= After || E.Key.rfind(Prefix, 0) != 0)
           continue;
         List += List.empty() ? "" : ",";
-        List += E.Deleted ? "{\"key\":" + quoted(E.Key) + ",\"revision\":" +
-                                std::to_string(E.Revision) +
+        List += E.Deleted ? "{\"key\":" + quoted(E.Key) +
+                                ",\"revision\":" + std::to_string(E.Revision) +
                                 ",\"deleted\":true}"
                           : itemText(E.Key, E.Was) + "}";
       }
@@ -790,13 +821,13 @@
   int Slots = 8;
   std::int64_t Born = wallMs();
   std::string text(int Sequence) const {
-    return "{\"service\":" + quoted(Service) + ",\"address\":" +
-           quoted(Address) + ",\"zone\":" + quoted(Zone) +
+    return "{\"service\":" + quoted(Service) +
+           ",\"address\":" + quoted(Address) + ",\"zone\":" + quoted(Zone) +
            ",\"version\":" + quoted(Version) +
-           ",\"slots\":" + std::to_string(Slots) + ",\"state\":" +
-           quoted(State) + ",\"cold_remaining_ms\":0,\"born\":" +
-           std::to_string(Born) + ",\"sequence\":" + std::to_string(Sequence) +
-           "}";
+           ",\"slots\":" + std::to_string(Slots) +
+           ",\"state\":" + quoted(State) +
+           ",\"cold_remaining_ms\":0,\"born\":" + std::to_string(Born) +
+           ",\"sequence\":" + std::to_string(Sequence) + "}";
   }
 };
 
@@ -919,8 +950,7 @@
 
 inline bool waitReady(const std::vector<Node *> &All, std::int64_t TimeoutMs) {
   for (std::int64_t Until = nowMs() + TimeoutMs; nowMs() < Until; sleepMs(50)) {
-    if (std::all_of(All.begin(), All.end(),
-                    [](Node *N) { return N->ready(); }))
+    if (std::all_of(All.begin(), All.end(), [](Node *N) { return N->ready(); }))
       return true;
   }
   return false;
