--- a/review/common/lab.h
+++ b/review/common/lab.h
@@ -330,19 +330,36 @@
   }
 };
 
-inline int bindTcp(int Port) {
-  int Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  int On = 1;
-  ::setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+inline sockaddr_in loopback(int Port) {
   sockaddr_in A{};
   A.sin_family = AF_INET;
   A.sin_port = htons(static_cast<std::uint16_t>(Port));
   A.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  if (::bind(Fd, reinterpret_cast<sockaddr *>(&A), sizeof(A)) != 0) {
-    ::close(Fd);
-    return -1;
-  }
-  return Fd;
+  return A;
+}
+
+// The next port to try. It lies below those that the system gives to outgoing
+// connections, and apart from those of a case that runs at the same time.
+inline int nextPort() {
+  static constexpr int First = 10000, Blocks = 200, BlockSize = 110;
+  static std::atomic<int> Next{0};
+  return First + ::getpid() % Blocks * BlockSize + Next++ % BlockSize;
+}
+
+// Returns a socket that is bound to a port, a free one for 0, or -1.
+inline int bindTcp(int Port) {
+  int Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int On = 1;
+  ::setsockopt(Fd, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  for (int Try = 0; Try < 110; ++Try) {
+    sockaddr_in A = loopback(Port == 0 ? nextPort() : Port);
+    if (::bind(Fd, reinterpret_cast<sockaddr *>(&A), sizeof(A)) == 0)
+      return Fd;
+    if (Port != 0)
+      break;
+  }
+  ::close(Fd);
+  return -1;
 }
 
 inline int portOf(int Fd) {
@@ -352,14 +369,18 @@
   return ntohs(A.sin_port);
 }
 
-// A port that nothing uses at the moment.
+// A port that nothing uses at the moment, for TCP and UDP.
 inline int freePort() {
   static std::set<int> Given;
   while (true) {
-    int Fd = bindTcp(0);
-    int Port = portOf(Fd);
-    ::close(Fd);
-    if (Given.insert(Port).second)
+    int Tcp = bindTcp(0);
+    int Port = portOf(Tcp);
+    int Udp = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_in A = loopback(Port);
+    bool Free = ::bind(Udp, reinterpret_cast<sockaddr *>(&A), sizeof(A)) == 0;
+    ::close(Tcp);
+    ::close(Udp);
+    if (Free && Given.insert(Port).second)
       return Port;
   }
 }
