Other nodes take only what a reader's latest read held into their lists

Cause: a node without a read for 2.5 s retains the entries that its next read lacks, as leases may have expired in an outage of the store. After a pause of its own it does the same. Its list was sent to the other nodes with the age of the read, and they listed upstreams again that they had seen leave. A second way: a read that the store answered before a pause counted as new when it was processed after it.

Change: a node that retains entries states no age for its list, so others do not take it and read the store themselves; from 128 nodes on they ask another reader. A list counts from when its read was sent, and one that took over 1.3 s to arrive is read again at once.

Why it works: retained entries are used only at the node that has to guess. A node that read through the pause keeps what it knows.

OwnLoop moves from test_silence_ends.cpp into a header of its own, unchanged.

--- a/src/state_sync_service.cpp
+++ b/src/state_sync_service.cpp
@@ -160,6 +160,15 @@
   WaitingSince = TimePoint{};
 }
 
+/// \return Whether the sender's state is of no use: its configuration is old,
+/// or it does not vouch for its list.
+static bool isStale(const StateSyncResponse &Answer) {
+  bool OldConfig = Answer.ConfigVersion != 0 && Answer.ConfigAge > MaxSourceAge;
+  bool RetainedList =
+      Answer.ListDigest != UnreadListDigest && Answer.ListAge >= UnknownAge;
+  return OldConfig || RetainedList;
+}
+
 void StateSyncService::receive(const std::string &From,
                                const StateSyncResponse &Answer) {
   if (From == Asked)
@@ -170,8 +179,7 @@
     return; // The response to an earlier request is too old to use.
   // The next request goes to another node, and not at once: while the service
   // is unavailable, no node has newer state.
-  if (delegatesReading() && Answer.ConfigVersion != 0 &&
-      Answer.ConfigAge > MaxSourceAge)
+  if (delegatesReading() && isStale(Answer))
     excludeNode(From, "stale");
   PartsUntil = Answer.More ? Timers->now() + NextPartTimeout : TimePoint{};
   Epochs->observeEpoch(Answer.Epoch);
@@ -289,20 +297,20 @@
 
 StateSyncResponse
 StateSyncService::makeResponse(const StateSyncRequest &Asked) const {
-  constexpr Duration Never = std::chrono::hours(1);
   StateSyncResponse Out;
   Out.Nonce = Asked.Nonce;
   if (Routes->table())
     Out.ConfigVersion = Routes->table()->Version;
-  Out.ConfigAge = Routes->age().value_or(Never);
+  Out.ConfigAge = Routes->age().value_or(UnknownAge);
   Out.Drained = Routes->drained();
   Out.Epoch = Epochs->epoch();
   const UpstreamRegistry &Registry = Upstreams->registry();
   Out.ListDigest = Registry.Digest;
-  Out.ListAge = Registry.Known ? Timers->now() - Registry.ReadAt : Never;
-  if (Registry.Known && Asked.ListDigest != Registry.Digest)
+  bool Vouches = registryVouches(Registry);
+  Out.ListAge = Vouches ? Timers->now() - Registry.ReadAt : UnknownAge;
+  if (Vouches && Asked.ListDigest != Registry.Digest)
     Out.ListChange = registryChangesSince(Registry, Asked.ListDigest);
-  if (Registry.Known && !Out.ListChange && Asked.Buckets)
+  if (Vouches && !Out.ListChange && Asked.Buckets)
     Out.ListChange =
         registryBucketsSince(Registry, Asked.ListDigest, *Asked.Buckets);
   return Out;
--- a/src/state_sync_type.h
+++ b/src/state_sync_type.h
@@ -11,6 +11,9 @@
 
 namespace fulmar {
 
+/// Age of a state that its sender does not vouch for.
+inline constexpr Duration UnknownAge = std::chrono::hours(1);
+
 /// Queries the state that a node knows.
 struct StateSyncRequest {
   std::uint64_t Nonce = 0; ///< Returned in the response.
@@ -26,7 +29,8 @@
   std::uint64_t ConfigVersion = 0; ///< Configuration in force; 0: none.
   Duration ConfigAge{};         ///< Time since it was known to be the newest.
   std::uint64_t ListDigest = 0; ///< Digest of the listed upstreams.
-  Duration ListAge{};           ///< Time since they were read.
+  Duration ListAge{};           ///< Time since they were read; UnknownAge
+                                ///< while entries are only retained.
   std::optional<RegistryChange> ListChange; ///< Change to the requester's list.
   DrainedDomains Drained;                   ///< Drained domains.
   std::uint64_t Epoch = 0;                  ///< Epoch of the key-value service.
--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -113,6 +113,7 @@
       return Readers->ask();
   }
   Behind = false;
+  Registry.Retains = false;
   Registry.ReadAt = std::max(Registry.ReadAt, ReadAt);
   resetOwnReadDelay();
   readAfter(SyncTimeout);
--- a/src/upstream_feed.h
+++ b/src/upstream_feed.h
@@ -58,7 +58,7 @@
   void read();
   void readWholeList();
   void readFailed(const std::string &Why);
-  void onListRead(const KvItems &Found);
+  void onListRead(const KvItems &Found, TimePoint Sent);
   bool mayFollow() const;
   void follow();
   void applyEvents(const std::vector<KvItem> &Events, TimePoint Sent);
--- a/src/upstream_feed_read.cpp
+++ b/src/upstream_feed_read.cpp
@@ -23,6 +23,8 @@
 /// Delay after a read that was stopped because the list is long and other nodes
 /// read it.
 static constexpr Duration StoppedReadDelay = std::chrono::milliseconds(100);
+/// A list that took longer to arrive is read again at once.
+static constexpr Duration MaxReadTime = std::chrono::milliseconds(1300);
 /// Delay before a failed read is repeated.
 static constexpr Duration RetryDelay = std::chrono::milliseconds(150);
 /// Largest number of unreadable entries of one read that are logged, so that a
@@ -42,8 +44,11 @@
     }
     Revision = Found.Revision;
     ListReadAt = Sent;
-    onListRead(Found);
+    onListRead(Found, Sent);
     resetOwnReadDelay();
+    // The process was paused during the read, or the service is slow.
+    if (Timers->now() - Sent > MaxReadTime)
+      return readAfter(Duration::zero());
     readAfter(mayFollow() ? FollowDelay : ReadPeriod);
   };
   Tree->range(Wire.upstreamsPrefix(), Done,
@@ -109,7 +114,7 @@
     changed();
 }
 
-void UpstreamFeed::onListRead(const KvItems &Found) {
+void UpstreamFeed::onListRead(const KvItems &Found, TimePoint Sent) {
   if (Failures > 0)
     logEvent(LogLevel::Info, "upstream_list_regained",
              {{"failures", Failures}, {"revision", Found.Revision}});
@@ -123,8 +128,16 @@
       Listed.push_back(std::move(*Entry));
   }
   Unreadable = std::move(Errors);
-  if (registryApplyList(Registry, Listed, Timers->now()))
+  Duration Age = Sent - Registry.ReadAt;
+  bool Retained = Registry.Retains;
+  if (registryApplyList(Registry, Listed, Sent))
     changed();
+  if (Registry.Retains != Retained)
+    logEvent(LogLevel::Info, "upstream_list_retained",
+             {{"state", Registry.Retains ? "begun" : "ended"},
+              {"read", Listed.size()},
+              {"listed", Registry.Entries.size()},
+              {"earlier_read_ms", toMs(Age)}});
 }
 
 /// Parses one entry. Other programs may write below the same prefix, so an
--- a/src/upstream_registry.cpp
+++ b/src/upstream_registry.cpp
@@ -168,14 +168,14 @@
 
 bool registryApplyList(UpstreamRegistry &Registry,
                        const std::vector<UpstreamEntry> &Listed,
-                       TimePoint Now) {
-  if (Registry.Known && Now - Registry.ReadAt > ListOutageAge)
-    Registry.OutageEndedAt = Now;
+                       TimePoint Sent) {
+  if (Registry.Known && Sent - Registry.ReadAt > ListOutageAge)
+    Registry.OutageEndedAt = Sent;
   bool Recovering = Registry.Known && Registry.OutageEndedAt > TimePoint{} &&
-                    Now - Registry.OutageEndedAt < ListRecoveryTime;
+                    Sent - Registry.OutageEndedAt < ListRecoveryTime;
   std::map<std::string, UpstreamEntry> Next;
   bool Restoring = Registry.RestoredAt > TimePoint{} &&
-                   Now - Registry.RestoredAt < RestoreGracePeriod;
+                   Sent - Registry.RestoredAt < RestoreGracePeriod;
   for (const UpstreamEntry &Entry : Listed) {
     if (Restoring && hasLeft(Registry, Entry))
       continue;
@@ -184,17 +184,19 @@
     if (Restoring && isLeaving(Registry, Latest))
       Latest.Leaving = true;
   }
+  std::size_t Read = Next.size();
   if (Recovering) {
     for (const auto &[Instance, Entry] : Registry.Entries)
       Next.try_emplace(Instance, Entry);
   }
+  Registry.Retains = Next.size() > Read;
   RegistryChange Change = differenceTo(Registry, Next);
   bool Changed =
       !Registry.Known || !Change.Listed.empty() || !Change.Gone.empty();
-  recordGone(Registry, Change.Gone, Now);
+  recordGone(Registry, Change.Gone, Sent);
   BucketDigests Buckets = bucketsAfter(Registry, Change);
   applyChange(Registry, std::move(Change), Buckets);
-  Registry.ReadAt = Now;
+  Registry.ReadAt = Sent;
   Registry.Known = true;
   return Changed;
 }
--- a/src/upstream_registry.h
+++ b/src/upstream_registry.h
@@ -79,6 +79,9 @@
   TimePoint RestoredAt{};
   std::map<std::string, GoneUpstream> Gone; ///< Left recently, by instance.
   bool Known = false;                       ///< It was read at least once.
+  /// Entries that the latest read lacked are kept, as their leases may have
+  /// expired in an outage.
+  bool Retains = false;
 
   /// \return Whether this start of an upstream is listed.
   bool lists(const Incarnation &Upstream) const {
@@ -87,6 +90,12 @@
   }
 };
 
+/// \return Whether each entry of the list was in the latest read. Other nodes
+/// may know that the others have left.
+inline bool registryVouches(const UpstreamRegistry &Registry) {
+  return Registry.Known && !Registry.Retains;
+}
+
 /// Records that the store was restored from an older copy: until upstreams have
 /// written their entries again, reads may return entries that are out of date.
 void registryRestored(UpstreamRegistry &Registry, TimePoint Now);
@@ -95,10 +104,13 @@
 ///
 /// While the store is unavailable, leases of live upstreams may expire. If
 /// missing entries were removed at once, a node would have no upstreams for a
-/// second or two after each outage and would refuse all requests.
+/// second or two after each outage and would refuse all requests. A process
+/// that was paused or cut off cannot tell this from an outage.
+/// \param Sent when the read was sent; the store may have answered soon after.
 /// \return Whether anything changed.
 bool registryApplyList(UpstreamRegistry &Registry,
-                       const std::vector<UpstreamEntry> &Listed, TimePoint Now);
+                       const std::vector<UpstreamEntry> &Listed,
+                       TimePoint Sent);
 
 /// Applies changes that the store reported since the list was read.
 /// \return Whether anything changed.
--- a/tests/test_decisions.cpp
+++ b/tests/test_decisions.cpp
@@ -164,9 +164,15 @@
     CHECK(Registry.Entries.size() == 2);
     registryApplyList(Registry, {A}, TimePoint{seconds(8)});
     CHECK(Registry.Entries.size() == 2);
+    THEN("the list is vouched for once nothing is retained") {
+      CHECK_FALSE(registryVouches(Registry));
+      registryApplyList(Registry, {A, B}, TimePoint{milliseconds(8500)});
+      CHECK(registryVouches(Registry));
+    }
     THEN("one that is missing two seconds later is removed") {
       registryApplyList(Registry, {A}, TimePoint{milliseconds(9100)});
       CHECK(Registry.Entries.size() == 1);
+      CHECK(registryVouches(Registry));
     }
     THEN("one that announces that it is leaving is updated at once") {
       A.Leaving = true;
--- a/tests/test_readers.cpp
+++ b/tests/test_readers.cpp
@@ -4,8 +4,11 @@
 
 #include "gateway_world.h"
 #include "node_services.h"
+#include "own_loop.h"
 #include "route_feed.h"
+#include "state_sync_func.h"
 #include "tcp_proxy.h"
+#include "upstream_feed.h"
 
 using namespace fulmar;
 using std::chrono::milliseconds;
@@ -69,3 +72,106 @@
   }
   CHECK(W.Store.ConfigReads == Before);
 }
+
+namespace {
+
+/// \return An id with which a node reads the list for all nodes of \p World.
+std::string readerBeside(const GatewayWorld &World) {
+  std::string Id = "r";
+  while (true) {
+    Membership M;
+    M.Self.Id = Id;
+    for (const GatewaySettings &S : World.Settings)
+      M.Members[S.NodeId].Info.Id = S.NodeId;
+    if (chooseReader(M) == Id)
+      return Id;
+    Id += "r";
+  }
+}
+
+bool listsUpstream(GatewayNode &Node, const std::string &Instance) {
+  const auto &Feed = Node.services().find<UpstreamFeed>(service::Upstreams);
+  return Feed.registry().Entries.count(Instance) > 0;
+}
+
+} // namespace
+
+// Guards against a reader that was paused or cut off, retains upstreams that
+// have left, and restores them at the nodes that saw them leave.
+SCENARIO("the reader of the list of upstreams returns") {
+  GatewayWorld W;
+  for (const char *Name : {"p1", "p2", "p3"})
+    W.addRunner("plain", {Name});
+  W.configure();
+  W.addNode();
+  W.addNode();
+  TcpProxy Link(W.Loop, "127.0.0.1", 0, W.Store.address());
+  W.StoreAddress = "127.0.0.1:" + std::to_string(Link.port());
+  OwnLoop Reader;
+  Reader.start(W, readerBeside(W), 3);
+  auto RunFor = [&](Duration Time) {
+    TimePoint End = W.Timers.now() + Time;
+    runUntil(
+        W.Loop, [&] { return W.Timers.now() >= End; }, Time + seconds(1));
+  };
+  auto AnyLists = [&](const std::string &Instance) {
+    return listsUpstream(*W.Nodes[0], Instance) ||
+           listsUpstream(*W.Nodes[1], Instance);
+  };
+  auto &Sync =
+      Reader.Node->services().find<StateSyncService>(service::StateSync);
+  REQUIRE(runUntil(W.Loop, [&] { return Sync.reads() && Sync.nodes() == 3; }));
+  RunFor(seconds(1));
+
+  GIVEN("a pause in which an upstream leaves") {
+    Reader.Paused = true;
+    RunFor(milliseconds(500));
+    W.Store.erase("servers/p2");
+    RunFor(milliseconds(3500));
+    REQUIRE_FALSE(AnyLists("p2"));
+    Reader.Paused = false;
+    THEN("the other nodes do not list it again") {
+      CHECK_FALSE(runUntil(
+          W.Loop, [&] { return AnyLists("p2"); }, milliseconds(3500)));
+      CHECK_FALSE(listsUpstream(*Reader.Node, "p2"));
+    }
+    THEN("they follow what happens then") {
+      RunFor(milliseconds(500));
+      W.Store.erase("servers/p3");
+      CHECK(runUntil(
+          W.Loop, [&] { return !AnyLists("p3"); }, milliseconds(2000)));
+      CHECK(AnyLists("p1"));
+    }
+  }
+  GIVEN("a cut from the store in which an upstream leaves") {
+    Link.setMode(ProxyMode::Reset);
+    RunFor(milliseconds(500));
+    W.Store.erase("servers/p2");
+    RunFor(milliseconds(3500));
+    REQUIRE_FALSE(AnyLists("p2"));
+    Link.setMode(ProxyMode::Pass);
+    THEN("the other nodes do not list it again") {
+      CHECK_FALSE(runUntil(
+          W.Loop, [&] { return AnyLists("p2"); }, milliseconds(3500)));
+      CHECK_FALSE(listsUpstream(*Reader.Node, "p2"));
+    }
+  }
+}
+
+// Guards against a list that counts as new although the store answered the read
+// before the process was paused.
+SCENARIO("a list is as old as the request for it") {
+  GatewayWorld W;
+  W.addRunner("plain", {"p1"});
+  W.configure();
+  TcpProxy Link(W.Loop, "127.0.0.1", 0, W.Store.address());
+  W.StoreAddress = "127.0.0.1:" + std::to_string(Link.port());
+  W.addNode();
+  constexpr Duration Delay = milliseconds(150);
+  Link.setMode(ProxyMode::Delay, Delay);
+  const auto &Registry =
+      W.Nodes[0]->services().find<UpstreamFeed>(service::Upstreams).registry();
+  TimePoint Before = W.Timers.now() + seconds(1);
+  REQUIRE(runUntil(W.Loop, [&] { return Registry.ReadAt > Before; }));
+  CHECK(W.Timers.now() - Registry.ReadAt >= Delay);
+}
--- a/tests/test_silence_ends.cpp
+++ b/tests/test_silence_ends.cpp
@@ -4,6 +4,7 @@
 
 #include "call_relay_service.h"
 #include "core/hash.h"
+#include "own_loop.h"
 #include "path_world.h"
 #include "platform/names.h"
 #include "retry_window.h"
@@ -337,28 +338,6 @@
 
 namespace {
 
-/// A node on an event loop of its own, which can stand still or end.
-struct OwnLoop {
-  TimerService Time;
-  EventLoop Loop{Time};
-  std::unique_ptr<GatewayNode> Node;
-  bool Paused = false; ///< The process is stopped.
-
-  /// Adds a node to a world, and runs it from there.
-  void start(GatewayWorld &World, const std::string &Id, double GraceS) {
-    World.makeSettings(Id);
-    World.Settings.back().GraceS = GraceS;
-    Node = World.makeNode(Loop, Time);
-    // The loop must not wait for long.
-    Time.every(milliseconds(1), [] { /* wakes */ });
-    World.Timers.every(milliseconds(2), [this] {
-      for (int I = 0; I < 4 && !Paused; ++I)
-        Loop.runOnce();
-    });
-    REQUIRE(runUntil(World.Loop, [this] { return Node->gateway().ready(); }));
-  }
-};
-
 /// A node that is cut off from upstreams, and one that makes its calls.
 struct RelayWorld : Requests<PathWorld> {
   OwnLoop Other; ///< Makes the calls.
