A list that was old when it came is read again by the age of 1.5 s

What callers may see: a request reaches an upstream up to 2.3 s after it left, where the node that reads the list for the others has just been lost.

Cause: a node takes a list up to 1.3 s old and then waits up to 1.04 s for the next one before it reads the store itself. Each bound was made for 2 s without the other.

Change: it waits for what is left of 1.5 s, at most 0.9 s as before. A reader that has the store sends a newer list before that.

Result: "a node waits for the next list of a reader that is lost" finds 2,635 ms with the wait as it was, 2,000 ms wanted (with 300 ms for the read), and passes now.

--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -9,10 +9,6 @@
 
 namespace fulmar {
 
-/// A node that gets no update from a reader of the list within this time reads
-/// the list itself or requests it. An upstream must get no new work 2 s after
-/// its entry is marked as leaving; the rest of that time is for a slow read.
-static constexpr Duration SyncTimeout = std::chrono::milliseconds(900);
 /// The same for a node that has no list yet, and its interval between requests.
 static constexpr Duration FirstSyncTimeout = std::chrono::milliseconds(100);
 /// In a large fleet, a node without an update requests the list from other
@@ -24,14 +20,9 @@
 static constexpr Duration OwnReadDelayPerNode = std::chrono::milliseconds(50);
 /// Interval between the requests of such a node.
 static constexpr Duration SyncRequestInterval = std::chrono::milliseconds(200);
-/// A node that reads the list and whose list is older has lost the store.
-static constexpr Duration MaxSyncedAge = std::chrono::milliseconds(1300);
 /// Without a response to a comparison by buckets for this long, a node reads
 /// the whole list.
 static constexpr Duration CompareTimeout = std::chrono::milliseconds(650);
-/// Each delay varies by this fraction, so that nodes do not read at the same
-/// time.
-static constexpr double Jitter = 0.3;
 /// Largest number of changes that are logged one by one; of more only counts
 /// are logged.
 static constexpr std::size_t MaxLoggedChanges = 100;
@@ -81,7 +72,8 @@
 }
 
 Duration UpstreamFeed::addJitter(Duration Pause) {
-  return fromMs(toMs(Pause) * (1 - Jitter / 2 + Jitter * randomUnit(Rng)));
+  return fromMs(toMs(Pause) *
+                (1 - ReadJitter / 2 + ReadJitter * randomUnit(Rng)));
 }
 
 void UpstreamFeed::readAfter(Duration Pause) {
@@ -108,7 +100,7 @@
       return compareBuckets();
     // The change is too large for one response; the rest follows.
     if (Answer.More)
-      return readAfter(SyncTimeout);
+      return readAfter(OwnReadTimeout);
     if (Registry.Digest != Answer.ListDigest)
       return Readers->ask();
   }
@@ -116,7 +108,7 @@
   Registry.Retains = false;
   Registry.ReadAt = std::max(Registry.ReadAt, ReadAt);
   resetOwnReadDelay();
-  readAfter(SyncTimeout);
+  readAfter(ownReadPause(Timers->now() - Registry.ReadAt));
 }
 
 /// Applies the change in a response.
--- a/src/upstream_feed.h
+++ b/src/upstream_feed.h
@@ -2,6 +2,7 @@
 #ifndef FULMARSTEP_UPSTREAM_FEED_H
 #define FULMARSTEP_UPSTREAM_FEED_H
 
+#include <algorithm>
 #include <functional>
 
 #include "core/random.h"
@@ -15,6 +16,26 @@
 
 namespace fulmar {
 
+/// A node that gets no update from a reader of the list within this time reads
+/// the list itself or requests it. An upstream must get no new work 2 s after
+/// its entry is marked as leaving; the rest of that time is for a slow read.
+inline constexpr Duration OwnReadTimeout = std::chrono::milliseconds(900);
+/// A list of another node that is older is not used: that node has lost the
+/// store.
+inline constexpr Duration MaxSyncedAge = std::chrono::milliseconds(1300);
+/// A list that was old when it came is read or requested again at this age. A
+/// reader that still has the store sends a newer one before.
+inline constexpr Duration OwnReadAge = std::chrono::milliseconds(1500);
+/// Each delay varies by this fraction, so that nodes do not read at the same
+/// time.
+inline constexpr double ReadJitter = 0.3;
+
+/// \return How long a node waits for the next update after one with a list of
+/// this age, before it reads the list itself.
+inline Duration ownReadPause(Duration ListAge) {
+  return std::clamp(OwnReadAge - ListAge, Duration::zero(), OwnReadTimeout);
+}
+
 /// Keeps the list of upstreams up to date, from the store or from other nodes.
 class UpstreamFeed : public Service {
 public:
--- a/tests/test_readers.cpp
+++ b/tests/test_readers.cpp
@@ -158,6 +158,20 @@
   }
 }
 
+// Guards against a list that becomes too old because its age when it came and
+// the wait for the next one add up.
+SCENARIO("a node waits for the next list of a reader that is lost") {
+  constexpr Duration DrainTime = seconds(2);
+  constexpr Duration ReadTime = milliseconds(300);
+  for (Duration Age{}; Age <= MaxSyncedAge; Age += milliseconds(50)) {
+    double Longest = toMs(ownReadPause(Age)) * (1 + ReadJitter / 2);
+    CAPTURE(toMs(Age));
+    CHECK(Age + fromMs(Longest) + ReadTime <= DrainTime);
+  }
+  // Readers that have the store send a newer list before.
+  CHECK(toMs(ownReadPause(milliseconds(1050))) * (1 - ReadJitter / 2) > 300);
+}
+
 // Guards against a list that counts as new although the store answered the read
 // before the process was paused.
 SCENARIO("a list is as old as the request for it") {
