One bound for how long a client may wait for its stream

Cause: a stream without a record went on where the list had shown one version for 30 s. The store kept records for 40 s at least, holders counted as complete after 60 s, and records are kept for up to ten minutes: four bounds for one time.

Change: a client that names its first try needs one version for ten minutes, the longest time that a record is kept; one that does not, for as long as a client of the route has announced to wait, 30 s at least. Versions that left and routes that moved are remembered for as long. Leases of records last as long as the records.

Tests: the sections on long waits of "the only version of a pool" and "the lease of the records in the store" use new arguments and do not build before. The earlier assertions of 30 s stand, with that time as an argument.

--- a/src/caller_time.h
+++ b/src/caller_time.h
@@ -42,6 +42,7 @@
   std::size_t Next = 0;        ///< Index of the next sample, before the modulo.
   std::size_t UntilUpdate = 0; ///< Requests until MinFresh is updated.
   Duration MinFresh{};     ///< Least time of a new request; zero: not known.
+  Duration Longest{};      ///< Longest announced time since the node started.
   double RetriedShare = 0; ///< Smoothed share of apparent retries.
   double RefusedShare = 0; ///< Smoothed share of refused requests.
 };
@@ -63,6 +64,7 @@
 
 /// Adds a sample.
 inline void callerTimeAddSample(CallerTime &P, Duration Left) {
+  P.Longest = std::max(P.Longest, Left);
   smoothShare(P.RetriedShare, Left < P.MinFresh ? 1 : 0);
   smoothShare(P.RefusedShare, 0);
   if (P.Samples.size() < TimeSamples)
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -179,6 +179,7 @@
   void versionChanged(const UpstreamRestart &Restart);
   bool versionServed(const ForwardRequest &R) const;
   RouterPolicy policyOf(const ForwardRequest &R) const;
+  Duration longestWait(const ForwardRequest &R) const;
   std::optional<StreamOrigin> soleOrigin(const ForwardRequest &R) const;
   void checkVersionHistory();
   void recordVersions(const UpstreamChanges &Changes);
--- a/src/gateway_stream.cpp
+++ b/src/gateway_stream.cpp
@@ -14,9 +14,9 @@
 
 /// A host that slept for longer than this may have missed changes of the list.
 static constexpr Duration MaxSleep = std::chrono::milliseconds(500);
-/// A route that got other pools in this time does not say where its streams
-/// began.
-static constexpr Duration MoveMemory = std::chrono::seconds(30);
+
+/// Streams of clients that wait for less than this may be this old.
+static constexpr Duration MinStreamWait = std::chrono::seconds(30);
 
 /// \return The key of a request's stream.
 static StreamKey streamKeyOf(const ForwardRequest &R) {
@@ -238,20 +238,33 @@
   TargetsOf = std::move(Latest);
 }
 
+/// \return For how long the client of a stream without a record may have
+/// waited. A client that names its first try had a record, which may have been
+/// lost with the nodes that knew how long it waits.
+Duration GatewayService::longestWait(const ForwardRequest &R) const {
+  if (!R.Ask.FirstTry.empty())
+    return MaxStreamWait;
+  auto Found = Times.find(R.Route->Name);
+  Duration Longest =
+      Found == Times.end() ? MinStreamWait : Found->second.Callers.Longest;
+  return std::clamp<Duration>(Longest, MinStreamWait, MaxStreamWait);
+}
+
 /// \return Where the stream that a client takes up must have begun: its route
-/// has one pool, whose upstreams have had one version for longer than a stream
-/// lasts.
+/// has one pool, whose upstreams have had one version for as long as the client
+/// may have waited.
 std::optional<StreamOrigin>
 GatewayService::soleOrigin(const ForwardRequest &R) const {
   TimePoint Now = Timers->now();
   bool Current = bootOffset(Now) - BootOffset <= MaxSleep &&
                  Now - Upstreams->registry().ReadAt <= ListOutageAge;
+  Duration Wait = longestWait(R);
   auto Moved = MovedAt.find(R.Route->Name);
-  bool Stayed = Moved == MovedAt.end() || Now - Moved->second > MoveMemory;
+  bool Stayed = Moved == MovedAt.end() || Now - Moved->second > Wait;
   if (!Current || !Stayed || R.Route->Targets.size() != 1)
     return std::nullopt;
   const std::string &Pool = R.Route->Targets.front().Pool;
-  auto Version = soleVersion(Versions, Pool, Now);
+  auto Version = soleVersion(Versions, Pool, Wait, Now);
   if (!Version)
     return std::nullopt;
   return StreamOrigin{Pool, *Version, ""};
--- a/src/stream_version.cpp
+++ b/src/stream_version.cpp
@@ -18,11 +18,11 @@
 static constexpr std::size_t MaxRecords = 50'000;
 /// A record is kept for this much longer than the client said that it waits.
 static constexpr Duration RecordMargin = std::chrono::seconds(2);
-/// Longest time for which a record is kept.
-static constexpr Duration MaxRecordTime = std::chrono::minutes(10);
-/// A node that has kept records for longer than this has received those of all
-/// streams that are still in progress.
-static constexpr Duration MaxStreamTime = std::chrono::minutes(1);
+/// Records expire in the store with their lease. Shorter than this, a new lease
+/// would be needed for nearly each call.
+static constexpr Duration MinLeaseTime = std::chrono::seconds(60);
+/// Records are written under one lease for this long.
+static constexpr Duration LeasePeriod = std::chrono::seconds(20);
 
 static constexpr EnumNames<StreamFinding> FindingNames = {"known", "disputed",
                                                           "lost", "never"};
@@ -55,7 +55,7 @@
     ++State.Dropped;
     return false;
   }
-  TimePoint Until = Now + std::min(Record.Left + RecordMargin, MaxRecordTime);
+  TimePoint Until = Now + std::min(Record.Left + RecordMargin, MaxStreamWait);
   if (!Known) {
     State.Records[Record.Key] = {Record.Origin, Until, Record.Disputed};
     return true;
@@ -77,6 +77,16 @@
   return StreamRecord{Key, Kept.Origin, Left, Kept.Disputed};
 }
 
+bool streamLeaseFits(const StreamLease &Lease, TimePoint Until, TimePoint Now) {
+  return Lease.Id != 0 && Now - Lease.GrantedAt < LeasePeriod &&
+         Until <= Lease.GrantedAt + Lease.Time;
+}
+
+Duration streamLeaseTime(TimePoint Until, TimePoint Now) {
+  return std::clamp<Duration>(Until - Now + LeasePeriod, MinLeaseTime,
+                              MaxStreamWait);
+}
+
 std::string streamStoreKey(const StreamKey &Key) {
   std::string Bytes(sizeof(Key.High) + sizeof(Key.Low), '\0');
   std::memcpy(Bytes.data(), &Key.High, sizeof(Key.High));
@@ -120,7 +130,7 @@
   if (Answer.Record)
     return Answer.Record->Disputed ? StreamFinding::Disputed
                                    : StreamFinding::Known;
-  Lookup.Complete = Lookup.Complete && Answer.Kept > MaxStreamTime;
+  Lookup.Complete = Lookup.Complete && Answer.Kept > MaxStreamWait;
   if (!Lookup.Waiting.empty())
     return std::nullopt;
   return streamLookupEnded(Lookup);
--- a/src/stream_version_base.h
+++ b/src/stream_version_base.h
@@ -24,6 +24,13 @@
   std::uint64_t Dropped = 0;               ///< Not kept for want of space.
 };
 
+/// A lease under which records are written to the store.
+struct StreamLease {
+  std::uint64_t Id = 0;  ///< In the store; 0: none.
+  TimePoint GrantedAt{}; ///< When it was requested.
+  Duration Time{};       ///< For how long.
+};
+
 /// What is known of a stream that a client takes up.
 enum class StreamFinding {
   Known,    ///< Its version is known.
--- a/src/stream_version_func.h
+++ b/src/stream_version_func.h
@@ -29,6 +29,14 @@
                                             const StreamKey &Key,
                                             TimePoint Now);
 
+/// \return Whether records that are kept until \p Until can be written under a
+/// lease.
+bool streamLeaseFits(const StreamLease &Lease, TimePoint Until, TimePoint Now);
+
+/// \return For how long to request a lease for records that are kept until
+/// \p Until.
+Duration streamLeaseTime(TimePoint Until, TimePoint Now);
+
 /// \return The key of a stream's record in the store.
 std::string streamStoreKey(const StreamKey &Key);
 
--- a/src/stream_version_service.cpp
+++ b/src/stream_version_service.cpp
@@ -23,10 +23,6 @@
 static constexpr Duration WritePeriod = std::chrono::seconds(1);
 /// Most records that wait to be written; the oldest are dropped.
 static constexpr std::size_t MaxUnwritten = 4096;
-/// Records expire with their lease. A new one is granted in this interval, so
-/// each is kept for longer than a client waits for its stream.
-static constexpr Duration LeaseTime = std::chrono::seconds(60);
-static constexpr Duration LeasePeriod = std::chrono::seconds(20);
 
 void StreamVersionService::start() {
   Timers = &Services.find<TimerService>(service::Timers);
@@ -53,7 +49,7 @@
         answered(From.Sender, Answer);
       });
   Services.find<KvEpochs>(service::Kv).onEpoch([this](std::uint64_t) {
-    Lease = 0;
+    Lease.Id = 0;
   });
   Timers->every(WritePeriod, [this] { write(); });
   Timers->every(ExpiryPeriod,
@@ -104,22 +100,37 @@
     Unwritten.pop_front();
 }
 
-/// Writes records to the store, under a recent lease.
+/// \return Until when the latest of the unwritten records is kept.
+TimePoint StreamVersionService::unwrittenUntil() const {
+  TimePoint Until{};
+  for (const StreamKey &Key : Unwritten) {
+    auto Found = State.Records.find(Key);
+    if (Found != State.Records.end())
+      Until = std::max(Until, Found->second.Until);
+  }
+  return Until;
+}
+
+/// Writes records to the store, under a recent lease that lasts as long as they
+/// are kept.
 void StreamVersionService::write() {
   if (Writing || Unwritten.empty())
     return;
   Writing = true;
-  if (Lease != 0 && Timers->now() - LeasedAt < LeasePeriod)
-    return writeUnder(Lease);
-  Leases->grant(LeaseTime, [this](KvStatus Status, std::uint64_t Granted) {
+  TimePoint Now = Timers->now();
+  TimePoint Until = unwrittenUntil();
+  if (streamLeaseFits(Lease, Until, Now))
+    return writeUnder(Lease.Id);
+  Duration Time = streamLeaseTime(Until, Now);
+  auto Done = [this, Now, Time](KvStatus Status, std::uint64_t Granted) {
     if (Status != KvStatus::Ok) {
       Writing = false;
       return;
     }
-    Lease = Granted;
-    LeasedAt = Timers->now();
+    Lease = {Granted, Now, Time};
     writeUnder(Granted);
-  });
+  };
+  Leases->grant(Time, std::move(Done));
 }
 
 void StreamVersionService::writeUnder(std::uint64_t Under) {
@@ -139,23 +150,23 @@
     return;
   Leases->putAllLeased(
       Items, Under,
-      [this, Keys = std::move(Keys), Under](KvStatus Status, std::uint64_t) {
-        written(Keys, Under, Status);
+      [this, Keys = std::move(Keys)](KvStatus Status, std::uint64_t) {
+        written(Keys, Status);
       });
 }
 
 /// Takes in the result of a write; what was not written is written later.
 void StreamVersionService::written(const std::vector<StreamKey> &Keys,
-                                   std::uint64_t Under, KvStatus Status) {
+                                   KvStatus Status) {
   Writing = false;
   if (Status != KvStatus::Ok) {
-    Lease = 0;
+    Lease.Id = 0;
     Unwritten.insert(Unwritten.begin(), Keys.begin(), Keys.end());
     return;
   }
   Counts.Stored += Keys.size();
   if (Unwritten.size() >= KvLeases::MaxPuts)
-    writeUnder(Under);
+    write();
 }
 
 void StreamVersionService::find(const StreamKey &Key, FindFn Done) {
--- a/src/stream_version_service.h
+++ b/src/stream_version_service.h
@@ -70,10 +70,10 @@
   void recall(const StreamKey &Key, StreamFinding Otherwise, FindFn Done);
   std::string writerOf(const StreamKey &Key);
   void receive(const StreamRecord &Record);
+  TimePoint unwrittenUntil() const;
   void write();
   void writeUnder(std::uint64_t Lease);
-  void written(const std::vector<StreamKey> &Keys, std::uint64_t Under,
-               KvStatus Status);
+  void written(const std::vector<StreamKey> &Keys, KvStatus Status);
 
   Kernel &Services;                 ///< Finds the other services.
   TimerService *Timers = nullptr;   ///< Clock and timers.
@@ -87,8 +87,7 @@
   KvStore *Store = nullptr;                           ///< Reads records.
   KvLeases *Leases = nullptr;      ///< Writes records that expire.
   std::deque<StreamKey> Unwritten; ///< Records to write, the oldest first.
-  std::uint64_t Lease = 0;         ///< Of the records written now; 0: none.
-  TimePoint LeasedAt{};            ///< When it was granted.
+  StreamLease Lease;               ///< Of the records written now.
   bool Writing = false;            ///< A call is in progress.
   StreamVersionCounts Counts;      ///< For metrics.
 };
--- a/src/stream_version_type.h
+++ b/src/stream_version_type.h
@@ -11,6 +11,10 @@
 
 namespace fulmar {
 
+/// Longest time for which the client of a stream may wait. Whatever tells where
+/// streams began counts for this long.
+inline constexpr Duration MaxStreamWait = std::chrono::minutes(10);
+
 /// Identifies a stream over all tries of its client; see streamKey().
 using StreamKey = Hash128;
 
--- a/src/version_history.h
+++ b/src/version_history.h
@@ -16,7 +16,8 @@
 struct VersionTimes {
   int Listed = 0;        ///< Upstreams listed with it.
   TimePoint FirstSeen{}; ///< When it was first listed, of this time.
-  TimePoint GoneAt{};    ///< When its latest upstream left the list.
+  TimePoint GoneAt{};    ///< When its latest upstream left the list; zero: one
+                         ///< is listed.
 };
 
 /// Versions by pool, as this node's list showed them.
@@ -33,11 +34,11 @@
 void versionUnlisted(VersionHistory &History, const std::string &Pool,
                      const std::string &Version, TimePoint Now);
 
-/// \return The only version that a pool's upstreams had for as long as a stream
-/// may last; nothing if there were several or this node has not known the list
-/// for so long.
+/// \return The only version that a pool's upstreams had for \p Wait; nothing if
+/// there were several or this node has not known the list for so long.
 std::optional<std::string> soleVersion(const VersionHistory &History,
-                                       const std::string &Pool, TimePoint Now);
+                                       const std::string &Pool, Duration Wait,
+                                       TimePoint Now);
 
 /// \return Versions of a pool that some other node may not have in its list
 /// yet, while the pool has versions that all nodes know.
--- a/tests/test_stream_version.cpp
+++ b/tests/test_stream_version.cpp
@@ -178,6 +178,26 @@
   }
 }
 
+/// Guards against records that the store drops while their clients still wait.
+TEST_CASE("the lease of the records in the store", "[stream-version]") {
+  TimePoint Now{seconds(100)};
+  StreamLease Lease{7, Now, streamLeaseTime(Now + seconds(14), Now)};
+  CHECK(Lease.Time == seconds(60));
+  TimePoint Later = Now + seconds(15);
+  CHECK(streamLeaseFits(Lease, Later + seconds(14), Later));
+  CHECK_FALSE(streamLeaseFits({}, Later, Later));
+
+  SECTION("one that ends too early is replaced by a longer one") {
+    TimePoint Until = Later + seconds(120);
+    CHECK_FALSE(streamLeaseFits(Lease, Until, Later));
+    CHECK(streamLeaseTime(Until, Later) >= seconds(120));
+    CHECK(streamLeaseTime(Later + MaxStreamWait, Later) == MaxStreamWait);
+  }
+  SECTION("it is used for a while only") {
+    CHECK_FALSE(streamLeaseFits(Lease, Later, Now + seconds(20)));
+  }
+}
+
 /// Guards against a lost record that is taken for one that never was.
 TEST_CASE("a search for the record of a stream", "[stream-version]") {
   StreamKey Key = streamKey("org", "id");
@@ -253,33 +273,57 @@
   History.Since = Start;
   versionListed(History, "engine", "v1", Start);
   TimePoint Later = Start + seconds(40);
-  CHECK_FALSE(soleVersion(History, "engine", Start + seconds(5)));
-  CHECK(soleVersion(History, "engine", Later) == "v1");
-  CHECK_FALSE(soleVersion(History, "other", Later));
+  Duration Wait = seconds(30);
+  CHECK_FALSE(soleVersion(History, "engine", Wait, Start + seconds(5)));
+  CHECK(soleVersion(History, "engine", Wait, Later) == "v1");
+  CHECK_FALSE(soleVersion(History, "other", Wait, Later));
 
   SECTION("another version is listed, and leaves") {
     versionListed(History, "engine", "v2", Later);
-    CHECK_FALSE(soleVersion(History, "engine", Later));
+    CHECK_FALSE(soleVersion(History, "engine", Wait, Later));
     CHECK(unsettledVersions(History, "engine", Later) ==
           std::set<std::string>{"v2"});
     CHECK(unsettledVersions(History, "engine", Later + seconds(4)).empty());
     versionUnlisted(History, "engine", "v2", Later + seconds(5));
-    CHECK_FALSE(soleVersion(History, "engine", Later + seconds(30)));
-    CHECK(soleVersion(History, "engine", Later + seconds(40)) == "v1");
+    CHECK_FALSE(soleVersion(History, "engine", Wait, Later + seconds(30)));
+    CHECK(soleVersion(History, "engine", Wait, Later + seconds(40)) == "v1");
   }
   SECTION("new streams may begin at a new version where no other is left") {
     versionUnlisted(History, "engine", "v1", Later);
     versionListed(History, "engine", "v2", Later);
     CHECK(unsettledVersions(History, "engine", Later).empty());
-    CHECK_FALSE(soleVersion(History, "engine", Later));
+    CHECK_FALSE(soleVersion(History, "engine", Wait, Later));
   }
   SECTION("the list was not seen for some time") {
     History.Since = Later;
-    CHECK_FALSE(soleVersion(History, "engine", Later + seconds(20)));
+    CHECK_FALSE(soleVersion(History, "engine", Wait, Later + seconds(20)));
+  }
+  SECTION("all nodes have started after the version of a stream has left") {
+    // The client waits for longer than this node has known the list.
+    CHECK_FALSE(soleVersion(History, "engine", seconds(60), Later));
+    CHECK_FALSE(soleVersion(History, "engine", MaxStreamWait, Later));
+    CHECK(soleVersion(History, "engine", seconds(60), Start + seconds(60)) ==
+          "v1");
+  }
+  SECTION("a version has left for less than a client waits") {
+    versionListed(History, "engine", "v2", Later);
+    versionUnlisted(History, "engine", "v2", Later + seconds(5));
+    TimePoint Now = Later + seconds(60);
+    versionListed(History, "engine", "v3", Now);
+    versionUnlisted(History, "engine", "v3", Now);
+    CHECK_FALSE(soleVersion(History, "engine", seconds(100), Now));
+  }
+  SECTION("a version that comes back later is unsettled again") {
+    versionListed(History, "engine", "v2", Later);
+    versionUnlisted(History, "engine", "v2", Later);
+    TimePoint Back = Later + seconds(60);
+    versionListed(History, "engine", "v2", Back);
+    CHECK(unsettledVersions(History, "engine", Back) ==
+          std::set<std::string>{"v2"});
   }
   SECTION("an unknown version is none") {
     versionListed(History, "plain", "", Start);
-    CHECK_FALSE(soleVersion(History, "plain", Later));
+    CHECK_FALSE(soleVersion(History, "plain", Wait, Later));
   }
 }
 
@@ -392,6 +436,35 @@
   CHECK(World.whole() == 18);
 }
 
+/// Guards against streams that go on at the only version left after all nodes
+/// and the servers of their own version have ended.
+TEST_CASE("the first version of streams leaves while all nodes are down",
+          "[stream-version]") {
+  VersionWorld World;
+  World.begin(18);
+  for (auto &[Name, Runner] : World.Runners)
+    Runner->pause(true);
+  TimePoint Written = World.Timers.now() + milliseconds(1500);
+  runUntil(World.Loop, [&] { return World.Timers.now() >= Written; });
+  for (std::size_t Node = 0; Node < 3; ++Node)
+    World.Nodes[Node]->halt();
+  World.finish();
+  for (std::string Name : {"old-0", "old-1"})
+    World.Store.erase("servers/" + Name);
+  for (auto &[Name, Runner] : World.Runners)
+    Runner->pause(false);
+  World.addNode();
+  int OfNew = 0;
+  for (ClientStream &Stream : World.Streams) {
+    OfNew += versionsIn(Stream.text()).count("v2") > 0 ? 1 : 0;
+    World.takeUp(Stream, 3);
+  }
+  World.finish();
+  CHECK(World.mixed() == 0);
+  CHECK(World.whole() == OfNew);
+  CHECK(OfNew < 18);
+}
+
 /// Guards against a stream that goes on at another version after its own has
 /// left, and against one that does not go on after it came back.
 TEST_CASE("a stream waits for no version that is gone", "[stream-version]") {
