A connection that one call may not use stays open for others

What callers saw: nothing by itself. A call that may not use an idle connection, because the connection has carried the call's request id, closed it and opened another in its place.

Cause: takeIdle took any connection that the call may not use for one that is too old.

Result: tests/test_http.cpp, section "the connection is kept for other calls", opened three connections before and two now.

--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -300,6 +300,20 @@
       CHECK(callOnce(Loop, Client, Server).Body == "good");
       CHECK(Client.counts().Opened == 2);
     }
+    THEN("the connection is kept for other calls") {
+      callOnce(Loop, Client, Server);
+      int Ended = 0;
+      for (int I = 0; I < 2; ++I) {
+        HttpCall Call;
+        Call.Address = Server.address();
+        Call.Method = "GET";
+        HttpCallbacks On;
+        On.OnDone = [&](const HttpResponse &) { ++Ended; };
+        Client.start(std::move(Call), std::move(On));
+      }
+      CHECK(runUntil(Loop, [&] { return Ended == 2; }));
+      CHECK(Client.counts().Opened == 2);
+    }
     THEN("another connection that is idle is used") {
       RawServer Steady(Loop, {ExpectedResponse}, RawCloseMode::Keep);
       callOnce(Loop, Client, Steady, HttpReuse::Allowed, "");
