A status that promises "not run" is passed on only with the mark

What callers saw: REFUSED. An upstream runs a request that may run once and answers 503, 429 or 408 without the mark of requests that it has not run. Its client got that status, which promises that the request never runs.

Cause: attemptDecisionAfter passes on the error of an upstream that has run the request, whatever its status promises.

Change: such an answer counts as none that can be passed on, and the client gets 502.

Evidence: the scenario "an upstream answers a request that may run once as if it had not run it" failed in 6 of 18 checks before (503, 429, 408 at a plain pool and at engines), none now.

--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -290,6 +290,9 @@
   if (A.Streaming)
     return A.Splitter.partial() || Empty ? AttemptOutcome::Broken
                                          : AttemptOutcome::Success;
+  // The status promises what the upstream does not state.
+  if (Reply.PromisesNotRun && !Reply.SaidNotRun)
+    return AttemptOutcome::Broken;
   if (!isGood(Answer.Status))
     return AttemptOutcome::Failure;
   return Reply.Signed ? AttemptOutcome::Success : AttemptOutcome::Broken;
--- /dev/null
+++ b/tests/test_not_run.cpp
@@ -0,0 +1,59 @@
+/// \file test_not_run.cpp Which answers show that a request has not run.
+#include <catch2/catch.hpp>
+
+#include "path_world.h"
+
+using namespace fulmar;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string Named = "X-Request-Id: r1\r\n";
+const std::string Signed = "X-Server-Signature: s\r\n";
+const std::string Mark = "X-Not-Executed: 1\r\n";
+
+/// \return An answer without a body.
+std::string answer(int Status, const std::string &Headers) {
+  return "HTTP/1.1 " + std::to_string(Status) + " Status\r\n" + Headers +
+         "Content-Length: 0\r\n\r\n";
+}
+
+/// Lists a server as an upstream of a pool.
+void listRaw(GatewayWorld &World, const std::string &Pool,
+             const std::string &Name, const RawServer &Server) {
+  World.ListedAddress[Name] = Server.address();
+  World.DomainOf[Name] = "z1";
+  World.list(Pool, Name, "ready");
+}
+
+constexpr int BadGateway = 502;
+constexpr int Unavailable = 503;
+
+} // namespace
+
+// Guards against clients that are told "not run" of a request that has run.
+SCENARIO("an upstream answers a request that may run once as if it had not run "
+         "it") {
+  auto [Path, Pool] = GENERATE(table<std::string, std::string>(
+      {{"/post/x", "plain"}, {"/once/x", "engine"}}));
+  int Status = GENERATE(503, 429, 408);
+  CAPTURE(Path, Status);
+  GatewayWorld W;
+  RawServer Server(W.Loop, {}, RawCloseMode::Keep);
+  listRaw(W, Pool, "raw", Server);
+  W.configure();
+  W.addNode();
+  GIVEN("an answer without the mark of requests that have not run") {
+    Server.Responses = {answer(Status, Named + Signed)};
+    THEN("its status, which would promise that, is not passed on") {
+      CHECK(W.ask(Path).Answer.Status == BadGateway);
+      CHECK(Server.Requests.size() == 1);
+    }
+  }
+  GIVEN("an answer with the mark") {
+    Server.Responses = {answer(Status, Named + Mark)};
+    THEN("the client is refused") {
+      CHECK(W.ask(Path).Answer.Status == Unavailable);
+    }
+  }
+}
