An answer is believed only if it names the request

What callers saw: REFUSED, TWICE, MIXED. An answer without a request id that arrives before that of the request was taken for it: a 503 with the mark told a client "not run" while the upstream ran its request; a 421 had it sent to a second upstream as well; a signed 200 or 500 was passed on although it answered another request.

Cause: only an answer with another id was told apart.

Change: an answer that does not name its request shows neither that it ran nor that it did not: no success, no "not run". The node that has the request decides, so answers that other nodes relay are covered. Requests without an id are as before.

--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -69,6 +69,7 @@
 
 /// Metadata in the head of an upstream's answer.
 struct ForwardResponseInfo {
+  std::string RequestId;   ///< Of the request that it names; empty: none.
   bool Signed = false;     ///< It has the upstream's signature.
   bool SaidNotRun = false; ///< The upstream did not run the request.
   /// Its status promises the client that the request has not run and never will.
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -181,6 +181,13 @@
   return Status >= HttpOk && Status < FirstBadStatus;
 }
 
+/// \return Whether an answer names the request that it was received for. One
+/// that does not may be a second answer to an earlier call.
+static bool namesRequest(const ForwardResponseInfo &Reply,
+                         const ForwardRequest &R) {
+  return R.Ask.RequestId.empty() || Reply.RequestId == R.Ask.RequestId;
+}
+
 void GatewayService::attemptHead(RequestSerial Serial, AttemptNumber Number,
                                  const HttpResponse &Answer) {
   ForwardRequest *R = find(Serial);
@@ -189,7 +196,8 @@
   attemptAnswered(*R, A);
   ForwardResponseInfo Reply = Wire.readResponseInfo(Answer);
   reportNotice(A, Answer, Reply);
-  A.Good = isGood(Answer.Status) && Reply.Signed;
+  A.Good =
+      isGood(Answer.Status) && Reply.Signed && namesRequest(Reply, *R);
   A.Streaming = R->Route->Kind == RouteKind::Streaming && A.Good;
 }
 
@@ -299,10 +307,10 @@
 }
 
 static AttemptEffect effectOf(const HttpResponse &Answer,
-                              const ForwardResponseInfo &Reply) {
+                              const ForwardResponseInfo &Reply, bool Named) {
   if (!Answer.MayHaveBeenSent)
     return AttemptEffect::NotSent;
-  if (Answer.Failure != HttpFailure::None)
+  if (Answer.Failure != HttpFailure::None || !Named)
     return AttemptEffect::MayHaveRun;
   if (Reply.SaidNotRun)
     return AttemptEffect::SaidNotRun;
@@ -315,8 +323,11 @@
   HttpResponse Whole = Answer;
   Whole.Body = std::move(openAttempt(*R, Number).Body);
   ForwardResponseInfo Reply = Wire.readResponseInfo(Whole);
-  AttemptOutcome Outcome = outcomeOf(openAttempt(*R, Number), Whole, Reply);
-  AttemptEffect Effect = effectOf(Whole, Reply);
+  bool Named = namesRequest(Reply, *R);
+  AttemptOutcome Outcome =
+      Named ? outcomeOf(openAttempt(*R, Number), Whole, Reply)
+            : AttemptOutcome::Broken;
+  AttemptEffect Effect = effectOf(Whole, Reply, Named);
   if (isSilent(*R, Number)) {
     if (Outcome != AttemptOutcome::Success)
       return silentEnded(*R, openAttempt(*R, Number), Whole, Outcome, Effect);
@@ -333,7 +344,8 @@
   reportRun(*R, A, Whole, Outcome);
   if (Reply.InputsGone && R->InputsFreed)
     readWaitUpdate(InputsRead, /*Missed=*/1, /*Found=*/0);
-  bool Redo = Reply.InputsGone && R->StageRounds == 1;
+  bool Redo = Effect == AttemptEffect::SaidNotRun && Reply.InputsGone &&
+              R->StageRounds == 1;
   R->InputsFreed = R->InputsFreed || Redo;
   if (Redo && holdRepeat(*R)) {
     recordOutcome(*R, A, AttemptOutcome::Success, Effect);
@@ -471,6 +483,7 @@
               {"runs", R.Runs},
               {"budget", Facts.Budget ? 1 : 0},
               {"reused", Answer.Reused ? 1 : 0},
+              {"named", Answer.header(header::RequestId).empty() ? 0 : 1},
               {"asked", R.RetryRequested ? 1 : 0},
               {"events", R.Attempt ? R.Attempt->Events : 0},
               {"in_force", Routes->table()->Version},
--- a/tests/test_not_run.cpp
+++ b/tests/test_not_run.cpp
@@ -18,6 +18,12 @@
          "Content-Length: 0\r\n\r\n";
 }
 
+/// \return A complete good answer to the first request.
+std::string goodAnswer(const std::string &Headers) {
+  return "HTTP/1.1 200 OK\r\n" + Headers + Signed +
+         "Content-Length: 4\r\n\r\ngood";
+}
+
 /// Lists a server as an upstream of a pool.
 void listRaw(GatewayWorld &World, const std::string &Pool,
              const std::string &Name, const RawServer &Server) {
@@ -57,3 +63,35 @@
     }
   }
 }
+
+// Guards against an answer to another request that is believed: its client is
+// told "not run" while the request runs, it runs at a second upstream, or its
+// client gets the answer of the other.
+SCENARIO("an answer does not name its request") {
+  GatewayWorld W;
+  RawServer First(W.Loop, {}, RawCloseMode::Keep);
+  RawServer Second(W.Loop, {}, RawCloseMode::Keep);
+  listRaw(W, "plain", "raw-1", First);
+  listRaw(W, "plain", "raw-2", Second);
+  W.configure();
+  W.addNode();
+  auto Answer = [&](const std::string &Bytes) {
+    First.Responses = Second.Responses = {Bytes};
+    return W.ask("/post/x").Answer;
+  };
+  GIVEN("a \"not run\" answer before that of the request") {
+    auto Status = GENERATE(503, 429, 421);
+    CAPTURE(Status);
+    CHECK(Answer(answer(Status, Mark) + goodAnswer(Named)).Status ==
+          BadGateway);
+    THEN("the request is not sent again") {
+      CHECK(First.Requests.size() + Second.Requests.size() == 1);
+    }
+  }
+  GIVEN("a good answer with a signature") {
+    CHECK(Answer(goodAnswer("")).Status == BadGateway);
+  }
+  GIVEN("an error with a signature") {
+    CHECK(Answer(answer(500, Signed)).Status == BadGateway);
+  }
+}
