A second "not run" of one upstream about one request is not believed

An engine says that the inputs of a request are gone (409, not run); the node does the stages again and sends the request to the same engine, which sends a copy of its 409 and runs the request. The node believed the copy and sent the request to a second engine.

Change: the request remembers which upstreams said that they had not run it; when one says so again, the send may have run. An engine that honestly finds the inputs gone twice costs its client a 502 where it was a 503.

Evidence: the section "a second copy that comes on another connection" got 503 before, 502 now.

--- a/src/forward_type.h
+++ b/src/forward_type.h
@@ -72,7 +72,8 @@
   std::string RequestId;   ///< Of the request that it names; empty: none.
   bool Signed = false;     ///< It has the upstream's signature.
   bool SaidNotRun = false; ///< The upstream did not run the request.
-  /// Its status promises the client that the request has not run and never will.
+  /// Its status promises the client that the request has not run and never
+  /// will.
   bool PromisesNotRun = false;
   bool InputsGone = false; ///< A stage's result is missing at its upstream.
   bool Elsewhere = false;  ///< Sent by another upstream than the addressed one.
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -175,12 +175,6 @@
   countRepeatSent(*R);
 }
 
-/// \return Whether a status says that the upstream has served the request.
-static bool isGood(int Status) {
-  constexpr int FirstBadStatus = 300;
-  return Status >= HttpOk && Status < FirstBadStatus;
-}
-
 /// \return Whether an answer names the request that it was received for. One
 /// that does not may be a second answer to an earlier call.
 static bool namesRequest(const ForwardResponseInfo &Reply,
@@ -196,8 +190,7 @@
   attemptAnswered(*R, A);
   ForwardResponseInfo Reply = Wire.readResponseInfo(Answer);
   reportNotice(A, Answer, Reply);
-  A.Good =
-      isGood(Answer.Status) && Reply.Signed && namesRequest(Reply, *R);
+  A.Good = isSuccess(Answer.Status) && Reply.Signed && namesRequest(Reply, *R);
   A.Streaming = R->Route->Kind == RouteKind::Streaming && A.Good;
 }
 
@@ -301,7 +294,7 @@
   // The status promises what the upstream does not state.
   if (Reply.PromisesNotRun && !Reply.SaidNotRun)
     return AttemptOutcome::Broken;
-  if (!isGood(Answer.Status))
+  if (!isSuccess(Answer.Status))
     return AttemptOutcome::Failure;
   return Reply.Signed ? AttemptOutcome::Success : AttemptOutcome::Broken;
 }
@@ -317,6 +310,19 @@
   return Reply.Signed ? AttemptEffect::Ran : AttemptEffect::MayHaveRun;
 }
 
+/// Checks whether a "not run" answer is about the present send. A second one of
+/// an upstream may be a copy of its first, on whichever connection it comes.
+static AttemptEffect confirmedEffect(ForwardRequest &R, UpstreamId Upstream,
+                                     AttemptEffect Effect) {
+  if (Effect != AttemptEffect::SaidNotRun)
+    return Effect;
+  auto Earlier = std::find(R.SaidNotRun.begin(), R.SaidNotRun.end(), Upstream);
+  if (Earlier != R.SaidNotRun.end())
+    return AttemptEffect::MayHaveRun;
+  R.SaidNotRun.push_back(Upstream);
+  return Effect;
+}
+
 void GatewayService::attemptDone(RequestSerial Serial, AttemptNumber Number,
                                  const HttpResponse &Answer) {
   ForwardRequest *R = find(Serial);
@@ -327,7 +333,8 @@
   AttemptOutcome Outcome =
       Named ? outcomeOf(openAttempt(*R, Number), Whole, Reply)
             : AttemptOutcome::Broken;
-  AttemptEffect Effect = effectOf(Whole, Reply, Named);
+  AttemptEffect Effect = confirmedEffect(*R, openAttempt(*R, Number).Upstream,
+                                         effectOf(Whole, Reply, Named));
   if (isSilent(*R, Number)) {
     if (Outcome != AttemptOutcome::Success)
       return silentEnded(*R, openAttempt(*R, Number), Whole, Outcome, Effect);
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -153,6 +153,7 @@
   std::vector<ForwardAttempt> Silent;
   std::uint64_t LastAttempt = 0;      ///< Number of the latest attempt.
   std::vector<UpstreamId> Tried;      ///< Upstreams that it was sent to.
+  std::vector<UpstreamId> SaidNotRun; ///< Upstreams that answered "not run".
   std::optional<EndedAttempt> Ended;  ///< Waits for a RetryAnswer.
   bool RetryRequested = false;        ///< A RetryAsk was sent for it.
   RepeatHold Hold = RepeatHold::None; ///< Covers its next repeat.
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -40,6 +40,12 @@
     429;                                    ///< Status code for a rate limit.
 inline constexpr int HttpUnavailable = 503; ///< Status code for overload.
 
+/// \return Whether a status says that the request was served.
+inline bool isSuccess(int Status) {
+  constexpr int FirstOther = 300;
+  return Status >= HttpOk && Status < FirstOther;
+}
+
 /// Header names used by the HTTP interfaces of this project.
 namespace header {
 inline constexpr const char *IdempotencyKey = "Idempotency-Key";
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -98,6 +98,15 @@
   Invalid, ///< Not an action.
 };
 
+/// Whether a RawServer sends its responses a second time.
+enum class RawRepeat {
+  Never,        ///< It does not.
+  OnConnection, ///< When the next request arrives on the same connection.
+  OnAnyOther,   ///< When the next request arrives on any connection.
+  Count,        ///< Number of values.
+  Invalid,      ///< Not a value.
+};
+
 /// A server that responds to each read with the next of its responses, whatever
 /// the request.
 struct RawServer {
@@ -107,11 +116,9 @@
   std::vector<std::string>
       Responses; ///< Sent in order; the last one is repeated.
   RawCloseMode End = RawCloseMode::Keep; ///< Action after each response.
-  /// Each response is sent once more when the next request arrives on its
-  /// connection.
-  bool RepeatsLate = false;
-  std::vector<std::string> Requests; ///< Heads and bodies, as received.
-  std::vector<int> Fds;              ///< Accepted connections.
+  RawRepeat Repeat = RawRepeat::Never;   ///< Second copies of the responses.
+  std::vector<std::string> Requests;     ///< Heads and bodies, as received.
+  std::vector<int> Fds;                  ///< Accepted connections.
 
   RawServer(EventLoop &L, std::vector<std::string> A, RawCloseMode E)
       : Loop(L), Responses(std::move(A)), End(E) {
@@ -141,6 +148,7 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(Port); }
 
 private:
+  static constexpr int AnySocket = -1; ///< Key of Late.
   std::map<int, std::string>
       Late; ///< Sent before the next response, by socket.
 
@@ -163,9 +171,10 @@
     }
     Requests.emplace_back(Buffer, static_cast<std::size_t>(Size));
     std::size_t Index = std::min(Requests.size(), Responses.size()) - 1;
-    std::string Bytes = Late[Fd] + Responses[Index];
-    if (RepeatsLate)
-      Late[Fd] = Responses[Index];
+    int Next = Repeat == RawRepeat::OnAnyOther ? AnySocket : Fd;
+    std::string Bytes = Late[Next] + Responses[Index];
+    if (Repeat != RawRepeat::Never)
+      Late[Next] = Responses[Index];
     (void)!::write(Fd, Bytes.data(), Bytes.size());
     if (End == RawCloseMode::Keep)
       return;
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -300,7 +300,7 @@
                         "X-Server-Signature: s\r\nContent-Length: " +
                         std::to_string(Event.size()) + "\r\n\r\n" + Event},
                    RawCloseMode::Keep);
-  Engine.RepeatsLate = true;
+  Engine.Repeat = RawRepeat::OnConnection;
   W.ListedAddress["i-e"] = Engine.address();
   W.DomainOf["i-e"] = "z1";
   W.list("engine", "i-e", "ready");
@@ -316,6 +316,16 @@
       CHECK(Got.Stream == Event);
     }
   }
+  GIVEN("a second copy that comes on another connection") {
+    Engine.Repeat = RawRepeat::OnAnyOther;
+    ClientResult Got =
+        W.ask("/staged/x", {{"X-Pieces", "0,1,0"}, {"X-Piece-Key", "k"}});
+    THEN("the client is not told that its request has not run") {
+      constexpr int BadGateway = 502;
+      CHECK(Engine.Requests.size() == 2);
+      CHECK(Got.Answer.Status == BadGateway);
+    }
+  }
 }
 
 SCENARIO("a delayed stage begins before its timer fires") {
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -293,7 +293,7 @@
   GIVEN(
       "an upstream that sends a response again when the request comes again") {
     RawServer Server(Loop, {Refusal, ExpectedResponse}, RawCloseMode::Keep);
-    Server.RepeatsLate = true;
+    Server.Repeat = RawRepeat::OnConnection;
     constexpr int Conflict = 409;
     CHECK(callOnce(Loop, Client, Server).Status == Conflict);
     THEN("the request is repeated on another connection") {
