A success without length, chunks and body is not whole

An upstream stopped in its head and closed; the client got an empty 200, framed as whole.

Whether it can happen here: not within the head. Through another node a stream without an event looked complete too, as the way in which the body ended is not relayed.

Change: a 2xx whose body ends with its connection before the first byte counts as truncated where the call was made, so it holds for direct and relayed calls, streams and stages. An upstream that means an empty body can say so with a length.

Evidence: the scenario "an upstream closes its connection within or after the head": cut at six places, closed or reset, plain or stream, direct or relayed.

--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -174,10 +174,20 @@
   C.HeardAt = Timers->now();
   if (C.Refused)
     return;
+  C.HasBody = true;
   auto OnChunk = C.Callbacks.OnChunk;
   OnChunk(Bytes);
 }
 
+/// \return The failure of a response that has ended too early.
+static HttpResponse truncated(HttpResponse Answer) {
+  Answer.Status = 0;
+  Answer.Failure = HttpFailure::Truncated;
+  return Answer;
+}
+
+/// Ends a call that this node made itself. A success whose body has no explicit
+/// end and no byte looks like one whose sender stopped after the head.
 void UpstreamClient::directDone(HttpCallId Id, const HttpResponse &Answer) {
   OpenCall &C = *find(Id);
   const std::string Address = C.Call.Address;
@@ -188,9 +198,11 @@
       probe(Address);
     }
     noteChanges();
-    if (Answer.Failure == HttpFailure::None && Answer.EndedByClose)
-      return confirmEnd(Id, Answer);
-    return finish(Id, Answer);
+    if (Answer.Failure != HttpFailure::None || !Answer.EndedByClose)
+      return finish(Id, Answer);
+    bool Empty = !C.HasBody && Answer.Body.empty();
+    return Empty && isSuccess(Answer.Status) ? finish(Id, truncated(Answer))
+                                             : confirmEnd(Id, Answer);
   }
   // That an open connection is gone by now says nothing about the path.
   if (!C.Call.OpenOnly)
@@ -364,12 +376,7 @@
   checkLife(find(Id)->Call.Address, [this, Id, Answer](UpstreamLife Life) {
     if (!find(Id))
       return;
-    HttpResponse Ended = Answer;
-    if (Life != UpstreamLife::Alive) {
-      Ended.Status = 0;
-      Ended.Failure = HttpFailure::Truncated;
-    }
-    finish(Id, Ended);
+    finish(Id, Life == UpstreamLife::Alive ? Answer : truncated(Answer));
   });
 }
 
--- a/src/upstream_client.h
+++ b/src/upstream_client.h
@@ -112,6 +112,7 @@
     TimePoint Started{};     ///< When the caller started it.
     bool Direct = false;     ///< Sent without another node.
     bool Refused = false;    ///< The response is the other node's own.
+    bool HasBody = false;    ///< A part of the body was passed on.
     TimePoint HeardAt{};     ///< Latest byte received, or when it was sent;
                              ///< zero: not sent.
     std::vector<std::string> Via; ///< Nodes that it was sent to, in order.
--- a/tests/test_not_run.cpp
+++ b/tests/test_not_run.cpp
@@ -95,3 +95,33 @@
     CHECK(Answer(answer(500, Signed)).Status == BadGateway);
   }
 }
+
+// Guards against an empty or short answer that looks whole, of an upstream that
+// stopped in its head or after it.
+SCENARIO("an upstream closes its connection within or after the head") {
+  auto [Path, Pool] = GENERATE(table<std::string, std::string>(
+      {{"/post/x", "plain"}, {"/once/x", "engine"}}));
+  bool Relayed = GENERATE(false, true);
+  auto Close = GENERATE(RawCloseMode::Close, RawCloseMode::Reset);
+  CAPTURE(Path, Relayed, static_cast<int>(Close));
+  const std::string Head = "HTTP/1.1 200 OK\r\n" + Named + Signed + "\r\n";
+  std::size_t Size = GENERATE_COPY(from_range(
+      std::vector<std::size_t>{1, 17, 19, 40, Head.size() - 1, Head.size()}));
+  CAPTURE(Size);
+  GatewayWorld W;
+  W.Sources = Relayed;
+  RawServer Server(W.Loop, {Head.substr(0, Size)}, Close);
+  TcpProxy Link(W.Loop, "127.0.0.1", 0, Server.address());
+  W.ListedAddress["raw"] = "127.0.0.1:" + std::to_string(Link.port());
+  W.DomainOf["raw"] = "z1";
+  W.list(Pool, "raw", "ready");
+  W.configure();
+  W.addNode();
+  if (Relayed) {
+    W.addNode();
+    REQUIRE(runUntil(W.Loop, [&] { return W.knowEachOther(); }));
+    Link.cut(GatewayWorld::sourceOf(0), ProxyCut::Refused);
+  }
+  CHECK(W.ask(Path).Answer.Status == BadGateway);
+  CHECK(Server.Requests.size() == 1);
+}
