The test of released port ranges uses lock files of its own

Seen: tests/test_ports.cpp:42, 12400 == 12300, once beside a second build: another test process took the range between its release and the next reservation, as it may. The same check now uses a folder of its own for the lock files, in which no other process reserves ranges.

--- a/tests/test_ports.cpp
+++ b/tests/test_ports.cpp
@@ -6,6 +6,8 @@
 // the failure.
 #include "standin/port_range.h"
 
+#include <cstdlib>
+#include <filesystem>
 #include <set>
 
 using namespace fulmar;
@@ -13,6 +15,24 @@
 /// The lowest fixed port of a script (`scripts/streams`).
 static constexpr int FirstScriptPort = 19000;
 
+/// A folder of its own for the lock files, so that no other process can take a
+/// range that was released.
+struct OwnLockFolder {
+  std::string Before = std::filesystem::temp_directory_path();
+  std::string Path = Before + "/fulmarstep-locks-XXXXXX";
+
+  OwnLockFolder() {
+    REQUIRE(::mkdtemp(Path.data()) != nullptr);
+    ::setenv("TMPDIR", Path.c_str(), /*overwrite=*/1);
+  }
+  ~OwnLockFolder() {
+    ::setenv("TMPDIR", Before.c_str(), /*overwrite=*/1);
+    std::filesystem::remove_all(Path);
+  }
+  OwnLockFolder(const OwnLockFolder &) = delete;
+  OwnLockFolder &operator=(const OwnLockFolder &) = delete;
+};
+
 SCENARIO("port ranges that are in use at the same time do not overlap") {
   GIVEN("two reserved ranges") {
     PortRange One;
@@ -37,6 +57,7 @@
     }
   }
   GIVEN("a released range") {
+    OwnLockFolder Folder;
     int Before = PortRange().first();
     THEN("the next reservation gets it") {
       CHECK(PortRange().first() == Before);
