--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -102,7 +102,7 @@
 enum class RawRepeat {
   Never,        ///< It does not.
   OnConnection, ///< When the next request arrives on the same connection.
-  OnAnyOther,   ///< When the next request arrives on any connection.
+  OnServer,     ///< When the next request arrives on any connection.
   Count,        ///< Number of values.
   Invalid,      ///< Not a value.
 };
@@ -171,7 +171,7 @@
     }
     Requests.emplace_back(Buffer, static_cast<std::size_t>(Size));
     std::size_t Index = std::min(Requests.size(), Responses.size()) - 1;
-    int Next = Repeat == RawRepeat::OnAnyOther ? AnySocket : Fd;
+    int Next = Repeat == RawRepeat::OnServer ? AnySocket : Fd;
     std::string Bytes = Late[Next] + Responses[Index];
     if (Repeat != RawRepeat::Never)
       Late[Next] = Responses[Index];
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -317,7 +317,7 @@
     }
   }
   GIVEN("a second copy that comes on another connection") {
-    Engine.Repeat = RawRepeat::OnAnyOther;
+    Engine.Repeat = RawRepeat::OnServer;
     ClientResult Got =
         W.ask("/staged/x", {{"X-Pieces", "0,1,0"}, {"X-Piece-Key", "k"}});
     THEN("the client is not told that its request has not run") {
--- a/tests/test_not_run.cpp
+++ b/tests/test_not_run.cpp
@@ -4,7 +4,6 @@
 #include "path_world.h"
 
 using namespace fulmar;
-using std::chrono::milliseconds;
 
 namespace {
 
