--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -280,11 +280,10 @@
 void GatewayService::finishWithAnswer(ForwardRequest &R,
                                       const HttpResponse &Answer) {
   HttpExchangePtr Exchange = R.Exchange;
-  constexpr int FirstBadStatus = 300;
   smoothTime(timesOf(R).Whole, Timers->now() - R.Arrived);
   removeRequest(R,
-                Answer.Status < FirstBadStatus ? ResultCode::Complete
-                                               : ResultCode::StageFailed,
+                isSuccess(Answer.Status) ? ResultCode::Complete
+                                         : ResultCode::StageFailed,
                 Answer.Status);
   Exchange->reply(Answer.Status, Answer.Body, Wire.replyHeaders(Answer));
 }
