--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -58,6 +58,7 @@
   double ColdPerS = 0;           ///< Limit of a cold upstream; 0: none.
   int ColdMs = 0;                ///< Cold time of upstreams listed next.
   int CallMs = 20;               ///< Configured time of a batch call.
+  int ConnectionLimit = 40;      ///< Connections of an upstream.
   double RoomMb = 8;             ///< Result space of an upstream, MB.
   WallMs BornMs = 1;             ///< Start of upstreams listed next.
   std::string ListDomain = "z1"; ///< Failure domain of upstreams added next.
@@ -128,12 +129,13 @@
               ",\"gap_target_ms\":100,\"stream_resumption\":true,"
               "\"stages\":[{\"service\":\"batch\",\"after\":[],"
               "\"bytes\":100}]") +
-        "],\"services\":[{\"name\":\"plain\",\"connection_limit\":40,"
-        "\"cold_per_s\":" +
-        std::to_string(ColdPerS) +
+        "],\"services\":[{\"name\":\"plain\",\"connection_limit\":" +
+        std::to_string(ConnectionLimit) +
+        ",\"cold_per_s\":" + std::to_string(ColdPerS) +
         "},"
-        "{\"name\":\"engine\",\"connection_limit\":40,\"engine\":{\"slots\":" +
-        std::to_string(EngineSlots) +
+        "{\"name\":\"engine\",\"connection_limit\":" +
+        std::to_string(ConnectionLimit) +
+        ",\"engine\":{\"slots\":" + std::to_string(EngineSlots) +
         "}},{\"name\":\"batch\",\"connection_limit\":40,\"pieces\":{"
         "\"slots\":1,\"queue\":2,\"batch\":4,\"call_ms\":" +
         std::to_string(CallMs) +
