A request's body is in memory once, however many calls carry it

Cause: the exchange, the call, the client's connection and its output buffer each had a copy, and each retry made them anew. A head had two.

Change: a body is received into one string and shared from then on (SharedBytes); the output buffer refers to it and drops its share when it is sent. A head is moved into its exchange.

--- a/src/http_client.h
+++ b/src/http_client.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "core/shared_bytes.h"
 #include "core/strong_id.h"
 #include "event_loop.h"
 #include "http_type.h"
@@ -40,7 +41,7 @@
   std::string Method = "POST"; ///< GET, POST, PUT or DELETE.
   std::string Path = "/";      ///< Path and query.
   HttpHeaders Headers; ///< Content-Length is added, and Host if missing.
-  std::string Body;    ///< Complete body.
+  SharedBytes Body;    ///< Complete body.
   /// If set, a response with another X-Request-Id is discarded, and no
   /// connection is reused that has carried a call with the same id lately.
   std::string ExpectId;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "core/shared_bytes.h"
 #include "event_loop.h"
 #include "http_type.h"
 
@@ -34,7 +35,7 @@
   std::string Query;     ///< Without the question mark.
   std::string Target;    ///< Path and query as received.
   HttpHeaders Headers;   ///< Headers of the request, in order.
-  std::string Body;      ///< Complete body; empty if TooLarge.
+  SharedBytes Body;      ///< Complete body; empty if TooLarge.
   bool TooLarge = false; ///< The body exceeded the limit and was discarded.
   /// Set before startStream(): the body has neither a length nor chunks and
   /// ends with the connection.
--- a/src/standin/standin_hosts.cpp
+++ b/src/standin/standin_hosts.cpp
@@ -63,7 +63,7 @@
 
 void StandinHosts::handle(const HttpExchangePtr &Exchange) {
   if (Exchange->Path == "/fault") {
-    Outage = Exchange->Body.find("true") != std::string::npos;
+    Outage = Exchange->Body.text().find("true") != std::string::npos;
     return Exchange->reply(HttpOk, "", {});
   }
   if (Exchange->Path == "/leave") {
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -18,7 +18,7 @@
   HttpHead Head;    ///< The head.
   std::string Body; ///< The body so far.
 
-  bool onHead(const HttpHead &H) override {
+  bool onHead(HttpHead &H) override {
     Head = H;
     return true;
   }
