One account of what clients make a process hold, and one decision whose connection ends

Cause: each connection had limits of its own, and nothing bounded all of them together: bodies that stop short, in chunks or with a length, heads whose fields cost far more than their bytes, answers that are not read, connections. A body's buffer doubled. `Body = std::string()` kept the buffer of a body that was refused. The HTTP server tried again at once when accept() failed.

Change: ClientBudget counts bodies, heads, read-ahead, output and what handlers hold, over all ports of a process, against 3/10 of `memory_mb` (120 by default, the smallest machine in use), and connections against half of the descriptors for sockets and a quarter of the memory. `client_budget` decides, on plain data, who ends: for want of connections those without a request, the oldest first; for want of memory the request that has occupied most bytes for longest. A request in its first second, and one in progress, are left alone. A body over 64 KiB needs room before it is received, of three quarters; its buffer is reserved at once, or grows in a few steps; route and key are checked by the head first. Without room it is refused as not run (503 NodeFull, Retry-After). A single body always fits. Streams and answers state what they hold. Receive buffers of clients are bounded (8 KiB, 128 KiB while a large body is received). Refusals are counted and logged, a line a second. The connection has a file of its own.

--- a/src/call_relay_service.cpp
+++ b/src/call_relay_service.cpp
@@ -44,6 +44,8 @@
 }
 
 void CallRelayService::handle(const HttpExchangePtr &Exchange) {
+  if (Exchange->NoRoom)
+    return refuse(*Exchange, RelayResult::Busy);
   std::optional<PeerMessage> Message = Peers->open(Exchange->Body);
   auto *Call = Message ? std::get_if<RelayedCall>(&Message->Body) : nullptr;
   if (!Call)
--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -3,6 +3,7 @@
 
 #include <charconv>
 
+#include "client_budget.h"
 #include "drain_service.h"
 #include "entry_func.h"
 #include "json_func.h"
@@ -165,7 +166,8 @@
   Server = std::make_unique<HttpServer>(
       Loop, Config.Host, static_cast<int>(Config.CallerPort),
       static_cast<std::size_t>(Config.MaxBodyBytes),
-      [this](const HttpExchangePtr &E) { handle(E); });
+      [this](const HttpExchangePtr &E) { handle(E); },
+      &Services.find<ClientBudget>(service::Clients));
 }
 
 void CallerApi::stop() { Server.reset(); }
@@ -179,6 +181,8 @@
 }
 
 void CallerApi::handle(const HttpExchangePtr &Exchange) {
+  if (Exchange->NoRoom)
+    return replyCode(*Exchange, ResultCode::NodeFull, "");
   if (Exchange->Path == "/v1/requests" && Exchange->Method == "POST")
     return handleRequest(Exchange);
   if (Exchange->Path == "/v1/entries" && Exchange->Method == "GET")
--- a/src/entry_api.cpp
+++ b/src/entry_api.cpp
@@ -6,7 +6,9 @@
 
 #include "batch_metrics.h"
 #include "call_relay_service.h"
+#include "client_budget.h"
 #include "engine_placement_service.h"
+#include "gateway_reply.h"
 #include "gateway_service.h"
 #include "log_func.h"
 #include "loop_service.h"
@@ -45,6 +47,7 @@
   Upstreams = &Services.find<UpstreamClient>(service::UpstreamCalls);
   Relay = &Services.find<CallRelayService>(service::CallRelay);
   EventLoop &Loop = Services.find<LoopService>(service::Loop).Loop;
+  auto &Clients = Services.find<ClientBudget>(service::Clients);
   HostPort Peer = parseHostPort(Config.PeerAddress).value_or(HostPort());
   HostPort Metrics{Peer.Host, static_cast<int>(Config.MetricsPort)};
   std::set<HostPort> Addresses = {
@@ -53,11 +56,11 @@
   Addresses.erase(Metrics);
   Servers.push_back(std::make_unique<HttpServer>(
       Loop, Metrics.Host, Metrics.Port, MaxInternalBody,
-      [this](const HttpExchangePtr &E) { handleInternal(E); }));
+      [this](const HttpExchangePtr &E) { handleInternal(E); }, &Clients));
   for (const HostPort &Address : Addresses)
     Servers.push_back(std::make_unique<HttpServer>(
         Loop, Address.Host, Address.Port, MaxBody,
-        [this](const HttpExchangePtr &E) { handle(E); }));
+        [this](const HttpExchangePtr &E) { handle(E); }, &Clients));
   TimerService &Timers = Services.find<TimerService>(service::Timers);
   Members->announceFitness({/*Fit=*/false});
   Timers.every(FitnessPeriod, [this] { checkFitness(); });
@@ -80,6 +83,8 @@
 }
 
 void EntryApi::handle(const HttpExchangePtr &Exchange) {
+  if (Exchange->NoRoom)
+    return replyCode(*Exchange, ResultCode::NodeFull, "", Duration::zero());
   if (Exchange->Path == Wire.entryPath())
     return answerEntries(Exchange);
   if (Exchange->Path == Wire.readyPath())
@@ -129,6 +134,7 @@
       Services.find<UpstreamNoticeService>(service::Notices).counts();
   const StreamVersionService &Streams =
       Services.find<StreamVersionService>(service::StreamVersions);
+  const ClientBudget &Clients = Services.find<ClientBudget>(service::Clients);
   const EnginePlacementService &Placements =
       Services.find<EnginePlacementService>(service::Placement);
   auto Age = Routes->age();
@@ -221,6 +227,18 @@
        static_cast<double>(Placements.expired())},
       {"fulmarstep_peer_messages_total", "counter",
        static_cast<double>(Peers.SentMessages)},
+      {"fulmarstep_client_bytes", "gauge",
+       static_cast<double>(Clients.bytes())},
+      {"fulmarstep_client_connections", "gauge",
+       static_cast<double>(Clients.connections())},
+      {"fulmarstep_client_connections_refused_total", "counter",
+       static_cast<double>(Clients.Counts.Refused)},
+      {"fulmarstep_client_connections_closed_total", "counter",
+       static_cast<double>(Clients.Counts.Idle + Clients.Counts.Unread)},
+      {"fulmarstep_client_requests_refused_total", "counter",
+       static_cast<double>(Clients.Counts.Bodies)},
+      {"fulmarstep_peer_connections_closed_total", "counter",
+       static_cast<double>(Clients.Counts.PeersDropped)},
       {"fulmarstep_members", "gauge", static_cast<double>(Members->size())},
       {"fulmarstep_nodes_sharing_limits", "gauge", Gateway->nodesEverKnown()}};
   const BatchService &Batches = Services.find<BatchService>(service::Batches);
--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -59,9 +59,9 @@
   ForwardRequest &R = Requests[Serial];
   R.Serial = Serial;
   R.Exchange = Exchange;
-  R.Ask = Wire.readRequestInfo(*Exchange);
   R.Arrived = Exchange->Began;
   R.Table = Routes->table();
+  R.Ask = Wire.readRequestInfo(*Exchange);
   ResultCode Code = admit(R);
   if (Code != ResultCode::Complete) {
     refuseAdmission(R, Code);
@@ -88,12 +88,33 @@
                             R.Exchange->Body);
 }
 
-/// Decides whether a request is admitted, and fills in the fields that this
-/// needs.
-/// \return Complete when it is admitted, else the code of the refusal.
-ResultCode GatewayService::admit(ForwardRequest &R) {
-  if (R.Exchange->TooLarge)
-    return ResultCode::BodyTooLarge;
+/// Refuses a request whose large body is not received yet if its head shows
+/// that it cannot be served.
+/// \return Whether it has refused the request.
+bool GatewayService::refuseHead(const HttpExchangePtr &Exchange) {
+  ForwardRequest R;
+  R.Exchange = Exchange;
+  R.Ask = Wire.readRequestInfo(*Exchange);
+  R.Arrived = Exchange->Began;
+  R.Table = Routes->table();
+  ResultCode Code = identify(R);
+  if (Code == ResultCode::Complete)
+    return false;
+  refuseAdmission(R, Code);
+  return true;
+}
+
+/// \return Memory that a request takes here besides its exchange, bytes: what
+/// is read from its headers, and the headers of the call to an upstream.
+static std::size_t memoryOf(const ForwardRequest &R) {
+  std::size_t Headers = R.Exchange->Headers.size() * sizeof(HttpHeader);
+  std::size_t Parts = R.Ask.Prompt.size() * sizeof(PromptPart);
+  return Headers + Parts + sizeof(ForwardRequest);
+}
+
+/// Finds the route and the organisation of a request.
+/// \return Complete if it has both, else the code of the refusal.
+ResultCode GatewayService::identify(ForwardRequest &R) {
   if (!R.Table || !Upstreams->registry().Known)
     return ResultCode::NotReady;
   R.Route = findRoute(*R.Table, R.Ask.Host, R.Exchange->Path);
@@ -111,6 +132,19 @@
     R.Organisation = Owner->Name;
     R.Priority = Owner->Priority.value_or(R.Priority);
   }
+  return ResultCode::Complete;
+}
+
+/// Decides whether a request is admitted, and fills in the fields that this
+/// needs.
+/// \return Complete when it is admitted, else the code of the refusal.
+ResultCode GatewayService::admit(ForwardRequest &R) {
+  if (R.Exchange->NoRoom)
+    return ResultCode::NodeFull;
+  if (R.Exchange->TooLarge)
+    return ResultCode::BodyTooLarge;
+  if (ResultCode Code = identify(R); Code != ResultCode::Complete)
+    return Code;
   R.Content = fingerprintOf(R);
   R.Parts = sharedPartFingerprints(R.Ask.Prompt);
   R.Urgency = urgencyOf(R.Priority, R.Route->Priority);
@@ -120,6 +154,9 @@
   }
   if (Requests.size() > MaxRequests)
     return ResultCode::TooManyRequests;
+  R.Memory = memoryOf(R);
+  if (!R.Exchange->hold(R.Memory))
+    return ResultCode::NodeFull;
   Duration Left = R.Ask.Left.value_or(DefaultClientTimeout);
   R.ClientDeadline = R.Arrived + Left;
   // The client measures its latency from its first try.
--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -22,6 +22,8 @@
 /// With this many bytes unsent to the client, its stream is no longer read from
 /// the upstream. That is some hundred events, so a short stall costs nothing.
 static constexpr std::size_t MaxUnsent = std::size_t{128} << 10;
+/// The same while the memory for clients is nearly used up.
+static constexpr std::size_t MaxUnsentCrowded = std::size_t{24} << 10;
 /// Another attempt is made only with at least this much time to the deadline.
 static constexpr Duration MinRetryTime = std::chrono::milliseconds(30);
 
@@ -215,7 +217,9 @@
   placementBegan(A);
   if (!A.Streaming) {
     A.Body.append(Bytes);
-    if (A.Body.size() > MaxResponseBytes)
+    // Other clients give way first.
+    bool Fits = R->Exchange->hold(R->Memory + A.Body.capacity());
+    if (!Fits || A.Body.size() > MaxResponseBytes)
       answerTooLarge(*R, Number);
     return;
   }
@@ -230,6 +234,9 @@
     A.Damaged = Order == EventOrder::Gap;
   });
   A.Damaged = A.Damaged || !Fits;
+  std::size_t Partial = A.Splitter.Buffered.capacity();
+  if (!A.Damaged && !R->Exchange->hold(R->Memory + Partial))
+    return answerTooLarge(*R, Number);
   if (!A.Damaged)
     return;
   R->LastFailure = "events not in order";
@@ -263,7 +270,8 @@
     A.FirstEventAt = Now;
   clearBegun(R);
   R.Exchange->sendChunk(Event.Bytes);
-  if (A.Paused || R.Exchange->unsent() < MaxUnsent)
+  std::size_t Most = R.Exchange->crowded() ? MaxUnsentCrowded : MaxUnsent;
+  if (A.Paused || R.Exchange->unsent() < Most)
     return;
   A.Paused = true;
   streamGapClientBehind(R.Gaps);
--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -3,6 +3,7 @@
 
 #include "batch_relay.h"
 #include "call_relay_service.h"
+#include "client_budget.h"
 #include "core/hash.h"
 #include "drain_service.h"
 #include "engine_placement_service.h"
@@ -56,6 +57,8 @@
              static_cast<std::uint64_t>(Config.Seed));
   Services.add(service::Loop, std::make_unique<LoopService>(Loop));
   Services.addShared(service::Timers, Timers);
+  Services.add(service::Clients,
+               std::make_unique<ClientBudget>(Timers, clientLimitsOf(Common)));
   auto &Http = Services.add(service::Http, std::make_unique<HttpClientService>(
                                                Loop, Config.SourceAddress));
   Services.add(service::Kv, MakeStore(Http.Client));
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -123,6 +123,7 @@
   RequestSerial Serial;             ///< Identifies it on this node.
   HttpExchangePtr Exchange;         ///< Exchange with the client.
   ForwardRequestInfo Ask;           ///< Metadata from the client.
+  std::size_t Memory = 0;           ///< Memory besides its exchange, bytes.
   RouteTablePtr Table;              ///< Configuration that it began under.
   const RouteSpec *Route = nullptr; ///< Points into Table.
   std::string Organisation;         ///< Owner; empty: public route.
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "client_budget.h"
 #include "engine_placement_service.h"
 #include "gateway_reply.h"
 #include "log_func.h"
@@ -100,7 +101,10 @@
   HostPort Address = parseHostPort(Config.CallerAddress).value_or(HostPort());
   Server = std::make_unique<HttpServer>(
       Loop, Address.Host, Address.Port, HttpLimits(),
-      [this](const HttpExchangePtr &E) { accept(E); });
+      [this](const HttpExchangePtr &E) { accept(E); },
+      &Services.find<ClientBudget>(service::Clients));
+  Server->setHeadCheck(
+      [this](const HttpExchangePtr &E) { return refuseHead(E); });
 }
 
 void GatewayService::stop() {
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -88,6 +88,8 @@
 private:
   // gateway_admission.cpp: admission of requests.
   void accept(const HttpExchangePtr &Exchange);
+  bool refuseHead(const HttpExchangePtr &Exchange);
+  ResultCode identify(ForwardRequest &R);
   ResultCode admit(ForwardRequest &R);
   void refuseAdmission(const ForwardRequest &R, ResultCode Code);
   bool cannotEndBeforeStop(const ForwardRequest &R) const;
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -85,6 +85,8 @@
 Settings commonSettings(const GatewaySettings &S) {
   Settings Out;
   Out.Strength = strengthOf(S);
+  Out.MemoryMb = S.MemoryMb;
+  Out.FileDescriptors = S.FileDescriptors;
   HostPort Caller = parseHostPort(S.CallerAddress).value_or(HostPort());
   HostPort Peer = parseHostPort(S.PeerAddress).value_or(HostPort());
   Out.NodeId = S.NodeId;
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -36,10 +36,13 @@
          ///< if a route leaves at most this time
          ///< for a decode step, ms; 0: none.
   std::int64_t PlacementMinSlots = 24; ///< And if engines have so many slots.
-  double CpuShare = 1;                 ///< CPU quota of this node, cores.
-  double LinkMbps = 1000;              ///< Link of this node, Mbit/s.
-  std::string LogLevelName = "info";   ///< Lowest level logged.
-  std::int64_t Seed = 0; ///< Of random choices; 0: from the clock.
+  std::int64_t MemoryMb = 120;         ///< Memory of this node's machine, MB.
+  std::int64_t FileDescriptors = 0;  ///< Of the process, with those for files;
+                                     ///< 0: as the system allows.
+  double CpuShare = 1;               ///< CPU quota of this node, cores.
+  double LinkMbps = 1000;            ///< Link of this node, Mbit/s.
+  std::string LogLevelName = "info"; ///< Lowest level logged.
+  std::int64_t Seed = 0;             ///< Of random choices; 0: from the clock.
 };
 
 } // namespace fulmar
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -90,6 +90,8 @@
   bool EndedByClose = false;
   /// The peer's host refused the connection: no process listens at the address.
   bool ConnectRefused = false;
+  /// This process has no descriptor left for a connection; nothing was sent.
+  bool NoDescriptor = false;
   bool Relayed = false; ///< Another node made the call, and it failed there.
   HttpFailure Failure = HttpFailure::None; ///< Why the response is incomplete.
   HttpHeaders Headers;                     ///< Headers of the response.
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -35,8 +35,11 @@
   std::string Query;     ///< Without the question mark.
   std::string Target;    ///< Path and query as received.
   HttpHeaders Headers;   ///< Headers of the request, in order.
-  SharedBytes Body;      ///< Complete body; empty if TooLarge.
+  SharedBytes Body;      ///< Complete body; empty if TooLarge or NoRoom.
   bool TooLarge = false; ///< The body exceeded the limit and was discarded.
+  /// This process has no memory left for the request, which was not received
+  /// completely. It is to be refused as not run.
+  bool NoRoom = false;
   /// Set before startStream(): the body has neither a length nor chunks and
   /// ends with the connection.
   bool EndsWithConnection = false;
@@ -75,22 +78,35 @@
   virtual bool closed() const = 0;
   /// \return Bytes written that are still in the output buffer.
   virtual std::size_t unsent() const = 0;
+  /// States the memory that the handler holds for the request, besides what is
+  /// in this exchange; replaces what was stated before.
+  /// \return Whether there is room for it, after other clients have given way.
+  virtual bool hold(std::size_t Bytes) = 0;
+  /// \return Whether the memory for clients is nearly used up, so that output
+  /// should not pile up.
+  virtual bool crowded() const = 0;
 };
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
 
+class ClientBudget;
+
 /// Listens on one address and serves HTTP/1.x requests.
 class HttpServer {
 public:
   using Handler = std::function<void(const HttpExchangePtr &)>;
+  /// Looks at the head of a request whose large body is not received yet.
+  /// \return Whether it has refused the request.
+  using HeadCheck = std::function<bool(const HttpExchangePtr &)>;
 
+  /// \param Budget limits what clients hold; null: no limits.
   /// \throws Error ListenFailed.
   HttpServer(EventLoop &Loop, const std::string &Host, int Port,
-             HttpLimits Limits, Handler Fn);
+             HttpLimits Limits, Handler Fn, ClientBudget *Budget = nullptr);
   /// \param MaxBody limit on a body in bytes; requests with larger ones have
   /// TooLarge set.
   /// \throws Error ListenFailed.
   HttpServer(EventLoop &Loop, const std::string &Host, int Port,
-             std::size_t MaxBody, Handler Fn);
+             std::size_t MaxBody, Handler Fn, ClientBudget *Budget = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
@@ -99,6 +115,8 @@
   int port() const;
   /// Changes the limits; requests that are being received keep the old ones.
   void setLimits(const HttpLimits &Limits);
+  /// Has requests with large bodies checked before their bodies are received.
+  void setHeadCheck(HeadCheck Check);
   /// If \p Close is set, each response carries `Connection: close`, and its
   /// connection is closed after it, unless another request was received behind
   /// it.
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -2,6 +2,7 @@
 #include "node.h"
 
 #include "caller_api.h"
+#include "client_budget.h"
 #include "core/hash.h"
 #include "demand_service.h"
 #include "drain_service.h"
@@ -39,6 +40,8 @@
                               static_cast<std::uint64_t>(Config.Seed));
   Services.add(service::Loop, std::make_unique<LoopService>(Loop));
   Services.addShared(service::Timers, Timers);
+  Services.add(service::Clients,
+               std::make_unique<ClientBudget>(Timers, clientLimitsOf(Config)));
   auto &Http =
       Services.add(service::Http, std::make_unique<HttpClientService>(Loop));
   Services.add(service::Kv,
--- a/src/node_services.h
+++ b/src/node_services.h
@@ -7,6 +7,7 @@
 namespace fulmar::service {
 
 inline constexpr std::string_view Timers = "timers";
+inline constexpr std::string_view Clients = "clients";
 inline constexpr std::string_view Loop = "loop";
 inline constexpr std::string_view Http = "http";
 inline constexpr std::string_view Kv = "kv";
--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -4,6 +4,7 @@
 #include <sys/resource.h>
 
 #include "bundle_func.h"
+#include "client_budget.h"
 #include "drain_service.h"
 #include "fair_queue_func.h"
 #include "host_list_service.h"
@@ -35,7 +36,8 @@
   EventLoop &Loop = Services.find<LoopService>(service::Loop).Loop;
   Server = std::make_unique<HttpServer>(
       Loop, Config.Host, static_cast<int>(Config.OperatorPort), MaxRequestBody,
-      [this](const HttpExchangePtr &E) { handle(E); });
+      [this](const HttpExchangePtr &E) { handle(E); },
+      &Services.find<ClientBudget>(service::Clients));
 }
 
 void OperatorApi::stop() { Server.reset(); }
@@ -49,6 +51,8 @@
 }
 
 void OperatorApi::handle(const HttpExchangePtr &Exchange) {
+  if (Exchange->NoRoom)
+    return Exchange->reply(HttpUnavailable, "", {});
   if (!tokenMatches(*Exchange, Config.OperatorToken)) {
     Json Out;
     Out.set("code", resultNumber(ResultCode::Unauthorised));
@@ -160,6 +164,7 @@
   const auto &Peers = Services.find<PeerService>(service::Peers).counts();
   const auto &Kv = Services.find<ConsulKv>(service::Kv).counts();
   const auto &Claims = Services.find<LedgerService>(service::Ledger).state();
+  const auto &Clients = Services.find<ClientBudget>(service::Clients);
   const RouterCounts &Counts = Router.state().Counts;
   auto Number = [](auto Value) { return static_cast<double>(Value); };
   std::vector<UnlabelledMetric> Out = {
@@ -211,6 +216,16 @@
        Number(Claims.Counts.Conflicts)},
       {"fulmarstep_ledger_fallbacks_total", "counter",
        Number(Claims.Counts.Fallbacks)},
+      {"fulmarstep_client_bytes", "gauge", Number(Clients.bytes())},
+      {"fulmarstep_client_connections", "gauge", Number(Clients.connections())},
+      {"fulmarstep_client_connections_refused_total", "counter",
+       Number(Clients.Counts.Refused)},
+      {"fulmarstep_client_connections_closed_total", "counter",
+       Number(Clients.Counts.Idle + Clients.Counts.Unread)},
+      {"fulmarstep_client_requests_refused_total", "counter",
+       Number(Clients.Counts.Bodies)},
+      {"fulmarstep_peer_connections_closed_total", "counter",
+       Number(Clients.Counts.PeersDropped)},
   };
   addUsage(Out);
   return metricsText(Router.metrics(), Out);
--- a/src/settings_type.h
+++ b/src/settings_type.h
@@ -32,6 +32,9 @@
   std::int64_t LedgerRetentionS = 3600; ///< Retention of idempotency keys, s.
   std::int64_t MaxBodyBytes = 1 << 20;  ///< Maximum request body, bytes.
   std::int64_t MaxRequests = 4096;      ///< Maximum requests in progress.
+  std::int64_t MemoryMb = 120;          ///< Memory of its machine, MB.
+  std::int64_t FileDescriptors = 0;     ///< Of the process; 0: as the system
+                                        ///< allows.
   std::int64_t WatchersPerDomain = 2;   ///< Nodes that watch the bundle's key.
   std::int64_t UpstreamSubset = 64;     ///< Upstreams of each pool in use.
   std::int64_t DrainLimitMs = 60000;    ///< Timeout of a graceful stop, ms.
--- a/src/table/gateway_settings.h
+++ b/src/table/gateway_settings.h
@@ -76,6 +76,15 @@
      "placement_step_budget_ms "
      "has no effect: engines must hold many answers to keep the short ones "
      "apart from long prompts."},
+    {"memory_mb", &GatewaySettings::MemoryMb, "MB", 64, 1e7,
+     FieldPresence::Optional,
+     "Memory of this node's machine. What clients make the node hold takes "
+     "3/10 "
+     "of it at most, and their connections a quarter."},
+    {"file_descriptors", &GatewaySettings::FileDescriptors, "", 0, 1e7,
+     FieldPresence::Optional,
+     "Descriptors of this node, of which 200 are not for sockets; 0: the limit "
+     "of the process. Clients have up to half of those for sockets."},
     {"cpu_share", &GatewaySettings::CpuShare, "cores", 0.01, 1024,
      FieldPresence::Optional, "Processor cores available to this node."},
     {"link_mbps", &GatewaySettings::LinkMbps, "Mbit/s", 0.1, 1000000,
--- a/src/table/settings.h
+++ b/src/table/settings.h
@@ -57,6 +57,14 @@
     {"max_requests", &Settings::MaxRequests, "", 1, 1000000,
      FieldPresence::Optional,
      "Maximum number of requests in progress on this node."},
+    {"memory_mb", &Settings::MemoryMb, "MB", 64, 1e7, FieldPresence::Optional,
+     "Memory of this node's machine. What callers make the node hold takes "
+     "3/10 "
+     "of it at most, and their connections a quarter."},
+    {"file_descriptors", &Settings::FileDescriptors, "", 0, 1e7,
+     FieldPresence::Optional,
+     "Descriptors of this node, of which 200 are not for sockets; 0: the limit "
+     "of the process. Callers have up to half of those for sockets."},
     {"watchers_per_domain", &Settings::WatchersPerDomain, "", 1, 16,
      FieldPresence::Optional,
      "Nodes of each failure domain that watch the bundle's key."},
--- a/tests/crowd/node_process.cpp
+++ b/tests/crowd/node_process.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -35,6 +36,8 @@
     throw std::runtime_error("cannot start a process");
   if (Pid > 0)
     return;
+  // It must not outlive a test that is ended from outside.
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   rlimit Limit{static_cast<rlim_t>(MaxDescriptors),
                static_cast<rlim_t>(MaxDescriptors)};
   ::setrlimit(RLIMIT_NOFILE, &Limit);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -59,6 +59,8 @@
   void abort() override {}
   bool closed() const override { return false; }
   std::size_t unsent() const override { return 0; }
+  bool hold(std::size_t) override { return true; }
+  bool crowded() const override { return false; }
 };
 
 } // namespace
