--- a/tests/test_client_budget.cpp
+++ b/tests/test_client_budget.cpp
@@ -369,3 +369,58 @@
     THEN("it is not checked") { CHECK(Checked.empty()); }
   }
 }
+
+// Guards against answers that pile up, and a loop that does not end its round.
+SCENARIO("a client sends many requests and does not read") {
+  LimitedServer W(ClientLimits{});
+  RawClient Client(W.Server.port());
+  constexpr int Requests = 300;
+  std::string Many;
+  for (int I = 0; I < Requests; ++I)
+    Many += "GET /" + std::to_string(I) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  Many += std::string(20 * Kb, 'x');
+  GIVEN("answers that are larger than its buffers") {
+    std::string Answer(200 * Kb, 'a');
+    std::size_t Handled = 0;
+    W.Server.setHeadCheck(nullptr);
+    Client.send(Many);
+    auto Serve = [&] {
+      while (Handled < W.Exchanges.size())
+        W.Exchanges[Handled++]->reply(HttpOk, Answer, {});
+    };
+    runUntil(
+        W.Loop,
+        [&] {
+          Serve();
+          return false;
+        },
+        300ms);
+    THEN("no further request is handled until it reads") {
+      CHECK(Handled > 0);
+      CHECK(Handled < 20);
+      CHECK(W.Budget.bytes() < Mb);
+      bool All = runUntil(
+          W.Loop,
+          [&] {
+            Serve();
+            Client.receive();
+            return Handled == Requests;
+          },
+          20s);
+      CHECK(All);
+      CHECK(W.Exchanges.back()->Path == "/299");
+    }
+  }
+  GIVEN("a request that is in progress") {
+    bool TimerRan = false;
+    Client.send(Many);
+    Client.send(Many);
+    runUntil(W.Loop, [&] { return !W.Exchanges.empty(); });
+    W.Timers.after(100ms, [&] { TimerRan = true; });
+    THEN("timers run, and the rest is not read") {
+      CHECK(runUntil(W.Loop, [&] { return TimerRan; }));
+      CHECK(W.Exchanges.size() == 1);
+      CHECK(W.Budget.bytes() < 64 * Kb);
+    }
+  }
+}
