--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -199,6 +199,18 @@
     CHECK(Ask.Key == "key");
     CHECK(Ask.LastEvent == 12);
   }
+  GIVEN("times that no clock holds") {
+    HeadOnly Exchange;
+    auto LeftOf = [&](const char *Text) {
+      Exchange.Headers = {{"X-Deadline-Remaining-Milliseconds", Text}};
+      return Wire.readRequestInfo(Exchange).Left;
+    };
+    CHECK_FALSE(LeftOf("nan"));
+    CHECK(LeftOf("1e300") == Duration(std::chrono::hours(24)));
+    CHECK(LeftOf("inf") == Duration(std::chrono::hours(24)));
+    CHECK(LeftOf("-1e300") == Duration(std::chrono::hours(-24)));
+    CHECK(LeftOf("-5") == Duration(milliseconds(-5)));
+  }
   GIVEN("the response to a batch call") {
     HttpResponse Answer;
     Answer.Status = 200;
