The pieces that a request states are bounded

Cause: the number in the header sized a list at the pool's coordinator. Only the forecast stood before it, which refuses what cannot be done before the deadline; the deadline is the client's where the route has no timeout. The account does not see that list.

Change: `max_pieces` (10,000 a stage by default; the results of that many do not fit a head) and negative numbers are refused with 400 BadPieces, logged and counted as other refusals; what a request's pieces take counts in the account; a pool holds 200,000 pieces at once.

Unit tests are new.

--- a/src/batch.cpp
+++ b/src/batch.cpp
@@ -14,6 +14,8 @@
 /// Limit on batch requests in progress; at ten pieces each, many seconds of
 /// work for any pool that the limits of its upstreams describe.
 static constexpr std::size_t MaxJobs = 2000;
+/// Limit on the pieces of all jobs; each takes about 80 bytes.
+static constexpr std::size_t MaxHeldPieces = 200'000;
 /// Limit on calls that carry one piece: the first, and two more after failures.
 static constexpr int MaxSends = 3;
 /// Consecutive failed calls before an upstream is avoided for a while.
@@ -152,6 +154,14 @@
   P.DecayedAt = Now;
 }
 
+/// \return Pieces of all jobs of a pool.
+static std::size_t piecesHeld(const BatchPool &P) {
+  std::size_t Sum = 0;
+  for (const auto &[Id, Job] : P.Jobs)
+    Sum += Job.Pieces.size();
+  return Sum;
+}
+
 BatchRequestId batchSubmit(BatchPool &P, const BatchRequest &Request,
                            TimePoint Now, BatchActions &Out) {
   assert(Request.Pieces > 0);
@@ -159,7 +169,9 @@
     batchAge(P, Now);
   batchUnreserve(P, Request.RequestId, Request.Stage);
   ++P.Counts.Asks;
-  if (P.Jobs.size() >= MaxJobs)
+  bool ManyPieces =
+      piecesHeld(P) + static_cast<std::size_t>(Request.Pieces) > MaxHeldPieces;
+  if (P.Jobs.size() >= MaxJobs || ManyPieces)
     return refuse(P, BatchEnd::Full, P.Spec.CallTime, Out);
   auto Forecast = batchForecast(P, Request.Pieces, Request.Priority, Now);
   if (!Forecast)
--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -109,7 +109,22 @@
 static std::size_t memoryOf(const ForwardRequest &R) {
   std::size_t Headers = R.Exchange->Headers.size() * sizeof(HttpHeader);
   std::size_t Parts = R.Ask.Prompt.size() * sizeof(PromptPart);
-  return Headers + Parts + sizeof(ForwardRequest);
+  // Each piece has a state at the pool's coordinator and a handle here.
+  std::size_t Pieces = 0;
+  for (std::size_t I = 0; I < R.Route->Stages.size(); ++I)
+    Pieces += static_cast<std::size_t>(piecesOf(R, I));
+  return Headers + Parts + Pieces * 2 * sizeof(BatchPiece) +
+         sizeof(ForwardRequest);
+}
+
+/// \return Whether a request states numbers of pieces that can be made.
+static bool piecesInRange(const ForwardRequest &R, std::int64_t Most) {
+  for (std::size_t I = 0; I < R.Route->Stages.size(); ++I) {
+    int Pieces = piecesOf(R, I);
+    if (Pieces < 0 || Pieces > Most)
+      return false;
+  }
+  return true;
 }
 
 /// Finds the route and the organisation of a request.
@@ -145,6 +160,8 @@
     return ResultCode::BodyTooLarge;
   if (ResultCode Code = identify(R); Code != ResultCode::Complete)
     return Code;
+  if (!piecesInRange(R, Config.MaxPieces))
+    return ResultCode::BadPieces;
   R.Content = fingerprintOf(R);
   R.Parts = sharedPartFingerprints(R.Ask.Prompt);
   R.Urgency = urgencyOf(R.Priority, R.Route->Priority);
--- a/src/gateway_settings.h
+++ b/src/gateway_settings.h
@@ -39,6 +39,7 @@
   std::int64_t MemoryMb = 120;         ///< Memory of this node's machine, MB.
   std::int64_t FileDescriptors = 0;  ///< Of the process, with those for files;
                                      ///< 0: as the system allows.
+  std::int64_t MaxPieces = 10000;    ///< Pieces of one stage of a request.
   double CpuShare = 1;               ///< CPU quota of this node, cores.
   double LinkMbps = 1000;            ///< Link of this node, Mbit/s.
   std::string LogLevelName = "info"; ///< Lowest level logged.
--- a/src/table/gateway_settings.h
+++ b/src/table/gateway_settings.h
@@ -85,6 +85,8 @@
      FieldPresence::Optional,
      "Descriptors of this node, of which 200 are not for sockets; 0: the limit "
      "of the process. Clients have up to half of those for sockets."},
+    {"max_pieces", &GatewaySettings::MaxPieces, "", 1, 100000,
+     FieldPresence::Optional, "Largest number of pieces of a request's stage."},
     {"cpu_share", &GatewaySettings::CpuShare, "cores", 0.01, 1024,
      FieldPresence::Optional, "Processor cores available to this node."},
     {"link_mbps", &GatewaySettings::LinkMbps, "Mbit/s", 0.1, 1000000,
--- a/src/table/result_codes.h
+++ b/src/table/result_codes.h
@@ -11,6 +11,7 @@
 RESULT_CODE(2003, BodyTooLarge, 413, 0, "The body or a header is over its limit.")
 RESULT_CODE(2004, MissingIdempotencyKey, 400, 0, "A non-idempotent pipeline needs an Idempotency-Key.")
 RESULT_CODE(2005, BadDeadline, 400, 0, "The deadline is not a number of ms within the allowed range.")
+RESULT_CODE(2006, BadPieces, 400, 0, "The number of pieces of a stage is negative or above the limit of the node.")
 RESULT_CODE(2010, NotReady, 503, 1000, "The node has no bundle in force yet.")
 RESULT_CODE(2011, Draining, 503, 100, "The node is stopping; ask for another entry address.")
 RESULT_CODE(2020, DeadlineHopeless, 503, 1000, "The remaining stages are expected to take longer than the deadline allows.")
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -30,6 +30,24 @@
   }
 }
 
+// Guards against jobs whose states take more memory than their requests.
+SCENARIO("jobs of very many pieces each") {
+  PoolWorld W(5);
+  auto Job = [&] {
+    BatchRequest Request = W.makeBatchRequest(10000);
+    Request.Due = Request.Deadline = std::chrono::hours(10);
+    return Request;
+  };
+  for (int I = 0; I < 20; ++I)
+    CHECK(W.Answers.count(W.ask(Job())) == 0);
+  WHEN("another one comes") {
+    std::uint64_t Late = W.ask(Job());
+    THEN("it is refused at once, as the pool is full") {
+      CHECK(W.Answers.at(Late).End == BatchEnd::Full);
+    }
+  }
+}
+
 SCENARIO("a burst just within the capacity of the pool") {
   // 48 requests/s of 4 pieces, as when one kind of request comes 2.6 times as
   // often; full calls at five upstreams complete 269 pieces/s.
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -231,6 +231,16 @@
       }));
     }
   }
+  GIVEN("numbers of pieces that nobody can make") {
+    for (const char *Text :
+         {"1,1,10001", "-1", "1,-2000000000", "2000000000"}) {
+      INFO(Text);
+      ClientResult Got = W.ask("/staged/x", {{"X-Pieces", Text}});
+      CHECK(Got.Answer.Status == 400);
+    }
+    CHECK(S.Arrivals.empty());
+    CHECK(metricsPage(W).find("code=\"BadPieces\"") != std::string::npos);
+  }
   GIVEN("a result that is gone when its run begins") {
     E.Mode = RunnerMode::NoInputs;
     ClientResult Got = W.ask("/staged/x", Pieces);
