The names in a Connection header are read once for a message

Cause: for each header that is passed on, the Connection header was searched for, split and compared with it: 2,250 headers and 2,500 listed names are millions of comparisons a request.

Change: the list is read once for a message (HopHeaders) and searched by name.

--- a/src/call_relay_service.cpp
+++ b/src/call_relay_service.cpp
@@ -103,9 +103,10 @@
 /// \return Headers of an upstream's response for the other node.
 static HttpHeaders relayedHeaders(const HttpHeaders &Headers) {
   HttpHeaders Out;
+  HopHeaders Hop(Headers);
   for (const HttpHeader &H : Headers) {
     HttpHeaders One = {H};
-    if (isHopHeader(Headers, H.Name) || findHeader(One, RelayResultHeader))
+    if (Hop.contains(H.Name) || findHeader(One, RelayResultHeader))
       continue;
     Out.push_back(H);
   }
--- a/src/http_type.cpp
+++ b/src/http_type.cpp
@@ -45,20 +45,31 @@
   return fromMs(std::min(Seconds, MaxSeconds) * 1e3);
 }
 
-bool isHopHeader(const HttpHeaders &Headers, std::string_view Name) {
-  static constexpr std::string_view HopByHop[] = {
-      "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
-      "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect"};
-  for (std::string_view HopName : HopByHop) {
-    if (sameName(HopName, Name))
-      return true;
-  }
-  std::string Listed = headerValue(Headers, "Connection");
-  for (std::string_view ListedName : splitCommas(Listed)) {
-    if (sameName(ListedName, Name))
-      return true;
-  }
-  return false;
+static std::string lowerCase(std::string_view Name) {
+  std::string Out(Name);
+  std::transform(Out.begin(), Out.end(), Out.begin(),
+                 [](unsigned char C) { return std::tolower(C); });
+  return Out;
+}
+
+/// The standard hop-by-hop headers, sorted.
+static constexpr std::string_view StandardHopHeaders[] = {
+    "connection", "content-length",    "expect",
+    "keep-alive", "proxy-connection",  "te",
+    "trailer",    "transfer-encoding", "upgrade"};
+
+HopHeaders::HopHeaders(const HttpHeaders &Headers) {
+  std::string List = headerValue(Headers, "Connection");
+  for (std::string_view Name : splitCommas(List))
+    Listed.push_back(lowerCase(Name));
+  std::sort(Listed.begin(), Listed.end());
+}
+
+bool HopHeaders::contains(std::string_view Name) const {
+  std::string Lower = lowerCase(Name);
+  return std::binary_search(std::begin(StandardHopHeaders),
+                            std::end(StandardHopHeaders), Lower) ||
+         std::binary_search(Listed.begin(), Listed.end(), Lower);
 }
 
 std::string_view statusPhrase(int Status) {
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -28,9 +28,19 @@
 /// does not ask for a backoff. The header may have fractions of a second.
 Duration refusalBackoff(int Status, const HttpHeaders &Headers);
 
-/// \return Whether \p Name is a hop-by-hop header: a standard one, or one that
-/// the Connection header in \p Headers lists.
-bool isHopHeader(const HttpHeaders &Headers, std::string_view Name);
+/// The hop-by-hop headers of one message: the standard ones, and those that its
+/// Connection header lists. The list is read once: a message may have thousands
+/// of headers and list as many names.
+class HopHeaders {
+public:
+  explicit HopHeaders(const HttpHeaders &Headers);
+
+  /// \return Whether \p Name is one of them, ignoring case.
+  bool contains(std::string_view Name) const;
+
+private:
+  std::vector<std::string> Listed; ///< In lower case, sorted.
+};
 
 /// \return The standard reason phrase of a status code.
 std::string_view statusPhrase(int Status);
--- a/tests/crowd/test_crowd_heads.cpp
+++ b/tests/crowd/test_crowd_heads.cpp
@@ -55,6 +55,19 @@
   }
 }
 
+// Guards against a head whose fields are compared with each other.
+TEST_CASE("a crowd's requests list many names of fields") {
+  CrowdWorld W;
+  W.configure();
+  W.startProcess();
+  std::string Names;
+  for (int I = 0; I < 2500; ++I)
+    Names += "a,";
+  std::string Request = openHead("/get/x") + "Connection: " + Names + "a\r\n" +
+                        emptyFields(9000) + "Content-Length: 0\r\n\r\n";
+  W.play(callers(W, 200, {crowdPart(Request, 20)}));
+}
+
 // Guards against requests that are read ahead while one is in progress.
 TEST_CASE("a crowd sends requests behind one that is in progress") {
   CrowdWorld W;
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -37,6 +37,17 @@
 
 } // namespace
 
+// Guards against hop-by-hop headers that are passed on to the next hop.
+SCENARIO("hop-by-hop headers are recognised") {
+  HopHeaders Hop({{"Host", "h"}, {"connection", "close, X-Own ,,b"}});
+  for (const char *Name : {"Connection", "Keep-Alive", "PROXY-CONNECTION", "te",
+                           "Trailer", "Upgrade", "Transfer-Encoding",
+                           "Content-Length", "Expect", "x-own", "B", "Close"})
+    CHECK(Hop.contains(Name));
+  for (const char *Name : {"Host", "X-Other", "", "Content-Type", "c"})
+    CHECK_FALSE(Hop.contains(Name));
+}
+
 SCENARIO("responses of upstreams are parsed strictly") {
   // Symptom: a client receives bytes of another response, or a truncated
   // response as complete.
