A request to `serve` holds no more JSON values than it can have

Cause: a request has four members at most, but its body was parsed whole before that was checked: a tree of values takes a hundred times its text. An index of its lines does as well.

Change: a body with more than 1,000 values or lines is refused before it is parsed.

Its unit checks are in "callers send invalid requests".

--- a/src/caller_api.cpp
+++ b/src/caller_api.cpp
@@ -16,6 +16,8 @@
 namespace fulmar {
 
 static constexpr std::size_t MaxIdBytes = 128;
+/// Limit on the values and lines of a request, which has four members.
+static constexpr std::size_t MaxJsonMarks = 1000;
 
 /// Request ids are written to headers and logs, so they must be printable ASCII
 /// without spaces, quotes and backslashes.
@@ -52,6 +54,10 @@
                              std::string &Why) {
   if (Exchange.TooLarge)
     return rejectInput(Why, ResultCode::BodyTooLarge, "body is too large");
+  // A tree of values may take a hundred times the memory of its text.
+  if (countJsonMarks(Exchange.Body) > MaxJsonMarks)
+    return rejectInput(Why, ResultCode::BadRequest,
+                       "body: too many values or lines");
   Diagnostics Wrong;
   auto Body = parseJson(Exchange.Body, JsonDialect::Strict, Wrong);
   if (!Body || Body->Kind != JsonKind::Object)
@@ -200,11 +206,16 @@
   ResultCode Code = parseRequestInput(*Exchange, Input, Why);
   if (Code != ResultCode::Invalid)
     return replyCode(*Exchange, Code, Why);
+  // From here on the request's input and the body of a call are held.
+  constexpr std::size_t Copies = 2;
+  Exchange->Body.clear();
+  if (!Exchange->hold(Copies * Input.Input.size()))
+    return replyCode(*Exchange, ResultCode::NodeFull, "");
   if (!Input.HasKey)
     Input.Id = IdPrefix + std::to_string(++LastId);
   auto Sink = std::make_shared<CallerSink>();
   Sink->Exchange = Exchange;
-  RequestSerial Serial = Router->submit(Input, Sink);
+  RequestSerial Serial = Router->submit(std::move(Input), Sink);
   if (Exchange->closed())
     return;
   Exchange->OnClosed = [this, Serial] { Router->left(Serial); };
--- a/src/json_func.h
+++ b/src/json_func.h
@@ -18,6 +18,11 @@
   Invalid,      ///< Not a dialect.
 };
 
+/// Counts what a parser makes of a text, without parsing it.
+/// \return The number of commas, colons, brackets and line ends outside of
+/// strings; a value has one of them at least, apart from the first.
+std::size_t countJsonMarks(std::string_view Text);
+
 /// Parses \p Text. Duplicate keys and trailing text are errors.
 /// \param[out] Wrong receives the errors, each with its line.
 /// \return The value, or nullopt after an error.
--- a/tests/test_api.cpp
+++ b/tests/test_api.cpp
@@ -147,6 +147,19 @@
     CHECK(S.code(S.post(R"({"organisation":"no","pipeline":"coverage"})")) ==
           2002);
     CHECK(S.code(S.post(ConfirmBody)) == 2004);
+    // More values or lines than a request has, which would take memory.
+    std::string Values = R"({"input":[0)";
+    for (int I = 0; I < 1000; ++I)
+      Values += ",0";
+    CHECK(S.code(S.post(Values + "]}")) == 2000);
+    std::string Lines(1200, '\n');
+    CHECK(S.code(S.post(Lines + CoverageBody)) == 2000);
+    CHECK(S.code(S.post(Lines.substr(300) + CoverageBody)) == 1000);
+    std::string Marks =
+        R"({"organisation":"recife-docas","pipeline":"coverage","input":")";
+    for (int I = 0; I < 300; ++I)
+      Marks += R"(,:[{\\\")";
+    CHECK(S.code(S.post(Marks + "\"}")) == 1000);
   }
   SECTION("headers") {
     CHECK(S.code(S.post(CoverageBody, {{header::DeadlineMs, "soon"}})) == 2005);
