The input of a request to `serve` is in memory once, with one body for each call

Cause: the exchange, the request as sent, the request's payload, the dispatched action, the call's body and the output buffer had a copy each.

A request whose caller has left while its last stage runs drops its input, as nobody's account holds it any more.

--- a/src/request_base.h
+++ b/src/request_base.h
@@ -3,6 +3,7 @@
 #define FULMARSTEP_REQUEST_BASE_H
 
 #include "bundle_base.h"
+#include "core/shared_bytes.h"
 #include "request_type.h"
 
 namespace fulmar {
@@ -37,7 +38,7 @@
 
   bool ClaimRequested = false; ///< A claim on its id was requested.
   std::size_t Stage = 0;       ///< Index of the current stage.
-  std::string Payload;         ///< Input of the current stage.
+  SharedBytes Payload;         ///< Input of the current stage.
   TimePoint StageReady{};      ///< When the current stage was first queued.
 
   /// Attempts of the current stage in progress.
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -1,5 +1,6 @@
 /// \file router.cpp Life cycle of requests: admission, claim, deadline, end.
 #include <cassert>
+#include <utility>
 
 #include "admission_func.h"
 #include "estimate_func.h"
@@ -91,6 +92,8 @@
   std::string Message = "stage " + R.stage().Name + " was sent and may run";
   Out.push_back(FinishAction{makeReport(R, Code, Message, Now), Deliver});
   R.Phase = RequestPhase::Detached;
+  // No further attempt is made, and nobody's account holds it any more.
+  R.Payload.clear();
 }
 
 /// Validates a request against the bundle and the limit of requests in
@@ -189,11 +192,11 @@
       ClaimAction{R.Serial, R.Input.Organisation, R.Input.Id, R.Deadline});
 }
 
-RequestSerial submitRequest(RouterState &State, const RequestInput &Input,
+RequestSerial submitRequest(RouterState &State, RequestInput Input,
                             TimePoint Now, RouterActions &Out) {
   Request R;
   R.Serial = RequestSerial{++State.LastSerial};
-  R.Input = Input;
+  R.Input = std::move(Input);
   R.Arrived = Now;
   R.Deadline = Now;
   R.BundleAtStart = State.InForce;
@@ -205,12 +208,12 @@
   }
   ResultCode Code = checkInput(State, R);
   if (Code == ResultCode::Invalid) {
-    Duration Given = Input.Deadline > Duration::zero()
-                         ? Input.Deadline
+    Duration Given = R.Input.Deadline > Duration::zero()
+                         ? R.Input.Deadline
                          : std::chrono::milliseconds(R.Pipeline->DeadlineMs);
     R.Deadline = Now + Given;
-    R.OwnerId = organisationIdOf(State, Input.Organisation);
-    R.Payload = Input.Input;
+    R.OwnerId = organisationIdOf(State, R.Input.Organisation);
+    R.Payload = SharedBytes(std::exchange(R.Input.Input, {}));
     Code = checkCapacity(State, R, Now);
   }
   if (Code != ResultCode::Invalid) {
--- a/src/router_base.h
+++ b/src/router_base.h
@@ -6,6 +6,7 @@
 #include <queue>
 #include <variant>
 
+#include "core/shared_bytes.h"
 #include "estimate_base.h"
 #include "policy_type.h"
 #include "request_base.h"
@@ -25,7 +26,7 @@
   std::string Model;               ///< For engines: model.
   std::string Adapter;             ///< For engines: adapter; may be empty.
   std::string Stage;               ///< Name of the stage.
-  std::string Payload;             ///< Input text.
+  SharedBytes Payload;             ///< Input text.
   std::int64_t MaxTokens = 0;      ///< For engines: maximum tokens to generate.
   Duration Budget{};               ///< Time until its response is due.
   bool Idempotent = true; ///< If false: sent once, on a new connection.
--- a/src/router_dispatch.cpp
+++ b/src/router_dispatch.cpp
@@ -58,7 +58,8 @@
   if (P.Spec.Kind != PoolKind::Engine)
     return 0;
   std::uint64_t Seed = hash64(R.Input.Organisation + "/" + R.stage().Adapter);
-  return hash64(std::string_view(R.Payload).substr(0, PrefixBytes), Seed);
+  return hash64(std::string_view(R.Payload.text()).substr(0, PrefixBytes),
+                Seed);
 }
 
 static StageRun &runOf(Request &R) {
--- a/src/router_func.h
+++ b/src/router_func.h
@@ -13,7 +13,7 @@
 /// Handles a new request from a caller.
 /// \return Its number. The request may already have ended: then \p Out has a
 /// FinishAction for it, and no more actions refer to the number.
-RequestSerial submitRequest(RouterState &State, const RequestInput &Input,
+RequestSerial submitRequest(RouterState &State, RequestInput Input,
                             TimePoint Now, RouterActions &Out);
 
 /// Handles the ledger's decision on a ClaimAction.
--- a/src/router_service.cpp
+++ b/src/router_service.cpp
@@ -51,10 +51,10 @@
 
 TimePoint RouterService::now() const { return Timers->now(); }
 
-RequestSerial RouterService::submit(const RequestInput &Input,
+RequestSerial RouterService::submit(RequestInput Input,
                                     std::shared_ptr<RequestSink> Sink) {
   RouterActions Out;
-  RequestSerial Serial = submitRequest(State, Input, now(), Out);
+  RequestSerial Serial = submitRequest(State, std::move(Input), now(), Out);
   Sinks[Serial] = std::move(Sink);
   perform(std::move(Out));
   return Serial;
--- a/src/router_service.h
+++ b/src/router_service.h
@@ -37,8 +37,7 @@
   void stop() override;
 
   /// Submits a request. \p Sink may be called before this returns.
-  RequestSerial submit(const RequestInput &Input,
-                       std::shared_ptr<RequestSink> Sink);
+  RequestSerial submit(RequestInput Input, std::shared_ptr<RequestSink> Sink);
   /// Handles the disconnect of the caller of \p Serial.
   void left(RequestSerial Serial);
   /// Handles the ledger's decision on a claim.
--- a/src/upstream_call.cpp
+++ b/src/upstream_call.cpp
@@ -40,11 +40,12 @@
   Json Body;
   Body.set("stage", Action.Stage);
   if (Action.Kind != PoolKind::Engine) {
-    Body.set("request_id", Action.RequestId).set("input", Action.Payload);
+    Body.set("request_id", Action.RequestId)
+        .set("input", Action.Payload.text());
     return Body;
   }
   Body.set("model", Action.Adapter.empty() ? Action.Model : Action.Adapter);
-  Body.set("prompt", Action.Payload).set("max_tokens", Action.MaxTokens);
+  Body.set("prompt", Action.Payload.text()).set("max_tokens", Action.MaxTokens);
   Body.set("stream", true).set("user", Action.Organisation);
   return Body;
 }
@@ -55,6 +56,7 @@
   Http.Path = Action.Kind == PoolKind::Engine ? "/v1/completions" : Action.Path;
   Http.Timeout = Action.Budget;
   Http.Body = writeJson(makeBody(Action));
+  Action.Payload.clear();
   auto Ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(Action.Budget);
   Http.Headers = {{"Content-Type", "application/json"},
