Connections for large messages between nodes are bounded

Cause: the library accepts any number of connections, allocates a message by its stated length and queues 64 for each sender, before anything shows who sends them.

Change: the listener's events are followed. No message on the wire has changed.

What remains: addresses are compared, so a client on the host of a node counts as a node.

--- a/src/bulk.h
+++ b/src/bulk.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string_view>
 
+#include "client_budget.h"
 #include "event_loop.h"
 #include "settings_func.h"
 
@@ -17,10 +18,13 @@
 class BulkTransport {
 public:
   using ReceiveFn = std::function<void(std::string_view)>;
+  /// \return Whether a node of the fleet is known at an IP address.
+  using KnownFn = std::function<bool(const std::string &)>;
 
+  /// \param Clients bounds the connections that are accepted.
   /// \throws Error ListenFailed.
   BulkTransport(EventLoop &Loop, TimerService &Timers, const HostPort &Local,
-                ReceiveFn Fn);
+                ClientBudget &Clients, KnownFn Known, ReceiveFn Fn);
   ~BulkTransport();
   BulkTransport(const BulkTransport &) = delete;
   BulkTransport &operator=(const BulkTransport &) = delete;
--- a/src/peer_service.cpp
+++ b/src/peer_service.cpp
@@ -1,6 +1,9 @@
 /// \file peer_service.cpp Sends and receives messages between nodes.
 #include "peer_service.h"
 
+#include <algorithm>
+
+#include "client_budget.h"
 #include "loop_service.h"
 #include "member_service.h"
 #include "node_services.h"
@@ -19,11 +22,26 @@
   HostPort Local{Config.Host, static_cast<int>(Config.PeerPort)};
   auto Receive = [this](std::string_view Bytes) { receive(Bytes); };
   Datagrams = std::make_unique<DatagramSocket>(Loop, Local, Receive);
-  Bulk = std::make_unique<BulkTransport>(Loop, Timers, Local, Receive);
+  Bulk = std::make_unique<BulkTransport>(
+      Loop, Timers, Local, K.find<ClientBudget>(service::Clients),
+      [this](const std::string &Host) { return knowsHost(Host); }, Receive);
 }
 
 void PeerService::start() {}
 
+/// \return Whether another node is known at an IP address.
+bool PeerService::knowsHost(const std::string &Host) const {
+  const Membership &Fleet =
+      Services.find<MemberService>(service::Members).state();
+  for (const auto &[Id, Member] : Fleet.Members) {
+    if (Member.Info.Host == Host)
+      return true;
+  }
+  return std::any_of(
+      Fleet.Seeds.begin(), Fleet.Seeds.end(),
+      [&Host](const HostPort &Seed) { return Seed.Host == Host; });
+}
+
 void PeerService::stop() {
   Bulk.reset();
   Datagrams.reset();
--- a/src/peer_service.h
+++ b/src/peer_service.h
@@ -84,6 +84,7 @@
 
 private:
   void receive(std::string_view Bytes);
+  bool knowsHost(const std::string &Host) const;
   std::string encode(PeerBody Body, std::uint64_t Sequence);
 
   Kernel &Services;                ///< Finds other services.
