Memory that clients have given up goes back to the system

In calm that much is never held, so nothing is trimmed.

An accept() that fails for want of a descriptor also does so when nobody waits; the clients that were accepted within the last second are no longer closed for it.

--- a/src/client_budget.cpp
+++ b/src/client_budget.cpp
@@ -2,6 +2,7 @@
 #include "client_budget.h"
 
 #include <algorithm>
+#include <malloc.h>
 #include <sys/resource.h>
 #include <utility>
 
@@ -34,6 +35,9 @@
 static constexpr std::int64_t MinConnections = 8;
 /// Interval at which clients that do not read are looked for.
 static constexpr Duration TickPeriod = std::chrono::milliseconds(250);
+/// Memory that clients have given up is returned to the system once it is this
+/// much, bytes.
+static constexpr std::size_t TrimBytes = std::size_t{8} << 20;
 /// Interval of log lines about clients that were closed.
 static constexpr Duration LogPeriod = std::chrono::seconds(1);
 
@@ -200,6 +204,7 @@
                           const ClientHold &Hold) {
   ClientHold &Kept = Holds[Client.BudgetSlot];
   Total += Hold.Bytes - Kept.Bytes;
+  Peak = std::max(Peak, Total);
   Large += Hold.Bytes > LargeHold ? 1 : 0;
   Large -= Kept.Bytes > LargeHold ? 1 : 0;
   Kept = Hold;
@@ -250,7 +255,8 @@
 }
 
 std::optional<BudgetCharge> ClientBudget::charge(std::size_t Bytes) {
-  if (crowded() || Total + Bytes > Limits.Bytes)
+  bool Small = Bytes <= SmallBodyBytes;
+  if ((!Small && crowded()) || Total + Bytes > Limits.Bytes)
     return std::nullopt;
   Total += Bytes;
   return BudgetCharge(*this, Bytes);
@@ -260,13 +266,29 @@
 
 void ClientBudget::freeDescriptor() {
   ++Counts.NoDescriptor;
-  closeOne(ClientShortage::Connections, std::nullopt);
+  // accept() fails for want of a descriptor also when nobody waits, so the
+  // clients that were accepted last stay.
+  auto Chosen = clientToClose(Holds, ClientShortage::Connections, std::nullopt,
+                              Timers.now());
+  if (Chosen && Timers.now() - Holds[*Chosen].Since >= MinHoldTime)
+    closeOne(ClientShortage::Connections, std::nullopt);
+}
+
+/// Returns memory to the system after clients have held much. Small blocks that
+/// were allocated since would otherwise keep the rest of the heap.
+void ClientBudget::trim() {
+  Peak = std::max(Peak, Total);
+  if (Peak - Total < TrimBytes)
+    return;
+  ::malloc_trim(0);
+  Peak = Total;
 }
 
 void ClientBudget::relieve() {
   while (Total > Limits.Bytes &&
          closeOne(ClientShortage::Memory, std::nullopt)) {
   }
+  trim();
   if (Counts == Logged || Timers.now() - LoggedAt < LogPeriod)
     return;
   logEvent(LogLevel::Warning, "clients_over_limits",
--- a/src/client_budget.h
+++ b/src/client_budget.h
@@ -63,7 +63,7 @@
   /// \return Whether it fits.
   bool fitsLarge(const BudgetedClient &Client, std::size_t Bytes);
   /// Charges memory that no connection holds, if there is room without closing
-  /// one.
+  /// one. A large amount leaves room for small requests.
   std::optional<BudgetCharge> charge(std::size_t Bytes);
   /// \return Whether no more than what small requests need is left.
   bool crowded() const;
@@ -83,16 +83,18 @@
 
   bool closeOne(ClientShortage Shortage, std::optional<std::size_t> Except);
   void relieve();
+  void trim();
 
   TimerService &Timers;                  ///< Clock and timers.
   ClientLimits Limits;                   ///< Limits on the sums.
   std::vector<ClientHold> Holds;         ///< By slot.
   std::vector<BudgetedClient *> Clients; ///< By slot.
   std::size_t Total = 0;                 ///< Memory held for clients, bytes.
-  std::size_t Large = 0;                 ///< Connections with a large body.
-  TimerId Tick;                          ///< Looks for clients to close.
-  ClientBudgetCounts Logged;             ///< Counts at the latest log line.
-  TimePoint LoggedAt{};                  ///< Time of the latest log line.
+  std::size_t Peak = 0;      ///< Largest Total since memory was last returned.
+  std::size_t Large = 0;     ///< Connections with a large body.
+  TimerId Tick;              ///< Looks for clients to close.
+  ClientBudgetCounts Logged; ///< Counts at the latest log line.
+  TimePoint LoggedAt{};      ///< Time of the latest log line.
 };
 
 /// \return Limits on the clients of a node of these settings.
