The copy of a body for another node counts in the account of clients

The copy is charged until the call ends; without room the call is not relayed, as if no node were there: not sent, 503. At the other node the sealed message is dropped once it is decoded, and the exchange states what the call holds.

A want of descriptors at this node no longer counts as a path that is down.

--- a/src/call_relay_service.cpp
+++ b/src/call_relay_service.cpp
@@ -116,6 +116,9 @@
 void CallRelayService::make(const HttpExchangePtr &Exchange,
                             RelayedCall Relayed, const std::string &Address) {
   auto Made = std::make_shared<MadeCall>();
+  // The message is decoded, and the call holds its body from here on.
+  Exchange->Body.clear();
+  Exchange->hold(Relayed.Body.size());
   Made->Exchange = Exchange;
   Made->Upstream = Relayed.Upstream;
   Made->Address = Address;
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -54,6 +54,7 @@
   Members = &Services.find<MemberService>(service::Members);
   Peers = &Services.find<PeerService>(service::Peers);
   Upstreams = &Services.find<UpstreamFeed>(service::Upstreams);
+  Clients = &Services.find<ClientBudget>(service::Clients);
   Timers->every(TickPeriod, [this] { tick(); });
 }
 
@@ -204,8 +205,9 @@
     return Empty && isSuccess(Answer.Status) ? finish(Id, truncated(Answer))
                                              : confirmEnd(Id, Answer);
   }
-  // That an open connection is gone by now says nothing about the path.
-  if (!C.Call.OpenOnly)
+  // Neither an open connection that is gone by now nor a want of descriptors
+  // says anything about the path.
+  if (!C.Call.OpenOnly && !Answer.NoDescriptor)
     connectFailed(Address, C.Started);
   bool Relay = C.Plan.Relay == RelayUse::Allowed ||
                (C.Plan.Relay == RelayUse::Isolated && isolated());
@@ -285,18 +287,23 @@
   const MemberInfo *Node = chooseRelay(C);
   if (!Node)
     return false;
+  // The copy of a large body has to fit beside what clients hold.
+  auto Charge = Clients->charge(C.Call.Body.size());
+  if (!Charge)
+    return false;
   RelayedCall Relayed;
   Relayed.Upstream = C.Upstream;
   Relayed.Method = C.Call.Method;
   Relayed.Path = C.Call.Path;
   Relayed.Headers = C.Call.Headers;
-  Relayed.Body = C.Call.Body;
+  Relayed.Body = C.Call.Body.text();
   Relayed.ExpectId = C.Call.ExpectId;
   Relayed.Timeout = C.Call.Timeout;
   Relayed.Repeatable = C.Call.Reuse == HttpReuse::Allowed;
   std::string Sealed = Peers->seal(std::move(Relayed));
   if (Sealed.empty())
     return false;
+  C.Sealed = std::move(*Charge);
   C.Direct = false;
   C.Refused = false;
   C.Via.push_back(Node->Id);
@@ -444,7 +451,8 @@
   }
   // Several upstreams that crash at once must not look like a node without
   // links.
-  if (Answer.Failure == HttpFailure::ConnectFailed && Probe.OfPath) {
+  if (Answer.Failure == HttpFailure::ConnectFailed && Probe.OfPath &&
+      !Answer.NoDescriptor) {
     connectFailed(Address, Probe.Started);
     silentCallsLost(Address);
   }
--- a/src/upstream_client.h
+++ b/src/upstream_client.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "client_budget.h"
 #include "core/random.h"
 #include "http_client.h"
 #include "kernel.h"
@@ -110,6 +111,7 @@
     UpstreamCallPlan Plan;   ///< How it is made.
     HttpCallId Current;      ///< Call of the HTTP client.
     TimePoint Started{};     ///< When the caller started it.
+    BudgetCharge Sealed;     ///< Memory of the copy for another node.
     bool Direct = false;     ///< Sent without another node.
     bool Refused = false;    ///< The response is the other node's own.
     bool HasBody = false;    ///< A part of the body was passed on.
@@ -165,6 +167,7 @@
   MemberService *Members = nullptr;  ///< Lists the nodes.
   PeerService *Peers = nullptr;      ///< Authenticates relayed calls.
   UpstreamFeed *Upstreams = nullptr; ///< Lists the upstreams.
+  ClientBudget *Clients = nullptr;   ///< Counts copies of bodies.
   UpstreamPaths Paths;               ///< Paths of this node.
   std::unordered_map<HttpCallId, OpenCall> Calls; ///< In progress.
   std::uint64_t LastId = 0;                       ///< Of the latest call.
