A call without a descriptor fails as not sent, and idle connections give way to it

Cause: the client went on with an invalid descriptor when socket() failed, and the failure counted as one of the upstream's path. Idle connections to other upstreams kept theirs.

Result: new unit tests, also of a server that cannot accept; they run within one process whose limit on descriptors is lowered meanwhile.

--- a/tests/test_client_budget.cpp
+++ b/tests/test_client_budget.cpp
@@ -1,6 +1,7 @@
 // Tests of what clients may make a process hold: whose connection is closed,
 // and what the HTTP server does about it.
 #include <catch2/catch.hpp>
+#include <sys/resource.h>
 
 #include "client_budget.h"
 #include "client_budget_func.h"
@@ -424,3 +425,69 @@
     }
   }
 }
+
+// Guards against calls that fail, and paths taken for broken, for want of a
+// descriptor.
+SCENARIO("a process has no descriptor left for a connection") {
+  TimerService Timers;
+  EventLoop Loop(Timers);
+  HttpServer Server(Loop, "127.0.0.1", 0, Kb,
+                    [](const HttpExchangePtr &E) { E->reply(HttpOk, "", {}); });
+  HttpServer Other(Loop, "127.0.0.1", 0, Kb,
+                   [](const HttpExchangePtr &E) { E->reply(HttpOk, "", {}); });
+  HttpClient Client(Loop);
+  auto Get = [&](const HttpServer &From) {
+    HttpCall Call;
+    Call.Address = "127.0.0.1:" + std::to_string(From.port());
+    Call.Method = "GET";
+    std::optional<HttpResponse> Got;
+    HttpCallbacks On;
+    On.OnDone = [&](const HttpResponse &Answer) { Got = Answer; };
+    Client.start(std::move(Call), std::move(On));
+    runUntil(Loop, [&] { return Got.has_value(); });
+    return Got.value_or(HttpResponse());
+  };
+  rlimit Before{};
+  ::getrlimit(RLIMIT_NOFILE, &Before);
+  auto LeaveDescriptors = [&](int Count) {
+    int Free = ::dup(0);
+    ::close(Free);
+    rlimit Limit = Before;
+    Limit.rlim_cur = static_cast<rlim_t>(Free + Count);
+    ::setrlimit(RLIMIT_NOFILE, &Limit);
+  };
+  GIVEN("no connection") {
+    LeaveDescriptors(0);
+    HttpResponse Got = Get(Server);
+    ::setrlimit(RLIMIT_NOFILE, &Before);
+    THEN("a call fails as not sent, and says why") {
+      CHECK(Got.Failure == HttpFailure::ConnectFailed);
+      CHECK(Got.NoDescriptor);
+      CHECK_FALSE(Got.MayHaveBeenSent);
+    }
+  }
+  GIVEN("an idle connection to another address") {
+    CHECK(Get(Other).Status == HttpOk);
+    LeaveDescriptors(0);
+    HttpResponse Got = Get(Server);
+    ::setrlimit(RLIMIT_NOFILE, &Before);
+    THEN("it is closed for the call") {
+      CHECK(Got.Status == HttpOk);
+      CHECK_FALSE(Client.hasIdle("127.0.0.1:" + std::to_string(Other.port())));
+    }
+  }
+  GIVEN("a server that cannot accept") {
+    RawClient First(Server.port());
+    LeaveDescriptors(0);
+    runUntil(
+        Loop, [] { return false; }, 200ms);
+    ::setrlimit(RLIMIT_NOFILE, &Before);
+    THEN("it accepts as soon as it can again") {
+      First.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+      CHECK(runUntil(Loop, [&] {
+        First.receive();
+        return First.Received.rfind("HTTP/1.1 200", 0) == 0;
+      }));
+    }
+  }
+}
