--- a/tests/crowd/crowd.cpp
+++ b/tests/crowd/crowd.cpp
@@ -1,6 +1,7 @@
 /// \file crowd.cpp Many clients at once that do not behave.
 #include "crowd.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <sys/socket.h>
@@ -34,6 +35,7 @@
 Crowd::~Crowd() { leave(); }
 
 void Crowd::leave() {
+  Loop.timers().cancel(Drip);
   for (Client &C : Clients) {
     if (C.Fd >= 0)
       ::close(C.Fd);
@@ -49,6 +51,7 @@
 }
 
 bool Crowd::connect(Client &C) const {
+  C.Begun = true;
   C.Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (!Plan.Source.empty()) {
     sockaddr_in From = socketAddress(Plan.Source, 0);
@@ -66,9 +69,10 @@
 }
 
 /// \return Whether bytes were sent.
-bool Crowd::send(Client &C) const {
+bool Crowd::send(Client &C, std::size_t Parts) const {
   std::size_t Sent = 0;
-  while (C.Fd >= 0 && C.Part < Plan.Parts.size() && Sent < TurnBytes) {
+  Parts = std::min(Parts, Plan.Parts.size());
+  while (C.Fd >= 0 && C.Part < Parts && Sent < TurnBytes) {
     const CrowdPart &Part = Plan.Parts[C.Part];
     ssize_t Size = ::send(C.Fd, Part.Bytes->data() + C.Offset,
                           Part.Bytes->size() - C.Offset, MSG_NOSIGNAL);
@@ -108,9 +112,20 @@
   return false;
 }
 
-void Crowd::run() {
-  for (Client &C : Clients)
-    connect(C);
+void Crowd::drip() {
+  Drip = Loop.timers().every(std::chrono::milliseconds(100), [this] {
+    for (const Client &C : Clients) {
+      if (C.Fd >= 0)
+        (void)::send(C.Fd, "b", 1, MSG_NOSIGNAL);
+    }
+  });
+}
+
+void Crowd::run(std::size_t Parts) {
+  for (Client &C : Clients) {
+    if (!C.Begun)
+      connect(C);
+  }
   TimePoint Start = EventLoop::clock();
   TimePoint Moved = Start;
   TimerId Tick =
@@ -118,7 +133,7 @@
   while (EventLoop::clock() - Moved < SettleTime &&
          EventLoop::clock() - Start < MaxRun) {
     for (Client &C : Clients) {
-      bool Sent = send(C);
+      bool Sent = send(C, Parts);
       bool Received = receive(C);
       if (Sent || Received)
         Moved = EventLoop::clock();
--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -38,8 +38,12 @@
   Crowd(const Crowd &) = delete;
   Crowd &operator=(const Crowd &) = delete;
 
-  /// Sends until no client has anything left that the other side takes.
-  void run();
+  /// Connects the clients and sends until none has anything left that the other
+  /// side takes.
+  /// \param Parts number of parts that are sent, with those of earlier runs.
+  void run(std::size_t Parts = SIZE_MAX);
+  /// Sends one byte of each client now and then, until the crowd leaves.
+  void drip();
   /// Closes all connections.
   void leave();
   /// \return Connections that are open.
@@ -49,18 +53,20 @@
   /// One client.
   struct Client {
     int Fd = -1;            ///< The socket; -1: closed.
+    bool Begun = false;     ///< It has tried to connect.
     std::size_t Part = 0;   ///< Part that it sends.
     std::size_t Round = 0;  ///< Times that the part was sent.
     std::size_t Offset = 0; ///< Bytes sent in this round.
   };
 
   bool connect(Client &C) const;
-  bool send(Client &C) const;
+  bool send(Client &C, std::size_t Parts) const;
   bool receive(Client &C) const;
 
   EventLoop &Loop;             ///< Runs the other side's stand-ins.
   CrowdPlan Plan;              ///< What the clients do.
   std::vector<Client> Clients; ///< All of them.
+  TimerId Drip;                ///< Sends a byte of each.
 };
 
 } // namespace fulmar
--- a/tests/crowd/test_crowd_bodies.cpp
+++ b/tests/crowd/test_crowd_bodies.cpp
@@ -104,6 +104,48 @@
   W.checkBounds();
 }
 
+// Guards against clients that hold memory by a byte now and then.
+TEST_CASE("a crowd's bodies come a byte at a time") {
+  CrowdWorld W;
+  W.configure();
+  W.startProcess();
+  Crowd Clients(W.Loop,
+                callers(W, 100,
+                        {crowdPart(headWithLength("/get/x", MaxBodyBytes)),
+                         crowdPart(std::string(64 * Kb, 'b'), 63)}));
+  Clients.run();
+  Clients.drip();
+  W.checkBounds();
+  W.checkServed();
+  CHECK(W.post("/get/x", std::string(MaxBodyBytes, 'b')).Status == HttpOk);
+  W.checkBounds();
+}
+
+// Guards against limits that many clients inside theirs meet.
+TEST_CASE("a full house of slow clients inside their limits is served") {
+  CrowdWorld W;
+  W.TimeoutMs = 30000;
+  W.configure();
+  W.startProcess();
+  Crowd Clients(W.Loop, callers(W, 1000,
+                                {crowdPart(openHead("/get/x")),
+                                 crowdPart("Content-Length: 2048\r\n\r\n"),
+                                 crowdPart(std::string(2048, 'b'))}));
+  for (std::size_t Parts = 1; Parts <= 3; ++Parts)
+    Clients.run(Parts);
+  CHECK(Clients.open() == 1000);
+  W.checkServed();
+  std::string Metrics =
+      W.get("127.0.0.1:" + std::to_string(W.Settings[0].MetricsPort),
+            "/metrics")
+          .Body;
+  for (const char *Name : {"fulmarstep_client_connections_refused_total",
+                           "fulmarstep_client_connections_closed_total",
+                           "fulmarstep_client_requests_refused_total"})
+    CHECK(Metrics.find(std::string(Name) + " 0\n") != std::string::npos);
+  W.checkBounds();
+}
+
 // Guards against limits that a single slow request inside its limits meets.
 TEST_CASE("a single body of the largest size is served in calm") {
   CrowdWorld W;
