Messages between nodes are read only from senders that were admitted

Change: the library asks before it reads a message from a new connection (its admission protocol, within the process); nodes at known addresses and two others are admitted. A connection that was used within a second does not give way to a new one, which is closed instead.

--- a/src/bulk_peers.h
+++ b/src/bulk_peers.h
@@ -24,11 +24,18 @@
 /// messages of the largest size in memory before anything shows who sends them.
 inline constexpr std::size_t MaxUnknownPeers = 2;
 
-/// Chooses a connection that is closed because there are too many.
+/// Chooses a connection that is closed because there are too many: the least
+/// recently used one, of an unknown sender if there is any. If all of them were
+/// used lately, it is the one that was accepted last.
 /// \param MaxPeers limit on all connections.
 /// \return Its descriptor; nothing while there are few enough.
-std::optional<int> bulkPeerToClose(const BulkPeers &Peers,
-                                   std::size_t MaxPeers);
+std::optional<int> bulkPeerToClose(const BulkPeers &Peers, std::size_t MaxPeers,
+                                   TimePoint Now);
+
+/// \return Whether messages of a new sender are read.
+/// \param Peers the connections, with those of the sender.
+/// \param Known a node of the fleet is at the sender's address.
+bool bulkPeerAdmitted(const BulkPeers &Peers, bool Known);
 
 } // namespace fulmar
 
