--- a/review/7/case.py
+++ b/review/7/case.py
@@ -28,7 +28,7 @@
         await site.start(config(7, kit.tenants(kit.KEY)))
         servers = [kit.PlainServer(site.store, record, "shift-api", f"i-sa{i}",
                                    zone, slots=6)
-                   for i, zone in enumerate(["rec-a", "rec-b", "for-a"])]
+                   for i, zone in enumerate(["hall-a", "hall-b", "hall-c"])]
         for server in servers:
             await server.start()
         await site.start_nodes()
