Review: scripts end their nodes however they end, and errors exit with 2

Cause: SIGTERM to a script left a node alive; an exception other than the expected ones ended with 1, which reads as a broken rule; watch() of case 6 could start a node again while the case ended.

Measured: no process left after SIGTERM and SIGKILL to a script and after all runs; exit 2 without the program.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -132,7 +132,7 @@
 async def case(record, trouble):
     rng = random.Random(10)
     site = kit.Site(record, nodes=3)
-    broken, made, short = [], {}, []
+    broken, made, short, tasks = [], {}, [], []
     try:
         await site.start(config())
         zones, stages = ["hall-a", "hall-b", "hall-c"], []
@@ -210,11 +210,12 @@
                 if "ssert" in line:
                     record(f"log of {node.name}: {line.strip()}")
                     print(line.strip())
-        if os.environ.get("KEEP"):
-            os.system(f"cp -r {site.folder} {os.environ['KEEP']}")
         if count.get(200, 0) < len(clients) / 2:
             raise kit.CannotRun("less than half of the requests were served")
     finally:
+        # Else watch() would start the nodes again.
+        for task in tasks:
+            task.cancel()
         await site.end()
     return broken
 
--- a/review/kit-2/kit.py
+++ b/review/kit-2/kit.py
@@ -6,6 +6,7 @@
 """
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -464,6 +465,12 @@
     return render(template, [fields])
 
 
+def end_with_parent():
+    """Has the system kill a process when the script that started it is gone."""
+    set_death_signal = 1
+    ctypes.CDLL(None).prctl(set_death_signal, signal.SIGKILL)
+
+
 class Node:
     """One process of the system."""
 
@@ -503,7 +510,8 @@
             raise CannotRun("the program isn't built: " + words[0])
         log = open(os.path.join(self.folder, self.name + ".log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
-            program, *words[1:], cwd=ROOT, stdout=log, stderr=log)
+            program, *words[1:], cwd=ROOT, stdout=log, stderr=log,
+            preexec_fn=end_with_parent)
 
     def signal(self, number):
         if self.process and self.process.returncode is None:
@@ -632,13 +640,16 @@
     record(f"trouble {'on' if trouble else 'off'}")
 
     async def play():
+        loop = asyncio.get_running_loop()
         # Channels that end with the case are no errors.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        return await asyncio.wait_for(case(record, trouble), 115)
+        loop.set_exception_handler(lambda *_: None)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
+        return await asyncio.wait_for(case(record, trouble), 110)
 
     try:
         broken = asyncio.run(play())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # Never a broken rule.
         record(f"could not run: {type(error).__name__} {error}")
         print("could not run:", type(error).__name__, error)
         sys.exit(CANNOT_RUN)
