A request's body is never read as the next request

Cause: http_parser ends a message after its head if the method is CONNECT, and the reader checked that only for messages that were not complete. The body stayed in the buffer and was parsed as the next request. A body behind an Upgrade header was framed by its length in one piece, and refused in several.

--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -129,6 +129,66 @@
   }
 }
 
+// Guards against a body that is read as the next request, because the method
+// or an Upgrade header is taken to end the message after its head.
+SCENARIO("a request's body holds another request") {
+  const std::string Hidden = "POST /hidden HTTP/1.1\r\nHost: a\r\n"
+                             "Content-Length: 2\r\n\r\nab";
+  const std::string Length =
+      "Content-Length: " + std::to_string(Hidden.size()) + "\r\n\r\n" + Hidden;
+  char Size[24];
+  std::snprintf(Size, sizeof(Size), "%zx\r\n", Hidden.size());
+  const std::string Chunks =
+      "Transfer-Encoding: chunked\r\n\r\n" + (Size + Hidden) + "\r\n0\r\n\r\n";
+  const std::string &Framed = GENERATE_REF(Length, Chunks);
+  std::size_t FirstPart = GENERATE(0, 10);
+  CAPTURE(Framed, FirstPart);
+  TimerService Timers;
+  EventLoop Loop(Timers);
+  std::vector<HttpExchangePtr> Served;
+  HttpServer Server(Loop, "127.0.0.1", 0, HttpLimits(),
+                    [&](const HttpExchangePtr &E) {
+                      Served.push_back(E);
+                      E->reply(HttpOk, "", {});
+                    });
+  RawClient Client(Server.port());
+  auto Send = [&](const std::string &Begin) {
+    std::string All = Begin + "Host: a\r\n" + Framed;
+    // The end of the message arrives later.
+    Client.send(All.substr(0, All.size() - FirstPart));
+    runUntil(
+        Loop, [] { return false; }, std::chrono::milliseconds(30));
+    Client.send(All.substr(All.size() - FirstPart));
+    runUntil(
+        Loop, [] { return false; }, std::chrono::milliseconds(60));
+    Client.receive();
+  };
+  GIVEN("a method that asks for a tunnel") {
+    Send(GENERATE("CONNECT /form HTTP/1.1\r\n", "CONNECT a:80 HTTP/1.1\r\n"));
+    THEN("it is rejected, and the connection is closed") {
+      CHECK(Served.empty());
+      CHECK(Client.Received.rfind("HTTP/1.1 400", 0) == 0);
+      CHECK(Client.Ended);
+    }
+  }
+  GIVEN("a method that is usually sent without a body") {
+    Send(GENERATE("GET /form HTTP/1.1\r\n", "DELETE /form HTTP/1.1\r\n",
+                  "OPTIONS /form HTTP/1.1\r\n", "TRACE /form HTTP/1.1\r\n"));
+    THEN("the body belongs to it") {
+      REQUIRE(Served.size() == 1);
+      CHECK(Served[0]->Body.text() == Hidden);
+    }
+  }
+  GIVEN("an offer of another protocol") {
+    Send("POST /form HTTP/1.1\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n");
+    THEN("the offer is ignored, and the body belongs to it") {
+      REQUIRE(Served.size() == 1);
+      CHECK(Served[0]->Path == "/form");
+      CHECK(Served[0]->Body.text() == Hidden);
+    }
+  }
+}
+
 SCENARIO("a client is slow, exceeds a limit, pipelines or disconnects") {
   TimerService Timers;
   EventLoop Loop(Timers);
