An answer of another node ends only the wait that it was asked for

Cause: a question to another node carried the number of the request, and whether the request still waited for that answer was concluded from its other fields. A lent turn that came long after its 30 ms sent a request whose stages were being redone; the end of the stages then sent it again. Answers about trials and repeats were taken on even less.

Change: a request waits for one thing at a time (SendWait), under a number that is used once, begins at random in each process and travels in place of the request's number. Redone stages, a send, another wait or the end of the request end the wait, and a later answer finds none. Results that are lost while a repeat is decided are redone after the decision.

--- a/src/gateway_attempt.cpp
+++ b/src/gateway_attempt.cpp
@@ -52,6 +52,8 @@
 void GatewayService::sendAttempt(RequestSerial Serial) {
   ForwardRequest *R = find(Serial);
   assert(!R->Attempt && "a request has one attempt at a time");
+  assert(R->StagesDone > TimePoint{} && "its inputs are made before");
+  assert(R->Wait.For == SendWaitFor::Nothing && "a wait ends before the send");
   if (holdAttempt(*R))
     return;
   if (!holdRepeat(*R))
@@ -409,6 +411,8 @@
 }
 
 void GatewayService::closeAttempt(ForwardRequest &R) {
+  // Whether it is repeated for its silence is no question any more.
+  dropWait(R);
   Timers->cancel(R.EventTimer);
   Timers->cancel(R.ReadTimer);
   R.EventTimer = TimerId{};
--- a/src/gateway_placement.cpp
+++ b/src/gateway_placement.cpp
@@ -191,13 +191,11 @@
   ++Placing.Held;
   Placing.HeldFor += Hold;
   ++Metrics.PlacementHolds;
-  R.RetryTimer = Timers->after(Hold, [this, Serial = R.Serial] {
-    ForwardRequest *Held = find(Serial);
-    if (!Held || !Held->Placing.Holds)
-      return;
-    Held->Placing.Waits = false;
-    Held->Placing.Holds = false;
-    sendAttempt(Serial);
+  beginWait(R, SendWaitFor::PlacementHold);
+  limitWait(R, Hold, [this](ForwardRequest &Held) {
+    Held.Placing.Waits = false;
+    Held.Placing.Holds = false;
+    sendAttempt(Held.Serial);
   });
   return true;
 }
@@ -221,8 +219,6 @@
 /// Records and logs the engine of a request's current attempt.
 void GatewayService::placementSent(ForwardRequest &R) {
   ForwardAttempt &A = *R.Attempt;
-  if (R.Placing.Holds)
-    Timers->cancel(R.RetryTimer);
   PlacementProgress Placing = std::exchange(R.Placing, {});
   // The configuration may have changed since the coordinator was asked.
   if (!Placements->coordinated(R.PoolName))
@@ -264,10 +260,8 @@
 /// for it.
 void GatewayService::releasePlacement(ForwardRequest &R) {
   PlacementProgress Placing = std::exchange(R.Placing, {});
-  if (Placing.Holds) {
-    Timers->cancel(R.RetryTimer);
-    R.RetryTimer = TimerId{};
-  }
+  if (Placing.Holds)
+    dropWait(R);
   if (Placing.Waits || Placing.Decided)
     Placements->ended(placementSerial(R, R.LastAttempt + 1));
 }
--- a/src/gateway_quarantine.cpp
+++ b/src/gateway_quarantine.cpp
@@ -64,10 +64,7 @@
 }
 
 void GatewayService::retryAfterCrash(ForwardRequest &R) {
-  R.RetryTimer = Timers->after(CrashRetryDelay, [this, Serial = R.Serial] {
-    if (find(Serial))
-      sendAttempt(Serial);
-  });
+  sendAfter(R, SendWaitFor::CrashReport, CrashRetryDelay);
 }
 
 /// \return What a request needs and is quarantined: its run, parts of its
@@ -133,17 +130,17 @@
     refuseQuarantined(R);
     return true;
   }
-  Quarantined->askTrial(
-      Held[0], [this, Serial = R.Serial, Part = Held[0]](bool Granted) {
-        trialAnswered(Serial, Part, Granted);
-      });
+  SendWaitId Wait = beginWait(R, SendWaitFor::Trial);
+  Quarantined->askTrial(Held[0], [this, Wait, Part = Held[0]](bool Granted) {
+    trialAnswered(Wait, Part, Granted);
+  });
   return true;
 }
 
-void GatewayService::trialAnswered(RequestSerial Serial, Fingerprint Part,
+void GatewayService::trialAnswered(SendWaitId Wait, Fingerprint Part,
                                    bool Granted) {
-  ForwardRequest *R = find(Serial);
-  if (!R || R->Attempt) {
+  ForwardRequest *R = endWait(Wait, SendWaitFor::Trial);
+  if (!R) {
     if (Granted)
       Quarantined->returnTrial(Part);
     return;
@@ -153,7 +150,7 @@
     return refuseQuarantined(*R);
   }
   R->Trials.push_back(Part);
-  sendAttempt(Serial);
+  sendAttempt(R->Serial);
 }
 
 /// Gives back the trials that a request was granted and that show nothing.
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -108,10 +108,34 @@
   Invalid, ///< Not a hold.
 };
 
+struct SendWaitTag {};
+using SendWaitId = StrongId<SendWaitTag>; ///< 0 is never assigned.
+
+/// What a request waits for before its next send.
+enum class SendWaitFor {
+  Nothing,        ///< It does not wait.
+  LentTurn,       ///< The answer to a TurnAsk.
+  OwnTurn,        ///< This node's turn, or the end of a backoff.
+  LentRepeat,     ///< The answer to a RetryAsk; its latest attempt has ended.
+  RepeatIfSilent, ///< The same, while its attempt is silent and open.
+  Trial,          ///< The answer to a TrialAsk.
+  CrashReport,    ///< The decision about an upstream's crash.
+  PlacementHold,  ///< The end of a hold of its placement.
+  Count,          ///< Number of values.
+  Invalid,        ///< Not a value.
+};
+
+/// The wait of a request before its next send; see gateway_wait.cpp.
+struct SendWait {
+  SendWaitId Id;                          ///< 0: it does not wait.
+  SendWaitFor For = SendWaitFor::Nothing; ///< What it waits for.
+  TimerId Timer;                          ///< Ends the wait.
+};
+
 /// The choice of an engine for the next attempt of a request, by a coordinator.
 struct PlacementProgress {
   bool Waits = false;   ///< For an answer, or for the end of a hold.
-  bool Holds = false;   ///< RetryTimer ends a hold.
+  bool Holds = false;   ///< It waits for the end of a hold.
   bool Decided = false; ///< The coordinator is not asked any more.
   int Held = 0;         ///< Holds so far.
   Duration HeldFor{};   ///< Sum of the holds.
@@ -155,19 +179,18 @@
   std::uint64_t LastAttempt = 0;      ///< Number of the latest attempt.
   std::vector<UpstreamId> Tried;      ///< Upstreams that it was sent to.
   std::vector<UpstreamId> SaidNotRun; ///< Upstreams that answered "not run".
+  SendWait Wait;                      ///< Before its next send.
   std::optional<EndedAttempt> Ended;  ///< Waits for a RetryAnswer.
   bool RetryRequested = false;        ///< A RetryAsk was sent for it.
   RepeatHold Hold = RepeatHold::None; ///< Covers its next repeat.
   TimePoint LentUntil{};              ///< End of a lent repeat.
-  bool RetryForSilence = false;    ///< The RetryAsk is for an attempt that is
-                                   ///< silent and open.
-  bool TrialsTried = false;        ///< It was sent as a trial of parts.
-  std::vector<Fingerprint> Trials; ///< Quarantined parts that its next or
-                                   ///< current attempt is a trial of.
-  bool TurnRequested = false;      ///< A TurnAsk was sent for it.
-  std::optional<UpstreamId> LentTurn;      ///< Upstream of a turn lent to it.
-  PlacementProgress Placing;               ///< Engine of the next attempt.
-  int Sends = 0;                           ///< Attempts that were sent.
+  bool TrialsTried = false;           ///< It was sent as a trial of parts.
+  std::vector<Fingerprint> Trials;    ///< Quarantined parts that its next or
+                                      ///< current attempt is a trial of.
+  bool TurnRequested = false;         ///< A TurnAsk was sent for it.
+  std::optional<UpstreamId> LentTurn; ///< Upstream of a turn lent to it.
+  PlacementProgress Placing;          ///< Engine of the next attempt.
+  int Sends = 0;                      ///< Attempts that were sent.
   RepeatCause Cause = RepeatCause::Broken; ///< Of its next repeat.
   int Runs = 0;           ///< Attempts that ran or may have run.
   bool HeadSent = false;  ///< The answer's head was sent.
@@ -182,7 +205,6 @@
   Duration RetryIn{};       ///< Time until a retry, if it is refused.
   TimerId DeadlineTimer;    ///< Ends it at Deadline.
   TimerId EventTimer;       ///< Ends an attempt without events.
-  TimerId RetryTimer;       ///< Sends it after a wait.
   TimerId ReadTimer; ///< Frees results that its upstream should have read.
   bool InputsFreed = false; ///< Freed; another attempt needs new ones.
 };
--- a/src/gateway_restart.cpp
+++ b/src/gateway_restart.cpp
@@ -96,6 +96,11 @@
   if (!R || R->Attempt || R->StageRounds > 1)
     return;
   R->LastFailure = "results lost";
+  // The decision about its latest attempt comes first.
+  if (R->Ended) {
+    R->InputsFreed = true;
+    return;
+  }
   rerunStages(*R);
 }
 
--- a/src/gateway_retry.cpp
+++ b/src/gateway_retry.cpp
@@ -130,10 +130,11 @@
   if (R.Attempt)
     recordOutcome(R, *R.Attempt, Facts.Outcome, Facts.Effect);
   closeAttempt(R);
-  Peers->sendTo(Owner, RetryAsk{R.Serial.Value, R.PoolName});
-  R.RetryTimer = Timers->after(RetryAskTimeout, [this, Serial = R.Serial] {
-    retryAnswered({Serial.Value, /*Lent=*/false});
+  SendWaitId Wait = beginWait(R, SendWaitFor::LentRepeat);
+  limitWait(R, RetryAskTimeout, [this](ForwardRequest &Waiting) {
+    decideEnded(Waiting, /*Lent=*/false);
   });
+  Peers->sendTo(Owner, RetryAsk{Wait.Value, R.PoolName});
   return true;
 }
 
@@ -145,8 +146,8 @@
   if (Owner.empty())
     return false;
   R.RetryRequested = true;
-  R.RetryForSilence = true;
-  Peers->sendTo(Owner, RetryAsk{R.Serial.Value, R.PoolName});
+  SendWaitId Wait = beginWait(R, SendWaitFor::RepeatIfSilent);
+  Peers->sendTo(Owner, RetryAsk{Wait.Value, R.PoolName});
   return true;
 }
 
@@ -173,24 +174,28 @@
   Peers->sendTo(From, Answer);
 }
 
-/// Handles the answer to a RetryAsk, or its timeout.
+/// Handles the answer to a RetryAsk.
 void GatewayService::retryAnswered(const RetryAnswer &Answer) {
-  ForwardRequest *R = find(RequestSerial{Answer.Serial});
-  if (R && std::exchange(R->RetryForSilence, false))
+  SendWaitId Wait{Answer.Serial};
+  if (ForwardRequest *R = endWait(Wait, SendWaitFor::RepeatIfSilent))
     return silenceRetryAnswered(*R, Answer.Lent);
-  if (!R || !R->Ended)
-    return;
-  Timers->cancel(R->RetryTimer);
-  R->RetryTimer = TimerId{};
-  EndedAttempt Ended = *R->Ended;
-  Ended.Facts.Budget = Answer.Lent;
+  if (ForwardRequest *R = endWait(Wait, SendWaitFor::LentRepeat))
+    return decideEnded(*R, Answer.Lent);
+  logRoutine("repeat_unused", {{"lent", Answer.Lent ? 1 : 0}});
+}
+
+/// Decides about a request whose attempt has ended, once it is known whether
+/// another node lends a repeat.
+void GatewayService::decideEnded(ForwardRequest &R, bool Lent) {
+  EndedAttempt Ended = *R.Ended;
+  Ended.Facts.Budget = Lent;
   // It may have ended meanwhile.
-  Ended.Facts.SilentOpen = !R->Silent.empty();
-  if (Answer.Lent) {
-    R->Hold = RepeatHold::Lent;
-    R->LentUntil = Timers->now() + RetryLoanTime;
+  Ended.Facts.SilentOpen = !R.Silent.empty();
+  if (Lent) {
+    R.Hold = RepeatHold::Lent;
+    R.LentUntil = Timers->now() + RetryLoanTime;
   }
-  applyDecision(*R, Ended.Facts, Ended.Answer);
+  applyDecision(R, Ended.Facts, Ended.Answer);
 }
 
 } // namespace fulmar
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -39,7 +39,7 @@
 
 GatewayService::GatewayService(Kernel &K, const GatewaySettings &S,
                                const WireFormat &W, std::uint64_t Seed)
-    : Services(K), Config(S), Wire(W), Rng(Seed) {
+    : Services(K), Config(S), Wire(W), Rng(Seed), LastWait(Rng()) {
   // Upstreams refuse requests when they are full; a limit that adapts to the
   // latency would take a long prompt for overload.
   Policy.Limit = LimitRule::Fixed;
@@ -227,8 +227,9 @@
     return;
   R->DeadlineTimer = TimerId{};
   releaseSilent(*R, "time over");
+  dropWait(*R);
   if (R->Ended)
-    return retryAnswered({Serial.Value, /*Lent=*/false});
+    return decideEnded(*R, /*Lent=*/false);
   bool Sent = R->Attempt && R->Attempt->Sent;
   if (R->Attempt)
     Client->cancel(R->Attempt->Call);
@@ -314,7 +315,7 @@
   Timers->cancel(R.EventTimer);
   Timers->cancel(R.ReadTimer);
   Timers->cancel(R.StageTimer);
-  Timers->cancel(R.RetryTimer);
+  dropWait(R);
   cancelStages(R);
   returnTrials(R);
   releaseRepeat(R);
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -2,7 +2,9 @@
 #ifndef FULMARSTEP_GATEWAY_SERVICE_H
 #define FULMARSTEP_GATEWAY_SERVICE_H
 
+#include <functional>
 #include <span>
+#include <unordered_map>
 
 #include "attempt_decision_type.h"
 #include "caller_time.h"
@@ -153,7 +155,7 @@
   bool trialsDue(const ForwardRequest &R,
                  const std::vector<Fingerprint> &Held) const;
   bool holdAttempt(ForwardRequest &R);
-  void trialAnswered(RequestSerial Serial, Fingerprint Part, bool Granted);
+  void trialAnswered(SendWaitId Wait, Fingerprint Part, bool Granted);
   void returnTrials(ForwardRequest &R);
   void refuseQuarantined(ForwardRequest &R);
   void endQuarantined(Fingerprint Content);
@@ -203,6 +205,14 @@
   bool withholdAttempt(ForwardRequest &R);
   std::optional<Duration> backoffWait(const ForwardRequest &R);
 
+  // gateway_wait.cpp: waits before a send.
+  SendWaitId beginWait(ForwardRequest &R, SendWaitFor For);
+  void limitWait(ForwardRequest &R, Duration Most,
+                 std::function<void(ForwardRequest &)> Then);
+  void sendAfter(ForwardRequest &R, SendWaitFor For, Duration Wait);
+  ForwardRequest *endWait(SendWaitId Id, SendWaitFor For);
+  void dropWait(ForwardRequest &R);
+
   // gateway_turns.cpp: send turns lent between nodes.
   std::string turnOwner(const Upstream &U);
   bool requestTurn(ForwardRequest &R, Pool &P, const ChoiceHints &Hints);
@@ -241,6 +251,7 @@
                     const HttpResponse &Answer);
   void lendRetry(const std::string &From, const RetryAsk &Ask);
   void retryAnswered(const RetryAnswer &Answer);
+  void decideEnded(ForwardRequest &R, bool Lent);
   bool requestRetryForSilence(ForwardRequest &R);
   void silenceRetryAnswered(ForwardRequest &R, bool Lent);
 
@@ -355,7 +366,9 @@
   std::map<std::string, RouteTimes> Times;    ///< Smoothed times, by route.
   std::map<RequestSerial, ForwardRequest> Requests; ///< In progress.
   std::uint64_t LastSerial = 0;                     ///< Of the latest request.
-  std::uint32_t LastUpstream = 0;                   ///< Of the latest upstream.
+  std::uint64_t LastWait; ///< Of the latest wait; begins at random.
+  std::unordered_map<SendWaitId, RequestSerial> Waits; ///< Those in progress.
+  std::uint32_t LastUpstream = 0; ///< Of the latest upstream.
   std::vector<std::string> Nodes; ///< Ids of live nodes, sorted.
   VersionHistory Versions;        ///< Software versions of upstreams, by pool.
   Duration BootOffset{}; ///< Of the boot clock; grows when the host sleeps.
--- a/src/gateway_silence.cpp
+++ b/src/gateway_silence.cpp
@@ -168,9 +168,8 @@
 void GatewayService::takeBackSilent(ForwardRequest &R, std::size_t Index) {
   assert(!R.Attempt);
   releasePlacement(R);
-  Timers->cancel(R.RetryTimer);
+  dropWait(R);
   Timers->cancel(R.StageTimer);
-  R.RetryTimer = TimerId{};
   R.StageTimer = TimerId{};
   releaseRepeat(R);
   R.Ended.reset();
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -233,7 +233,7 @@
            {{"id", R.Ask.RequestId}, {"rounds", R.StageRounds}});
   cancelStages(R);
   releasePlacement(R);
-  Timers->cancel(R.RetryTimer);
+  dropWait(R);
   R.InputsFreed = false;
   beginStages(R);
 }
--- a/src/gateway_turns.cpp
+++ b/src/gateway_turns.cpp
@@ -73,11 +73,8 @@
   if (Owner.empty())
     return false;
   R.TurnRequested = true;
-  Peers->sendTo(Owner, TurnAsk{R.Serial.Value, U.Start});
-  R.RetryTimer = Timers->after(TurnAskTimeout, [this, Serial = R.Serial] {
-    if (find(Serial))
-      sendAttempt(Serial);
-  });
+  sendAfter(R, SendWaitFor::LentTurn, TurnAskTimeout);
+  Peers->sendTo(Owner, TurnAsk{R.Wait.Id.Value, U.Start});
   return true;
 }
 
@@ -98,14 +95,14 @@
   Peers->sendTo(From, Answer);
 }
 
-/// Handles the answer to a TurnAsk.
+/// Handles the answer to a TurnAsk. One that is too late costs the turn.
 void GatewayService::turnAnswered(const TurnAnswer &Answer) {
-  ForwardRequest *R = find(RequestSerial{Answer.Serial});
-  // While a placement is held, the timer is that of the hold.
-  bool Waits = R && R->TurnRequested && !R->Attempt && !R->Placing.Holds &&
-               R->RetryTimer != TimerId{};
-  if (!Waits)
+  ForwardRequest *R = endWait(SendWaitId{Answer.Serial}, SendWaitFor::LentTurn);
+  if (!R) {
+    logRoutine("turn_unused", {{"instance", Answer.Upstream.Instance},
+                               {"lent", Answer.Lent ? 1 : 0}});
     return;
+  }
   for (Upstream &U : Pools[R->PoolName].Upstreams) {
     if (U.Start != Answer.Upstream)
       continue;
@@ -118,8 +115,6 @@
   logRoutine("turn_answered", {{"id", R->Ask.RequestId},
                                {"instance", Answer.Upstream.Instance},
                                {"lent", Answer.Lent ? 1 : 0}});
-  Timers->cancel(R->RetryTimer);
-  R->RetryTimer = TimerId{};
   sendAttempt(R->Serial);
 }
 
@@ -161,11 +156,7 @@
   if (Next == TimePoint::max() || Next + timesOf(R).FirstEvent > R.OnTimeBy)
     return false;
   R.TurnRequested = false;
-  Duration Wait = std::max(MinTurnWait, Next - Now);
-  R.RetryTimer = Timers->after(Wait, [this, Serial = R.Serial] {
-    if (find(Serial))
-      sendAttempt(Serial);
-  });
+  sendAfter(R, SendWaitFor::OwnTurn, std::max(MinTurnWait, Next - Now));
   return true;
 }
 
--- a/src/rate_limit_type.h
+++ b/src/rate_limit_type.h
@@ -31,7 +31,7 @@
 
 /// Requests the loan of the receiver's turn to send to an upstream.
 struct TurnAsk {
-  std::uint64_t Serial = 0; ///< Identifies the request at its sender.
+  std::uint64_t Serial = 0; ///< Identifies the request's wait at its sender.
   Incarnation Upstream;     ///< The upstream and its start.
 };
 
--- a/src/retry_window.h
+++ b/src/retry_window.h
@@ -106,7 +106,7 @@
 
 /// Requests the loan of one of the repeats that the receiver may make.
 struct RetryAsk {
-  std::uint64_t Serial = 0; ///< Identifies the request at its sender.
+  std::uint64_t Serial = 0; ///< Identifies the request's wait at its sender.
   std::string Pool;         ///< Pool to repeat a send to.
 };
 
