A configuration with an empty list of organisations opens no route

Cause: a missing list (no keys needed) and an empty one (no key is known) were the same empty list in memory.

Change: RouteTable::Organisations is optional; null counts as empty. config_in_force logs whether keys are needed.

The new section of "requests are passed on" failed in 3 of 19 assertions before (200 in place of 401 for the key and for another) and passes with the change.

--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -136,7 +136,7 @@
   if (!R.Route)
     return Routes->keysFresh() ? ResultCode::NoRoute : ResultCode::NotReady;
   R.Priority = R.Route->Priority;
-  if (!R.Route->Public && !R.Table->Organisations.empty()) {
+  if (!R.Route->Public && R.Table->Organisations) {
     // A stale configuration lacks newly added keys and still holds revoked
     // ones, so it can neither accept nor reject a key.
     if (!Routes->keysFresh())
--- a/src/route.cpp
+++ b/src/route.cpp
@@ -14,9 +14,11 @@
         Indexes.begin(), Indexes.end(), [&Table](std::size_t A, std::size_t B) {
           return Table.Routes[A].Prefix.size() > Table.Routes[B].Prefix.size();
         });
-  for (std::size_t I = 0; I < Table.Organisations.size(); ++I) {
-    for (const std::string &Key : Table.Organisations[I].Keys)
-      Table.ByKey.emplace(Key, I);
+  if (Table.Organisations) {
+    for (std::size_t I = 0; I < Table.Organisations->size(); ++I) {
+      for (const std::string &Key : (*Table.Organisations)[I].Keys)
+        Table.ByKey.emplace(Key, I);
+    }
   }
   for (std::size_t I = 0; I < Table.Services.size(); ++I)
     Table.ByService.emplace(Table.Services[I].Name, I);
@@ -45,7 +47,7 @@
                                          const std::string &Key) {
   auto Found = Table.ByKey.find(Key);
   return Found == Table.ByKey.end() ? nullptr
-                                    : &Table.Organisations[Found->second];
+                                    : &(*Table.Organisations)[Found->second];
 }
 
 const ServiceSpec *findService(const RouteTable &Table,
--- a/src/route_feed.cpp
+++ b/src/route_feed.cpp
@@ -296,13 +296,15 @@
   // A slow answer may hold an older version than the one in force.
   if (Table && Next->Version <= Table->Version)
     return;
-  logEvent(LogLevel::Info, "config_in_force",
-           {{"version", Next->Version},
-            {"previous", Table ? Table->Version : 0},
-            {"routes", Next->Routes.size()},
-            {"organisations", Next->Organisations.size()},
-            {"keys", Next->ByKey.size()},
-            {"bytes", Value.size()}});
+  logEvent(
+      LogLevel::Info, "config_in_force",
+      {{"version", Next->Version},
+       {"previous", Table ? Table->Version : 0},
+       {"routes", Next->Routes.size()},
+       {"organisations", Next->Organisations ? Next->Organisations->size() : 0},
+       {"keys_needed", Next->Organisations ? 1 : 0},
+       {"keys", Next->ByKey.size()},
+       {"bytes", Value.size()}});
   Table = std::move(Next);
   bool Given = Readers->delegatesReading() || Value.size() <= MaxCopyBytes;
   Text = Given ? Value : std::string();
--- a/src/route_type.h
+++ b/src/route_type.h
@@ -111,11 +111,12 @@
 
 /// One version of the whole configuration.
 struct RouteTable {
-  std::uint64_t Version = 0;                   ///< Increases with each change.
-  std::vector<RouteSpec> Routes;               ///< All routes.
-  std::vector<ServiceSpec> Services;           ///< All pools.
-  std::vector<OrganisationKeys> Organisations; ///< Empty: no API keys needed.
-  RouteLimits Limits;                          ///< Of client connections.
+  std::uint64_t Version = 0;         ///< Increases with each change.
+  std::vector<RouteSpec> Routes;     ///< All routes.
+  std::vector<ServiceSpec> Services; ///< All pools.
+  /// Nothing: requests need no API key. An empty list: no key is known.
+  std::optional<std::vector<OrganisationKeys>> Organisations;
+  RouteLimits Limits; ///< Of client connections.
 
   /// Indexes into Routes by host, the longest prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> ByHost;
--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -45,6 +45,7 @@
   std::map<std::string, std::string>
       VersionOf;                  ///< Listed versions, by upstream; empty: v1.
   std::string Keys = "\"key-a\""; ///< API keys of the organisation.
+  bool HasOrganisation = true;    ///< The configuration lists it.
   int TimeoutMs = 2000;           ///< Timeout of each route.
   int TargetMs = 500;             ///< Latency target of each route.
   double RevokeMs = 5000;         ///< Set before nodes are added.
@@ -141,10 +142,11 @@
         std::to_string(CallMs) +
         ",\"item_ms\":1,"
         "\"headroom_mb\":" +
-        std::to_string(RoomMb) +
-        ",\"handle_s\":4}}],\"limits\":{},\"tenants\":[{"
-        "\"name\":\"org-a\",\"api_keys\":[" +
-        Keys + "]}]}";
+        std::to_string(RoomMb) + ",\"handle_s\":4}}],\"limits\":{}" +
+        ",\"tenants\":[" +
+        (HasOrganisation ? "{\"name\":\"org-a\",\"api_keys\":[" + Keys + "]}"
+                         : "") +
+        "]}";
     Store.put("op/config", Text);
   }
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -56,6 +56,19 @@
           401);
     CHECK(A.Seen.empty());
   }
+  GIVEN("a configuration that takes the only organisation away") {
+    // Guards against routes that are open to any key since then.
+    W.HasOrganisation = false;
+    W.configure();
+    CHECK(runUntil(
+        W.Loop, [&] { return W.ask("/post/x").Answer.Status == 401; },
+        seconds(3)));
+    std::size_t Before = A.Seen.size();
+    CHECK(W.ask("/post/x", {{"Authorization", "Bearer no"}}).Answer.Status ==
+          401);
+    CHECK(W.ask("/open/x").Answer.Status == HttpOk);
+    CHECK(A.Seen.size() == Before + 1);
+  }
   GIVEN("a stream") {
     ClientResult Got = W.ask("/stream/x");
     CHECK(Got.Answer.Status == HttpOk);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -169,6 +169,20 @@
     CHECK(findService(*Table, "s")->Batch->ResultSpaceBytes == 1.5e6);
     CHECK(findOrganisation(*Table, "k")->Priority == 3);
   }
+  GIVEN("configurations with and without organisations") {
+    // Guards against an empty list that is taken for none: without a list,
+    // requests need no key.
+    auto Read = [&](const std::string &More) {
+      return Wire.readRoutes("{\"version\":7" + More + "}", Why);
+    };
+    CHECK_FALSE(Read("")->Organisations);
+    for (const char *Empty : {",\"tenants\":[]", ",\"tenants\":null"}) {
+      RouteTablePtr Table = Read(Empty);
+      REQUIRE(Table->Organisations);
+      CHECK(Table->Organisations->empty());
+    }
+    CHECK_FALSE(Read(",\"tenants\":{}"));
+  }
   GIVEN("invalid configurations") {
     CHECK_FALSE(Wire.readRoutes("{", Why));
     CHECK_FALSE(Wire.readRoutes(
