Pieces after an omitted stage are made from no results, not from an empty key

Cause: a batch request held a key and a list of results, and an empty list was read as a stage that needs none.

The new test failed in 4 of 20 assertions before, at the node that forms the calls and at another one, and passes with the change.

--- a/src/batch_send.cpp
+++ b/src/batch_send.cpp
@@ -88,8 +88,7 @@
     Item.RequestId = Job.Request.RequestId;
     Item.Stage = Job.Request.Stage;
     Item.Piece = static_cast<int>(I);
-    Item.Key = Job.Request.Key;
-    Item.Inputs = Job.Request.Inputs;
+    Item.Source = Job.Request.Source;
     Item.Content = Job.Request.Content;
     Item.Left = Job.Deadline - Now;
     Call.Items.push_back(std::move(Item));
--- a/src/batch_type.h
+++ b/src/batch_type.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "attempt_decision_type.h"
@@ -27,17 +28,29 @@
 using BatchCallId = StrongId<BatchCallTag>;       ///< One call to an upstream.
 using BatchTicket = StrongId<BatchTicketTag>;     ///< Of a submitter; 0: none.
 
+/// The key that a client gave for the pieces of stages without inputs.
+struct PieceKey {
+  std::string Text; ///< As the client sent it.
+};
+
+/// The results of earlier stages that a piece reads.
+struct PieceInputs {
+  std::vector<std::string> Handles; ///< None if those stages were omitted.
+};
+
+/// What a piece is made from.
+using PieceSource = std::variant<PieceKey, PieceInputs>;
+
 /// The pieces of one stage of one request.
 struct BatchRequest {
-  std::string RequestId; ///< Request id given by the client.
-  int Stage = 0;         ///< Index of the stage in its route.
-  int Pieces = 0;        ///< Number of pieces; they are numbered from 0.
-  std::string Key;       ///< Piece key for a stage without inputs.
-  std::vector<std::string> Inputs; ///< Handles that each piece reads.
-  int Priority = 5;                ///< 0 is the most urgent.
-  double ResultBytes = 0;          ///< Approximate size of one result.
-  std::string Domain;              ///< Preferred failure domain; empty: none.
-  bool NotifyInputsRead = false;   ///< Notify when the inputs have been read.
+  std::string RequestId;  ///< Request id given by the client.
+  int Stage = 0;          ///< Index of the stage in its route.
+  int Pieces = 0;         ///< Number of pieces; they are numbered from 0.
+  PieceSource Source;     ///< The same for all pieces.
+  int Priority = 5;       ///< 0 is the most urgent.
+  double ResultBytes = 0; ///< Approximate size of one result.
+  std::string Domain;     ///< Preferred failure domain; empty: none.
+  bool NotifyInputsRead = false; ///< Notify when the inputs have been read.
   Fingerprint Content; ///< Fingerprint; the same for each retry of a request.
   int Crashes = 0;     ///< Upstream crashes under it, as known here.
   Duration Due{};      ///< From now; latest on-time completion.
@@ -130,14 +143,13 @@
 
 /// One piece in a call.
 struct BatchItem {
-  BatchRequestId Request;          ///< The batch request that it belongs to.
-  std::string RequestId;           ///< Request id given by the client.
-  int Stage = 0;                   ///< Index of the stage in its route.
-  int Piece = 0;                   ///< Index of the piece in its batch request.
-  std::string Key;                 ///< As in BatchRequest.
-  std::vector<std::string> Inputs; ///< As in BatchRequest.
-  Fingerprint Content;             ///< As in BatchRequest.
-  Duration Left{};                 ///< Time until its deadline.
+  BatchRequestId Request; ///< The batch request that it belongs to.
+  std::string RequestId;  ///< Request id given by the client.
+  int Stage = 0;          ///< Index of the stage in its route.
+  int Piece = 0;          ///< Index of the piece in its batch request.
+  PieceSource Source;     ///< As in BatchRequest.
+  Fingerprint Content;    ///< As in BatchRequest.
+  Duration Left{};        ///< Time until its deadline.
 };
 
 /// How one piece of a call ended, as reported by the upstream.
--- a/src/gateway_stages.cpp
+++ b/src/gateway_stages.cpp
@@ -98,14 +98,17 @@
   Ask.Content = stageFingerprint(R.Content, Spec.Pool);
   Ask.Due = R.OnTimeBy - Rest - Timers->now();
   Ask.Deadline = nextEventDeadline(R) - minRemainingTime(Rest) - Timers->now();
-  if (Spec.After.empty())
-    Ask.Key = R.Ask.PieceKey;
+  PieceInputs Inputs;
   for (int Needed : Spec.After) {
     const StageProgress &Input = R.Stages[static_cast<std::size_t>(Needed)];
-    Ask.Inputs.insert(Ask.Inputs.end(), Input.Handles.begin(),
-                      Input.Handles.end());
+    Inputs.Handles.insert(Inputs.Handles.end(), Input.Handles.begin(),
+                          Input.Handles.end());
     Ask.NotifyInputsRead = Ask.NotifyInputsRead || Input.SpaceScarce;
   }
+  if (Spec.After.empty())
+    Ask.Source = PieceKey{R.Ask.PieceKey};
+  else
+    Ask.Source = std::move(Inputs);
   Ask.Deadline =
       std::min(Ask.Deadline, inputsExpireAt(R, Index) - Timers->now());
   Stage.Ticket = Batches->ask(
--- a/tests/test_batch.cpp
+++ b/tests/test_batch.cpp
@@ -297,7 +297,7 @@
   W.pass(milliseconds(260));
   BatchRequest Request = W.makeBatchRequest(4);
   Request.NotifyInputsRead = true;
-  Request.Inputs = {"x/1"};
+  Request.Source = PieceInputs{{"x/1"}};
   GIVEN("an upstream that gets calls from this node only") {
     std::uint64_t Id = W.ask(Request);
     CHECK(W.Read.empty());
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -310,6 +310,50 @@
   }
 }
 
+// Guards against pieces that are made from another key than the client's, or
+// from none: the stages that they need were omitted.
+SCENARIO("a request omits a stage that another one needs") {
+  GatewayWorld W;
+  const std::string Made = R"({"items":[{"handle":"127.0.0.1:1/a"}]})";
+  RawServer Batch(W.Loop,
+                  {"HTTP/1.1 200 OK\r\nContent-Length: " +
+                   std::to_string(Made.size()) + "\r\n\r\n" + Made},
+                  RawCloseMode::Keep);
+  W.ListedAddress["i-s"] = Batch.address();
+  W.DomainOf["i-s"] = "z1";
+  W.list("batch", "i-s", "ready");
+  W.addRunner("engine", {"i-e", milliseconds(5), 3});
+  W.configure();
+  W.addNode();
+  W.addNode();
+  REQUIRE(runUntil(W.Loop, [&] { return W.knowEachOther(); }));
+  // One of the two nodes forms the calls of the other one as well.
+  std::size_t Node = GENERATE(0, 1);
+  auto BodyFor = [&](const std::string &Pieces) {
+    auto Got =
+        W.send("/staged/x", {{"X-Pieces", Pieces}, {"X-Piece-Key", "k"}}, Node);
+    CHECK(runUntil(W.Loop, [&] { return Got->Ended; }));
+    CHECK(Got->Answer.Status == HttpOk);
+    for (const std::string &Request : Batch.Requests) {
+      if (Request.find("stage-run") != std::string::npos)
+        return Request.substr(Request.find("\r\n\r\n"));
+    }
+    return std::string();
+  };
+  GIVEN("a stage that needs none") {
+    std::string Body = BodyFor("0,1,0");
+    CHECK(Body.find(R"("key":"k")") != std::string::npos);
+    CHECK(Body.find("inputs") == std::string::npos);
+  }
+  GIVEN("a stage that needs an omitted one") {
+    std::string Body = BodyFor("0,0,1");
+    THEN("its piece is made from no results, and from no key") {
+      CHECK(Body.find(R"("inputs":[])") != std::string::npos);
+      CHECK(Body.find("key") == std::string::npos);
+    }
+  }
+}
+
 // Guards against a second copy of a "not run" answer that is believed for the
 // next send of its request, which an engine then runs.
 SCENARIO("an engine says twice that the inputs of a request are gone") {
