A round of the event loop ends while a peer sends without a pause

What callers saw: with four calls to upstreams that send interim responses or one-byte chunks without end, a node answered nobody for as long as they sent; no timer fired.

Cause: a round that does not wait, as one with a due timer or a deferred function, was run with EVLOOP_NONBLOCK alone. libevent then goes on until no descriptor is ready. In 1.5 s of the hang epoll_wait was entered 2,058 times and runOnce not once.

The new test counted 10,000 reads in one round before, in both of its sections.

--- a/tests/test_endless_bytes.cpp
+++ b/tests/test_endless_bytes.cpp
@@ -103,6 +103,39 @@
 
 } // namespace
 
+/// Guards against timers and deferred functions that do not run, in a node
+/// whose peers send without a pause.
+TEST_CASE("a descriptor is readable in each round of the loop", "[endless]") {
+  constexpr int ManyReads = 10000;
+  TimerService Timers;
+  EventLoop Loop{Timers};
+  int Fds[2] = {-1, -1};
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, Fds) == 0);
+  REQUIRE(::write(Fds[1], "a", 1) == 1);
+  int Reads = 0;
+  Loop.watchReadable(Fds[0], [&] {
+    // Ends a round that would go on for ever.
+    char Byte = 0;
+    if (++Reads == ManyReads)
+      CHECK(::read(Fds[0], &Byte, 1) == 1);
+  });
+  bool Ran = false;
+  SECTION("a deferred function defers another one") {
+    Loop.defer([&] { Loop.defer([&] { Ran = true; }); });
+  }
+  SECTION("a timer is due") {
+    Timers.after(Duration(0),
+                 [&] { Timers.after(Duration(0), [&] { Ran = true; }); });
+  }
+  for (int Round = 0; Round < 5; ++Round)
+    Loop.runOnce();
+  CHECK(Ran);
+  CHECK(Reads < ManyReads);
+  Loop.unwatch(Fds[0]);
+  ::close(Fds[0]);
+  ::close(Fds[1]);
+}
+
 /// Guards against a call that takes up memory without end, or does not end.
 TEST_CASE("a response has no end", "[endless]") {
   const auto &[Begin, Fill] = GENERATE(from_range(Endless));
