A status that is none ends the call at once and reaches no client

What callers saw: 504 after the whole timeout where the upstream had answered with a status below 200 that is none (000, 0, 001, 099, 20), and 600 and 999 passed on with the upstream's signature.

Cause: one comparison with 200 told interim responses from final ones; whether a number is a status of HTTP was never asked.

Change: statusKind() tells interim, final and unknown ones; 101 is unknown, as nobody asks for another protocol. A call with an unknown status fails as bad_status, logged with its number: 502 without a signature, repeated only where the request may run again.

--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -211,6 +211,8 @@
 
 /// \return Why an answer is none that could be passed on, for logs.
 inline std::string failureText(const HttpResponse &Answer) {
+  if (Answer.Failure == HttpFailure::BadStatus)
+    return "bad status " + std::to_string(Answer.BadStatus);
   return Answer.Failure != HttpFailure::None
              ? std::string(httpFailureName(Answer.Failure))
              : "status " + std::to_string(Answer.Status);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -72,6 +72,7 @@
   Truncated,     ///< The connection ended inside the response body.
   TimedOut,      ///< No byte was received within the call's timeout.
   NotHttp,       ///< The response is invalid or too large.
+  BadStatus,     ///< Its status is none of HTTP.
   RelayLost,     ///< The node that made the call for this one is gone.
   Count,         ///< Number of failures.
   Invalid,       ///< Not a failure.
@@ -94,8 +95,9 @@
   bool NoDescriptor = false;
   bool Relayed = false; ///< Another node made the call, and it failed there.
   HttpFailure Failure = HttpFailure::None; ///< Why the response is incomplete.
-  HttpHeaders Headers;                     ///< Headers of the response.
-  std::string Body; ///< Complete body; empty if OnChunk is set.
+  int BadStatus = 0;   ///< The status that was stated, of a BadStatus.
+  HttpHeaders Headers; ///< Headers of the response.
+  std::string Body;    ///< Complete body; empty if OnChunk is set.
 
   /// \return The value of a header, or an empty string.
   std::string header(std::string_view Name) const {
--- a/src/http_type.h
+++ b/src/http_type.h
@@ -56,6 +56,28 @@
   return Status >= HttpOk && Status < FirstOther;
 }
 
+/// What a status code in a response means for the call.
+enum class StatusKind {
+  Interim, ///< The response follows.
+  Final,   ///< It is the response's.
+  Unknown, ///< No status of HTTP, or a change of protocol that nobody asked
+           ///< for.
+  Count,   ///< Number of kinds.
+  Invalid, ///< Not a kind.
+};
+
+/// \return The kind of a status code (RFC 9110, 15).
+inline StatusKind statusKind(int Status) {
+  constexpr int FirstInterim = 100;
+  constexpr int SwitchingProtocols = 101;
+  constexpr int FirstUnknown = 600;
+  if (Status >= HttpOk && Status < FirstUnknown)
+    return StatusKind::Final;
+  bool Interim = Status >= FirstInterim && Status < HttpOk;
+  return Interim && Status != SwitchingProtocols ? StatusKind::Interim
+                                                 : StatusKind::Unknown;
+}
+
 /// Header names used by the HTTP interfaces of this project.
 namespace header {
 inline constexpr const char *IdempotencyKey = "Idempotency-Key";
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -537,6 +537,36 @@
 
 /// Guards against calls that count as sent although their peer reads nothing,
 /// and against bodies that are sent before the peer asks for them.
+// Guards against calls that wait for their timeout after an answer that is
+// none, and against such an answer that is passed on.
+TEST_CASE("a response has a status that HTTP does not know") {
+  const char *Line = GENERATE("000 Zero", "0 Zero", "001 One", "099 Low",
+                              "20 O", "101 Switching", "600 Own", "999 Own");
+  bool Continue = GENERATE(false, true);
+  CAPTURE(Line, Continue);
+  TimerService Timers;
+  EventLoop Loop(Timers);
+  std::string Begin = Continue ? "HTTP/1.1 100 Continue\r\n\r\n" : "";
+  RawServer Server(
+      Loop, {Begin + "HTTP/1.1 " + Line + "\r\nContent-Length: 4\r\n\r\nbody"},
+      RawCloseMode::Keep);
+  HttpClient Client(Loop);
+  HttpCall Call;
+  Call.Address = Server.address();
+  Call.Timeout = std::chrono::seconds(2);
+  std::optional<HttpResponse> Got;
+  bool Head = false;
+  HttpCallbacks On;
+  On.OnHead = [&](const HttpResponse &) { Head = true; };
+  On.OnDone = [&](const HttpResponse &Answer) { Got = Answer; };
+  Client.start(std::move(Call), std::move(On));
+  REQUIRE(runUntil(Loop, [&] { return Got.has_value(); }));
+  CHECK(httpFailureName(Got->Failure) == "bad_status");
+  CHECK(Got->Status == 0);
+  CHECK(Got->MayHaveBeenSent);
+  CHECK_FALSE(Head);
+}
+
 TEST_CASE("a call's body is sent when its peer asks for it") {
   TimerService Timers;
   EventLoop Loop(Timers);
--- a/tests/test_not_run.cpp
+++ b/tests/test_not_run.cpp
@@ -93,6 +93,14 @@
   GIVEN("an error with a signature") {
     CHECK(Answer(answer(500, Signed)).Status == BadGateway);
   }
+  GIVEN("a status that HTTP does not know, with its name and a signature") {
+    auto Status = GENERATE("000", "600", "999");
+    HttpResponse Got = Answer("HTTP/1.1 " + std::string(Status) + " Own\r\n" +
+                              Named + Signed + "Content-Length: 0\r\n\r\n");
+    CHECK(Got.Status == BadGateway);
+    CHECK(Got.header("X-Server-Signature").empty());
+    CHECK(First.Requests.size() + Second.Requests.size() == 1);
+  }
 }
 
 // Guards against an empty or short answer that looks whole, of an upstream that
