An incomplete event is not copied with each piece of it

What callers saw: nothing was seen; found while looking for what a peer can make a node spend time on. An event of 256 KiB that comes a byte at a time was copied for each byte.

Change: the splitter keeps its buffer until an event ends.

--- a/src/event_stream.cpp
+++ b/src/event_stream.cpp
@@ -2,6 +2,7 @@
 #include "event_stream.h"
 
 #include <charconv>
+#include <utility>
 
 namespace fulmar {
 
@@ -49,13 +50,14 @@
   std::size_t From =
       Buffered.size() < MarkSize ? 0 : Buffered.size() - MarkSize;
   Buffered.append(Bytes);
-  std::string Text = std::move(Buffered);
-  Buffered.clear();
+  std::size_t First = endOfEvent(Buffered, From);
+  // The pieces of a large event are not copied with each of them.
+  if (First == std::string::npos)
+    return Buffered.size() <= MaxEventBytes;
+  std::string Text = std::exchange(Buffered, {});
   std::size_t Begin = 0;
-  while (true) {
-    std::size_t End = endOfEvent(Text, std::max(From, Begin));
-    if (End == std::string::npos)
-      break;
+  for (std::size_t End = First; End != std::string::npos;
+       End = endOfEvent(Text, Begin)) {
     std::string_view Event(Text.data() + Begin, End - Begin);
     Begin = End;
     Fn({Event, readId(Event)});
--- a/tests/test_stream_gap.cpp
+++ b/tests/test_stream_gap.cpp
@@ -157,3 +157,27 @@
   CHECK(Found.Codes.at(ResultCode::Complete) == 1);
   CHECK(Found.GapsOver == 0);
 }
+
+// Guards against a stream whose small pieces keep a process busy: each of them
+// copied all that had arrived of their event.
+TEST_CASE("an event arrives a byte at a time") {
+  constexpr std::size_t Size = 100000;
+  constexpr int MaxCopies = 40;
+  EventSplitter Splitter;
+  int Copies = 0;
+  int Events = 0;
+  std::size_t Capacity = 0;
+  auto Feed = [&](std::string_view Bytes) {
+    CHECK(Splitter.feed(Bytes, [&](const StreamEvent &) { ++Events; }));
+    Copies += Splitter.Buffered.capacity() != Capacity ? 1 : 0;
+    Capacity = Splitter.Buffered.capacity();
+  };
+  for (std::size_t I = 0; I < Size; ++I)
+    Feed("x");
+  CHECK(Copies < MaxCopies);
+  Feed("\n");
+  CHECK(Events == 0);
+  Feed("\nid: 2\n\nid");
+  CHECK(Events == 2);
+  CHECK(Splitter.Buffered == "id");
+}
