A stopping node refuses requests that cannot end before its grace does

What callers saw: requests of 5 s of work that came 2.3 to 5.1 s after SIGTERM were passed on, ran, and got 504 shortly before the end of a grace of 8 s.

Cause: a route of which no request has ended at this node had a usual time of zero, and while clients may still hold the address nothing was refused at all.

Change: without a usual time the route's target counts, and at least the time that requests in progress have taken; what takes longer than the rest of the grace is refused as not run from the beginning of the stop.

--- a/src/gateway_admission.cpp
+++ b/src/gateway_admission.cpp
@@ -26,8 +26,8 @@
 static constexpr Duration MinEventWait = std::chrono::seconds(2);
 static constexpr int EventWaitTargets = 4;
 static constexpr int EventWaitGaps = 8;
-/// While draining, a request is expected to take this many times its usual
-/// time.
+/// While draining, once clients have had the time to use other nodes, a request
+/// is expected to take this many times its usual time.
 static constexpr int DrainTimeFactor = 2;
 /// While draining, a request is admitted only if it should end this much before
 /// the process is killed.
@@ -214,17 +214,32 @@
   return ResultCode::Complete;
 }
 
+/// \return Time that a request of a route takes at this node: the usual time,
+/// or the route's target as long as none has ended; at least as long as those
+/// in progress have taken so far.
+Duration GatewayService::expectedTime(const RouteSpec &Route) const {
+  TimePoint Now = Timers->now();
+  auto Found = Times.find(Route.Name);
+  Duration Usual =
+      Found == Times.end() ? Duration::zero() : Found->second.Whole;
+  Duration Longest = Usual > Duration::zero() ? Usual : Route.Target;
+  for (const auto &[Serial, R] : Requests) {
+    if (R.Route && R.Route->Name == Route.Name)
+      Longest = std::max(Longest, Now - R.Arrived);
+  }
+  return Longest;
+}
+
 bool GatewayService::cannotEndBeforeStop(const ForwardRequest &R) const {
   TimePoint Now = Timers->now();
-  if (Now < RefuseAt)
-    return false;
+  bool ClientsKnow = Now >= RefuseAt;
   // The length of a stream is known only at its end; the longest take several
-  // times the usual time. By now clients have had the time to use other nodes.
+  // times the usual time.
   if (R.Route->Kind == RouteKind::Streaming)
-    return true;
-  auto Found = Times.find(R.Route->Name);
-  Duration Usual = Found == Times.end() ? R.Route->Target : Found->second.Whole;
-  return Now + Usual * DrainTimeFactor + GraceMargin > EndsAt;
+    return ClientsKnow;
+  Duration Expected =
+      expectedTime(*R.Route) * (ClientsKnow ? DrainTimeFactor : 1);
+  return Now + Expected + GraceMargin > EndsAt;
 }
 
 void GatewayService::refuseAdmission(const ForwardRequest &R, ResultCode Code) {
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -94,6 +94,7 @@
   ResultCode identify(ForwardRequest &R);
   ResultCode admit(ForwardRequest &R);
   void refuseAdmission(const ForwardRequest &R, ResultCode Code);
+  Duration expectedTime(const RouteSpec &Route) const;
   bool cannotEndBeforeStop(const ForwardRequest &R) const;
 
   // gateway_chain.cpp: admission by all stages of a request.
