A stream goes on by a node's list only if that covers its beginning

What callers saw: during a release, a stream that broke off was taken up at a node that had stood still, and went on at an upstream of another version.

Cause: without a record, a stream goes on at the only version that the list has shown for as long as its client may have waited.

Change: the list must have been read after the take-up arrived. The request waits for that, 1.5 s at most, and the list is read or asked for at once.

--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -121,6 +121,7 @@
   Trial,          ///< The answer to a TrialAsk.
   CrashReport,    ///< The decision about an upstream's crash.
   PlacementHold,  ///< The end of a hold of its placement.
+  NewerList,      ///< A list that shows where its stream may have begun.
   Count,          ///< Number of values.
   Invalid,        ///< Not a value.
 };
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -177,6 +177,8 @@
   void takeUpStream(ForwardRequest &R);
   void streamFound(RequestSerial Serial, StreamFinding Finding,
                    const StreamOrigin &Origin);
+  bool listCovers(const ForwardRequest &R) const;
+  void awaitList(ForwardRequest &R, StreamFinding Finding);
   void continueStream(ForwardRequest &R, const StreamOrigin &Origin);
   void refuseStream(ForwardRequest &R, ResultCode Code, std::string_view Why);
   void tellOrigin(const ForwardRequest &R, const StreamOrigin &Origin);
--- a/src/gateway_stream.cpp
+++ b/src/gateway_stream.cpp
@@ -14,6 +14,10 @@
 
 /// A host that slept for longer than this may have missed changes of the list.
 static constexpr Duration MaxSleep = std::chrono::milliseconds(500);
+/// How long a client that takes up a stream waits for a newer list, and how
+/// often the list is looked at.
+static constexpr Duration MaxListWait = std::chrono::milliseconds(1500);
+static constexpr Duration ListCheckInterval = std::chrono::milliseconds(20);
 /// Streams without a record count as this old at least: a node may not have
 /// seen yet how long the clients of a route wait.
 static constexpr Duration MinStreamWait = std::chrono::seconds(30);
@@ -76,7 +80,27 @@
   if (!Sole)
     return refuseStream(*R, ResultCode::StreamVersionUnknown,
                         streamFindingName(Finding));
-  continueStream(*R, *Sole);
+  if (listCovers(*R))
+    return continueStream(*R, *Sole);
+  if (Timers->now() - R->Arrived > MaxListWait)
+    return refuseStream(*R, ResultCode::StreamVersionUnknown, "list too old");
+  awaitList(*R, Finding);
+}
+
+/// \return Whether the list shows all versions at which a stream may have begun
+/// that a client takes up: it was read after the request arrived. Other nodes
+/// may have used versions that an older list lacks.
+bool GatewayService::listCovers(const ForwardRequest &R) const {
+  return Upstreams->registry().ReadAt >= R.Arrived;
+}
+
+/// Waits for a newer list before the version of a stream is concluded from it.
+void GatewayService::awaitList(ForwardRequest &R, StreamFinding Finding) {
+  Upstreams->readSoon();
+  beginWait(R, SendWaitFor::NewerList);
+  limitWait(R, ListCheckInterval, [this, Finding](ForwardRequest &Waiting) {
+    streamFound(Waiting.Serial, Finding, {});
+  });
 }
 
 /// \return Whether a route passes requests to a pool.
--- a/src/upstream_feed.cpp
+++ b/src/upstream_feed.cpp
@@ -84,6 +84,12 @@
   });
 }
 
+void UpstreamFeed::readSoon() {
+  // Without the timer, a read is running.
+  if (NextRead != TimerId{})
+    readAfter(Duration::zero());
+}
+
 /// Processes the list state of a node that reads the list. If its list was read
 /// recently, this node need not read the store; otherwise the whole fleet would
 /// read each change.
--- a/src/upstream_feed.h
+++ b/src/upstream_feed.h
@@ -53,6 +53,9 @@
     Restarts.push_back(std::move(Fn));
   }
 
+  /// Reads the list, or requests it from another node, at once.
+  void readSoon();
+
   /// \return The current list.
   const UpstreamRegistry &registry() const { return Registry; }
   /// \return Whether the changes of other nodes do not start from this node's
--- a/tests/test_stream_version.cpp
+++ b/tests/test_stream_version.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway_world.h"
 #include "node_ring.h"
+#include "own_loop.h"
 #include "stream_version_func.h"
 #include "version_history.h"
 
@@ -565,3 +566,68 @@
   World.finish();
   CHECK(World.mixed() == 0);
 }
+
+/// Guards against a stream that goes on at the only version which a node knows
+/// that stood still, while the stream began at a new one elsewhere.
+TEST_CASE("a stream is taken up at a node that stood still",
+          "[stream-version]") {
+  bool Joins = GENERATE(true, false);
+  CAPTURE(Joins);
+  GatewayWorld World;
+  World.Attempts = "3";
+  World.TimeoutMs = 5000;
+  auto Add = [&](const std::string &Name, const std::string &Version) {
+    RunnerConfig Shape{Name, milliseconds(5), Events, milliseconds(30)};
+    Shape.Version = Version;
+    return &World.addRunner("engine", Shape);
+  };
+  platform::StandinRunner *Old = Add("old-0", "v1");
+  World.configure();
+  OwnLoop Late;
+  Late.start(World, "n0", /*GraceS=*/8);
+  World.startNode("n1");
+  REQUIRE(
+      runUntil(World.Loop, [&] { return World.Nodes[0]->gateway().ready(); }));
+  // For longer than a client of this route may wait, there is one version.
+  static constexpr int Speed = 16;
+  TimePoint Start = EventLoop::clock();
+  auto Fast = [Start] { return Start + (EventLoop::clock() - Start) * Speed; };
+  World.Timers.setClock(Fast);
+  Late.Time.setClock(Fast);
+  runUntil(
+      World.Loop, [&] { return World.Timers.now() > Start + seconds(40); },
+      seconds(8));
+  Duration Ahead = World.Timers.now() - EventLoop::clock();
+  auto Usual = [Ahead] { return EventLoop::clock() + Ahead; };
+  World.Timers.setClock(Usual);
+  Late.Time.setClock(Usual);
+  auto Wait = [&World](Duration Time) {
+    runUntil(
+        World.Loop, [] { return false; }, Time);
+  };
+  Wait(milliseconds(300));
+
+  Late.Paused = true;
+  platform::StandinRunner *Began = Old;
+  if (Joins) {
+    Began = Add("new-0", "v2");
+    Old->Mode = platform::RunnerMode::Full;
+    const Pool &P = World.Nodes[0]->gateway().pools().at("engine");
+    REQUIRE(runUntil(World.Loop, [&] { return P.Upstreams.size() == 2; }));
+  }
+  auto First = World.send("/stream/x", {ClientTime}, 1);
+  REQUIRE(
+      runUntil(World.Loop, [&] { return idsIn(First->Stream).size() >= 2; }));
+  Began->breakOff();
+  REQUIRE(runUntil(World.Loop, [&] { return First->Ended; }));
+  Old->Mode = platform::RunnerMode::Serving;
+  HttpHeader Last = {"Last-Event-Id",
+                     std::to_string(idsIn(First->Stream).back())};
+  auto Next = World.send("/stream/x", {ClientTime, Last}, 0);
+  Wait(milliseconds(50));
+  Late.Paused = false;
+  REQUIRE(runUntil(World.Loop, [&] { return Next->Ended; }));
+  std::string Text = First->Stream + Next->Stream;
+  CHECK(versionsIn(Text).size() == 1);
+  CHECK(isWhole(Text) == !Joins);
+}
