Numbers of questions to other nodes begin at random in each process

Trials and placements were numbered from 1 in each process, so an answer to the process before could be taken for one of the present: a quarantined part could run without a trial.

Change: the serials of trials and requests begin at random.

--- a/src/gateway_node.cpp
+++ b/src/gateway_node.cpp
@@ -84,8 +84,8 @@
   QuarantinePolicy Quarantined;
   Quarantined.Crashes = static_cast<int>(Config.QuarantineCrashes);
   Quarantined.Time = fromMs(Config.QuarantineS * 1e3);
-  Services.add(service::Quarantine,
-               std::make_unique<QuarantineService>(Services, Quarantined));
+  Services.add(service::Quarantine, std::make_unique<QuarantineService>(
+                                        Services, Quarantined, Seed + 11));
   Services.add(service::RateLimits,
                std::make_unique<RateLimitService>(Services));
   Services.add(service::Notices,
--- a/src/gateway_service.cpp
+++ b/src/gateway_service.cpp
@@ -31,6 +31,9 @@
 static constexpr Duration EndMargin = std::chrono::milliseconds(700);
 /// Largest random addition to retry times, as a fraction.
 static constexpr double RetryAfterJitter = 0.4;
+/// Upper bits of a request's serial that are zero at the start: the serial of a
+/// placement also holds the number of the attempt.
+static constexpr int SerialSpareBits = 20;
 /// Calls of this node that an engine may have in flight above the mean of the
 /// others before its sessions are sent to another engine. The session's part of
 /// a prompt is several thousand tokens, a tenth of a second of an engine's
@@ -39,7 +42,8 @@
 
 GatewayService::GatewayService(Kernel &K, const GatewaySettings &S,
                                const WireFormat &W, std::uint64_t Seed)
-    : Services(K), Config(S), Wire(W), Rng(Seed), LastWait(Rng()) {
+    : Services(K), Config(S), Wire(W), Rng(Seed),
+      LastSerial(Rng() >> SerialSpareBits), LastWait(Rng()) {
   // Upstreams refuse requests when they are full; a limit that adapts to the
   // latency would take a long prompt for overload.
   Policy.Limit = LimitRule::Fixed;
--- a/src/gateway_service.h
+++ b/src/gateway_service.h
@@ -368,8 +368,10 @@
                                               ///< bytes of an answer, by pool.
   std::map<std::string, RouteTimes> Times;    ///< Smoothed times, by route.
   std::map<RequestSerial, ForwardRequest> Requests; ///< In progress.
-  std::uint64_t LastSerial = 0;                     ///< Of the latest request.
-  std::uint64_t LastWait; ///< Of the latest wait; begins at random.
+  /// Of the latest request, and of the latest wait. Messages to other nodes
+  /// hold them, so each process begins at random.
+  std::uint64_t LastSerial;
+  std::uint64_t LastWait;
   std::unordered_map<SendWaitId, RequestSerial> Waits; ///< Those in progress.
   std::uint32_t LastUpstream = 0; ///< Of the latest upstream.
   std::vector<std::string> Nodes; ///< Ids of live nodes, sorted.
--- a/src/quarantine_service.cpp
+++ b/src/quarantine_service.cpp
@@ -37,8 +37,9 @@
   return RecordPrefix + fingerprintText(Content);
 }
 
-QuarantineService::QuarantineService(Kernel &K, QuarantinePolicy Policy)
-    : Services(K) {
+QuarantineService::QuarantineService(Kernel &K, QuarantinePolicy Policy,
+                                     std::uint64_t Seed)
+    : Services(K), LastAsk(Random(Seed)()) {
   State.Policy = Policy;
 }
 
--- a/src/quarantine_service.h
+++ b/src/quarantine_service.h
@@ -36,7 +36,7 @@
 /// when no other node is running.
 class QuarantineService : public Service {
 public:
-  QuarantineService(Kernel &K, QuarantinePolicy Policy);
+  QuarantineService(Kernel &K, QuarantinePolicy Policy, std::uint64_t Seed);
 
   void start() override;
 
@@ -126,8 +126,10 @@
                                             ///< node that writes it.
   std::set<Fingerprint> Asking; ///< Parts whose objections are awaited.
   std::map<std::uint64_t, std::function<void(bool)>>
-      TrialAsks;              ///< Waiting for answers, by serial.
-  std::uint64_t LastAsk = 0;  ///< Serial of the latest TrialAsk.
+      TrialAsks; ///< Waiting for answers, by serial.
+  /// Serial of the latest TrialAsk; begins at random, as an answer may have
+  /// been asked for by an earlier process of this node.
+  std::uint64_t LastAsk;
   std::size_t GossipFrom = 0; ///< Decisions that were gossiped last.
   std::map<std::uint64_t, TimePoint> Ends; ///< Ends that this node has found,
                                            ///< by hash of name and start.
--- a/tests/test_late_answers.cpp
+++ b/tests/test_late_answers.cpp
@@ -6,6 +6,7 @@
 
 #include "gateway_world.h"
 #include "peer_service.h"
+#include "quarantine_service.h"
 #include "rate_limit_service.h"
 
 using namespace fulmar;
@@ -95,3 +96,44 @@
   CHECK(W.runsOfLast() == 1);
   CHECK(W.allHadInputs());
 }
+
+// Guards against an answer that an earlier process of a node asked for, and
+// that is taken for the answer to a question of the present one.
+SCENARIO("a node asks for a trial before and after it has started again") {
+  GatewayWorld W;
+  W.addRunner("plain", {"p-0"});
+  W.configure();
+  W.addNode();
+  W.addNode();
+  REQUIRE(runUntil(W.Loop, [&] { return W.knowEachOther(); }));
+  std::vector<std::uint64_t> Serials;
+  W.Nodes[1]
+      ->services()
+      .find<PeerService>(service::Peers)
+      .on<TrialAsk>([&](const PeerMessage &, const TrialAsk &Ask) {
+        Serials.push_back(Ask.Serial);
+      });
+  // The other node decides on about half of all parts.
+  auto Ask = [&Serials, &W](const GatewayNode &Node) {
+    std::size_t Before = Serials.size();
+    for (std::uint64_t Part = 1; Part <= 20; ++Part)
+      Node.services()
+          .find<QuarantineService>(service::Quarantine)
+          .askTrial(Fingerprint{Part}, [](bool) { /* not of interest */ });
+    REQUIRE(runUntil(W.Loop, [&] { return Serials.size() >= Before + 5; }));
+  };
+  Ask(*W.Nodes[0]);
+  W.Nodes[0]->halt();
+  runUntil(
+      W.Loop, [] { return false; }, milliseconds(100));
+  std::set<std::uint64_t> Earlier(Serials.begin(), Serials.end());
+  Serials.clear();
+  GatewayNode &Again = W.startNode("n0");
+  REQUIRE(runUntil(W.Loop, [&] {
+    return Again.gateway().ready() &&
+           Again.services().find<MemberService>(service::Members).size() == 2;
+  }));
+  Ask(Again);
+  for (std::uint64_t Serial : Serials)
+    CHECK(Earlier.count(Serial) == 0);
+}
