A call collects no longer body than its answer can have

What callers saw: upstreams of a stage that answer without end let a node grow to 336 MB where its machine has 260 MB; a process that ends takes the requests of all clients with it (LOST).

Cause: calls for pieces, which are in no account, could each collect 8 MiB, the bound made for values of the store; some 40 are in progress at once.

Change: HttpCall::MaxBodyBytes.

--- a/src/http_client.h
+++ b/src/http_client.h
@@ -31,8 +31,9 @@
 /// idle, because peers announce idle timeouts in whole seconds.
 inline constexpr Duration MaxRecentIdle = std::chrono::milliseconds(700);
 
-/// Limit on the body of a response that is collected: four values of the
-/// key-value service of the maximum size (1 MB), encoded as text.
+/// Limit on the body of a response that is collected, unless the call states
+/// one: four values of the key-value service of the maximum size (1 MB),
+/// encoded as text.
 inline constexpr std::size_t MaxResponseBytes = std::size_t{8} << 20;
 
 /// A request to send, with its timeouts.
@@ -42,6 +43,8 @@
   std::string Path = "/";      ///< Path and query.
   HttpHeaders Headers; ///< Content-Length is added, and Host if missing.
   SharedBytes Body;    ///< Complete body.
+  /// Longest body of a response that is collected; a longer one fails the call.
+  std::size_t MaxBodyBytes = MaxResponseBytes;
   /// If set, a response with another X-Request-Id is discarded, and no
   /// connection is reused that has carried a call with the same id lately.
   std::string ExpectId;
--- a/src/upstream_client.cpp
+++ b/src/upstream_client.cpp
@@ -312,6 +312,7 @@
   Call.Address = formatHostPort({Node->Host, Node->OperatorPort});
   Call.Path = RelayPath;
   Call.Body = std::move(Sealed);
+  Call.MaxBodyBytes = C.Call.MaxBodyBytes;
   Call.Timeout = C.Call.Timeout + ConnectTimeout;
   Call.WholeTimeout = true;
   Call.ConnectTimeout = ConnectTimeout;
@@ -419,6 +420,7 @@
   HttpCall Call;
   Call.Address = Address;
   Call.ConnectOnly = true;
+  Call.MaxBodyBytes = 0;
   Call.ConnectTimeout = ConnectTimeout;
   if (Probe.Proof)
     Call.StayOpen = ProofTime;
--- a/tests/test_endless_bytes.cpp
+++ b/tests/test_endless_bytes.cpp
@@ -58,6 +58,9 @@
   }
 };
 
+/// The same for calls whose answers are short, beside the buffers.
+constexpr std::size_t MaxShortAnswerBytes = std::size_t{4} << 20;
+
 const std::string Page(std::size_t{64} << 10, 'a');
 const std::string Signed = "X-Server-Signature: s\r\n";
 
@@ -209,3 +212,18 @@
       World.Loop, [&] { return Server.Server.Fds.empty(); }, seconds(4)));
   CHECK(Server.Sent < MaxEndlessBytes);
 }
+
+/// Guards against a node that runs out of memory, as dozens of calls for pieces
+/// are in progress and each keeps the largest answer of any call.
+TEST_CASE("the answer to a call for pieces is larger than its pieces need",
+          "[endless]") {
+  PathWorld World(1);
+  EndlessServer Server(World.Loop, "HTTP/1.1 200 OK\r\n\r\n", Page,
+                       milliseconds(1));
+  listOnly(World, "batch", Server);
+  ClientResult Result = World.ask("/staged/x", OnePieceEach);
+  CHECK(Result.Ended);
+  CHECK(Result.Answer.Status != HttpOk);
+  CHECK_FALSE(Server.Server.Requests.empty());
+  CHECK(Server.Sent < MaxShortAnswerBytes);
+}
