--- a/tests/gateway_world.h
+++ b/tests/gateway_world.h
@@ -272,6 +272,15 @@
   HttpCallId LastCall; ///< Of the latest request.
 };
 
+/// \return The text of a complete stream of \p Count events.
+inline std::string wholeStream(int Count) {
+  std::string Text;
+  for (int I = 1; I <= Count; ++I)
+    Text +=
+        "id: " + std::to_string(I) + "\ndata: t" + std::to_string(I) + "\n\n";
+  return Text;
+}
+
 /// \return The metrics page of the first node.
 inline std::string metricsPage(GatewayWorld &W) {
   HttpCall Call;
--- a/tests/raw_socket.h
+++ b/tests/raw_socket.h
@@ -51,6 +51,23 @@
   SilentListener &operator=(const SilentListener &) = delete;
 };
 
+/// Listens on a free port of the loopback address.
+/// \param[out] Port that port.
+/// \return The socket, which does not block.
+inline int listenOnLoopback(int &Port) {
+  int Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  sockaddr_in Local{};
+  Local.sin_family = AF_INET;
+  inet_pton(AF_INET, "127.0.0.1", &Local.sin_addr);
+  socklen_t Size = sizeof(Local);
+  if (::bind(Fd, reinterpret_cast<sockaddr *>(&Local), Size) != 0)
+    throw std::runtime_error("cannot bind");
+  ::listen(Fd, 16);
+  ::getsockname(Fd, reinterpret_cast<sockaddr *>(&Local), &Size);
+  Port = ntohs(Local.sin_port);
+  return Fd;
+}
+
 /// A client that sends bytes unchanged and records what it receives.
 struct RawClient {
   int Fd = -1;          ///< The socket.
@@ -122,16 +139,7 @@
 
   RawServer(EventLoop &L, std::vector<std::string> A, RawCloseMode E)
       : Loop(L), Responses(std::move(A)), End(E) {
-    Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    sockaddr_in Local{};
-    Local.sin_family = AF_INET;
-    inet_pton(AF_INET, "127.0.0.1", &Local.sin_addr);
-    if (::bind(Listener, reinterpret_cast<sockaddr *>(&Local), sizeof(Local)))
-      throw std::runtime_error("cannot bind");
-    ::listen(Listener, 16);
-    socklen_t Size = sizeof(Local);
-    ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Local), &Size);
-    Port = ntohs(Local.sin_port);
+    Listener = listenOnLoopback(Port);
     Loop.watchReadable(Listener, [this] { accept(); });
   }
   ~RawServer() {
--- a/tests/test_cut_uploads.cpp
+++ b/tests/test_cut_uploads.cpp
@@ -37,16 +37,7 @@
   UploadServer(EventLoop &L, std::string Text, std::size_t First, UploadEnd E,
                Duration D)
       : Loop(L), Answer(std::move(Text)), ReadFirst(First), How(E), Delay(D) {
-    Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    sockaddr_in Local{};
-    Local.sin_family = AF_INET;
-    inet_pton(AF_INET, "127.0.0.1", &Local.sin_addr);
-    socklen_t Size = sizeof(Local);
-    if (::bind(Listener, reinterpret_cast<sockaddr *>(&Local), Size) != 0)
-      throw std::runtime_error("cannot bind");
-    ::listen(Listener, 16);
-    ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Local), &Size);
-    Port = ntohs(Local.sin_port);
+    Listener = listenOnLoopback(Port);
     Loop.watchReadable(Listener, [this] { accept(); });
   }
   ~UploadServer() {
